--- /dev/null
+++ b/packages/decisions/src/core/connection-plan/index.ts
@@ -0,0 +1,2 @@
+/** How the owner's limit on connections is divided among the proxies. */
+export * from './connection-share.js';
--- /dev/null
+++ b/packages/decisions/src/core/instance-choice/observed-positions.ts
@@ -0,0 +1,78 @@
+import type {LogPosition} from '../groups/index.js';
+import {comparePositions} from '../groups/index.js';
+import type {ObservedPosition} from './types.js';
+
+/** Least distance between two kept observations, in milliseconds. */
+const RESOLUTION_MS = 20;
+
+/** Most observations that are kept; at the resolution this is five seconds. */
+const MAXIMUM_OBSERVATIONS = 256;
+
+/**
+ * Positions that the primary of one group showed over time.
+ *
+ * The primary's position, asked at time t, holds every commit that was
+ * acknowledged before t. A replica that has this position is therefore fresh
+ * enough for a read that allows data as old as t.
+ */
+export class ObservedPositions {
+  private observations: ObservedPosition[] = [];
+  private highest: LogPosition | undefined;
+
+  /** The highest position that any instance has shown. */
+  get highestSeen(): LogPosition | undefined {
+    return this.highest;
+  }
+
+  /** The newest observation of the primary. */
+  get newest(): ObservedPosition | undefined {
+    return this.observations.at(-1);
+  }
+
+  /** Takes a position in that any instance of the group showed. */
+  seen(position: LogPosition): void {
+    if (this.highest !== undefined) {
+      if (comparePositions(position, this.highest) <= 0) return;
+    }
+    this.highest = position;
+  }
+
+  /**
+   * Takes a position in that the primary showed.
+   *
+   * @param sentAtMs - When the request was sent, in milliseconds.
+   * @param position - The position of the answer.
+   */
+  observe(sentAtMs: number, position: LogPosition): void {
+    this.seen(position);
+    const last = this.observations.at(-1);
+    if (last !== undefined && sentAtMs <= last.sentAtMs) return;
+    const previous = this.observations.at(-2);
+    const isDense =
+      last !== undefined &&
+      previous !== undefined &&
+      sentAtMs - previous.sentAtMs < RESOLUTION_MS;
+    if (isDense) this.observations.pop();
+    this.observations.push({sentAtMs, position});
+    if (this.observations.length > MAXIMUM_OBSERVATIONS) {
+      this.observations = this.observations.slice(-MAXIMUM_OBSERVATIONS / 2);
+    }
+  }
+
+  /** Forgets the observations, because another instance leads. */
+  forgetObservations(): void {
+    this.observations = [];
+  }
+
+  /**
+   * Finds the position that makes a replica fresh enough.
+   *
+   * @param notBeforeMs - Commits acknowledged before this time must be held.
+   * @returns The oldest position that is new enough, or nothing if the
+   *   primary has not been asked since.
+   */
+  positionFor(notBeforeMs: number): LogPosition | undefined {
+    return this.observations.find(({sentAtMs}) => sentAtMs >= notBeforeMs)
+      ?.position;
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/core/primary-change/choose-target.ts
@@ -0,0 +1,73 @@
+import {comparePositions} from '../groups/index.js';
+import type {ReplicationReport, PromotionCandidate} from './types.js';
+
+/** What to do next in a change of primary. */
+export type TargetChoice =
+  | {readonly kind: 'promote'; readonly target: string}
+  | {readonly kind: 'wait'; readonly reason: string};
+
+/** What is known when a target is chosen. */
+export interface TargetInputs {
+  /** Replicas that have not been removed from the directory. */
+  readonly replicas: readonly PromotionCandidate[];
+  /** What the old primary said after it stepped down, if it did. */
+  readonly oldPrimary: ReplicationReport | undefined;
+  /** Whether commits wait for a replica; otherwise any may be lost. */
+  readonly isReplicated: boolean;
+}
+
+/**
+ * Chooses the instance that leads next.
+ *
+ * An acknowledged commit lies on the old primary and at least one replica. If
+ * every replica has reported, the one with the highest position holds them
+ * all. If one is out of reach, a commit may lie there alone; then a target is
+ * only safe if the old primary itself has stepped down and the target has all
+ * that the old primary had.
+ *
+ * @param inputs - What is known.
+ * @returns The target, or why the change has to wait.
+ */
+export function chooseTarget(inputs: TargetInputs): TargetChoice {
+  const reported = inputs.replicas.filter(hasReport);
+  const best = highestOf(reported);
+  if (best === undefined) return wait('no replica has reported');
+  if (reported.length === inputs.replicas.length) return promote(best);
+  if (!inputs.isReplicated) return promote(best);
+  const old = inputs.oldPrimary;
+  if (old === undefined) return wait('a replica is out of reach');
+  const hasAll = comparePositions(best.report.received, old.received) >= 0;
+  if (hasAll) return promote(best);
+  return wait('a commit may lie only on the replica that is out of reach');
+}
+
+/** A candidate whose report has arrived. */
+type ReportedCandidate = PromotionCandidate & {
+  readonly report: ReplicationReport;
+};
+
+function hasReport(
+  candidate: PromotionCandidate,
+): candidate is ReportedCandidate {
+  return candidate.report !== undefined;
+}
+
+/** The highest position wins; among equals one that stays. */
+function highestOf(
+  candidates: readonly ReportedCandidate[],
+): ReportedCandidate | undefined {
+  return [...candidates].sort(
+    (left, right) =>
+      comparePositions(right.report.received, left.report.received) ||
+      Number(left.isLeaving) - Number(right.isLeaving) ||
+      (left.id < right.id ? -1 : 1),
+  )[0];
+}
+
+function promote(candidate: PromotionCandidate): TargetChoice {
+  return {kind: 'promote', target: candidate.id};
+}
+
+function wait(reason: string): TargetChoice {
+  return {kind: 'wait', reason};
+}
--- /dev/null
+++ b/packages/gateway/src/core/configuration/index.ts
@@ -0,0 +1,3 @@
+/** What operators have declared. */
+export * from './configuration-holder.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/gateway/src/core/coordinator/change-context.ts
@@ -0,0 +1,25 @@
+import type {Logger} from '@sapphireglade/runtime';
+import type {ConfigurationHolder} from '../configuration/index.js';
+import type {InstanceDirectory} from '../directory/index.js';
+import type {GroupRegistry} from '../groups/index.js';
+import type {Members} from '../membership/index.js';
+import type {Releases} from '../primary-watch/index.js';
+import type {CoordinationStore} from '../store/index.js';
+import type {ControlConnections} from './control-connections.js';
+import type {PromotionService} from './promotion-service.js';
+
+/** What a change of primary works with. */
+export interface ChangeContext {
+  readonly self: string;
+  readonly store: CoordinationStore;
+  readonly groups: GroupRegistry;
+  readonly directory: InstanceDirectory;
+  readonly configuration: ConfigurationHolder;
+  readonly members: Members;
+  readonly releases: Releases;
+  readonly control: ControlConnections;
+  readonly promotions: PromotionService;
+  /** Revision at which this proxy became the coordinator; 0 if it is not. */
+  readonly coordinatorRevision: () => number;
+  readonly log: Logger;
+}
--- /dev/null
+++ b/packages/gateway/src/core/coordinator/coordinator-key.ts
@@ -0,0 +1,42 @@
+import type {StoredItem} from '../store/index.js';
+import {StoreSection} from '../store/index.js';
+
+/** The key whose owner coordinates changes of primary. */
+export const COORDINATOR_KEY = 'sapphireglade/coordinator';
+
+/** Follows who coordinates. */
+export class CoordinatorKey extends StoreSection {
+  private item: StoredItem | undefined;
+  private lastRevision = 0;
+
+  constructor() {
+    super(COORDINATOR_KEY);
+  }
+
+  /** Name and incarnation of the coordinator, if there is one. */
+  get holder(): string | undefined {
+    return this.item?.value.toString('utf8');
+  }
+
+  /** Revision at which the present coordinator took over. */
+  get revision(): number {
+    return this.item?.revision ?? 0;
+  }
+
+  override replace(items: readonly StoredItem[]): void {
+    this.item = undefined;
+    for (const item of items) this.written(item);
+  }
+
+  override written(item: StoredItem): void {
+    if (item.revision < this.lastRevision) return;
+    this.lastRevision = item.revision;
+    this.item = item;
+  }
+
+  override removed(_key: string, revision: number): void {
+    if (revision < this.lastRevision) return;
+    this.lastRevision = revision;
+    this.item = undefined;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/core/coordinator/coordinator-task.ts
@@ -0,0 +1,207 @@
+import {
+  isPrimaryGivenUp,
+  PrimaryPhase,
+  rankNodes,
+} from '@sapphireglade/decisions';
+import {TaskLifecycle} from '@sapphireglade/runtime';
+import type {DatabaseGroup} from '../groups/index.js';
+import type {MemberTask} from '../membership/index.js';
+import {steadyNow} from '../time/index.js';
+import {CommandKind} from '../upstream/index.js';
+import type {ChangeContext} from './change-context.js';
+import type {CoordinatorKey} from './coordinator-key.js';
+import {COORDINATOR_KEY} from './coordinator-key.js';
+import {ChangeReason, PrimaryChange} from './primary-change.js';
+import {writeRecord} from './record-writer.js';
+
+/** How often the coordinator looks at the groups, in milliseconds. */
+const CHECK_INTERVAL_MS = 100;
+
+/** Head start of each better-ranked candidate, in milliseconds. */
+const RANK_DELAY_MS = 100;
+
+/** What the task needs besides the context of a change. */
+export interface CoordinatorTaskOptions {
+  readonly context: Omit<ChangeContext, 'coordinatorRevision'>;
+  readonly key: CoordinatorKey;
+  readonly member: MemberTask;
+  /** Identifies this start of this proxy. */
+  readonly holder: string;
+  /** Whether the store answers and everything in it is known. */
+  readonly isInformed: () => boolean;
+}
+
+/** Becomes the coordinator if there is none, and replaces primaries. */
+export class CoordinatorTask extends TaskLifecycle {
+  private timer: NodeJS.Timeout | undefined;
+  private vacantSinceMs: number | undefined;
+  private isClaiming = false;
+  private readonly changing = new Set<string>();
+  private readonly context: ChangeContext;
+
+  constructor(private readonly options: CoordinatorTaskOptions) {
+    super('coordinator');
+    this.context = {
+      ...options.context,
+      coordinatorRevision: () =>
+        this.isCoordinator ? options.key.revision : 0,
+    };
+  }
+
+  /** Whether this proxy coordinates. */
+  get isCoordinator(): boolean {
+    return this.options.key.holder === this.options.holder;
+  }
+
+  protected override onStart(): Promise<void> {
+    this.timer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
+    return Promise.resolve();
+  }
+
+  protected override async onStop(): Promise<void> {
+    clearInterval(this.timer);
+    this.options.context.control.closeAll();
+    if (this.isCoordinator) await this.resign();
+  }
+
+  /** Lets another proxy coordinate without waiting for the lease to lapse. */
+  private async resign(): Promise<void> {
+    const {context, key} = this.options;
+    try {
+      await context.store.transact({
+        conditions: [{key: COORDINATOR_KEY, revision: key.revision}],
+        puts: [],
+        removals: [COORDINATOR_KEY],
+      });
+    } catch (error) {
+      context.log.warn('The coordinator key could not be removed.', {
+        error: String(error),
+      });
+    }
+  }
+
+  private check(): void {
+    if (!this.options.isInformed()) return;
+    if (!this.isCoordinator) {
+      this.options.context.control.closeAll();
+      this.considerClaim();
+      return;
+    }
+    for (const group of this.options.context.groups.all) this.inspect(group);
+  }
+
+  /** Better-ranked proxies claim first, so that few calls meet. */
+  private considerClaim(): void {
+    const {key, context} = this.options;
+    if (key.holder !== undefined) {
+      this.vacantSinceMs = undefined;
+      return;
+    }
+    this.vacantSinceMs ??= steadyNow();
+    const names = context.members.records.map(({name}) => name);
+    const rank = rankNodes(COORDINATOR_KEY, names).indexOf(context.self);
+    const isTurn = steadyNow() - this.vacantSinceMs >= rank * RANK_DELAY_MS;
+    if (rank >= 0 && isTurn && !this.isClaiming) void this.claim();
+  }
+
+  private async claim(): Promise<void> {
+    const {context, holder, member} = this.options;
+    const leaseId = member.leaseId;
+    if (leaseId === undefined) return;
+    this.isClaiming = true;
+    try {
+      const result = await context.store.transact({
+        conditions: [{key: COORDINATOR_KEY, revision: 0}],
+        puts: [{key: COORDINATOR_KEY, value: holder, leaseId}],
+      });
+      context.log.info('This proxy asked to coordinate.', {
+        result: result.kind,
+      });
+    } catch (error) {
+      context.log.warn('The coordinator key could not be written.', {
+        error: String(error),
+      });
+    } finally {
+      this.isClaiming = false;
+    }
+  }
+
+  /** Looks whether a group needs another primary. */
+  private inspect(group: DatabaseGroup): void {
+    if (this.changing.has(group.name)) return;
+    const declared = this.context.configuration.current;
+    if (!declared?.groups.has(group.name)) return;
+    const work = this.neededWork(group);
+    if (work === undefined) return;
+    this.changing.add(group.name);
+    work()
+      .catch((error: Error) =>
+        this.context.log.warn('A change of primary was broken off.', {
+          group: group.name,
+          error: error.message,
+        }),
+      )
+      .finally(() => this.changing.delete(group.name));
+  }
+
+  private neededWork(group: DatabaseGroup): (() => Promise<void>) | undefined {
+    const known = group.record;
+    if (known === undefined) return () => this.establish(group);
+    if (known.record.phase === PrimaryPhase.Changing) {
+      return this.change(group, ChangeReason.Unfinished);
+    }
+    if (this.isGivenUp(group, known.record.primary)) {
+      return this.change(group, ChangeReason.Unusable);
+    }
+    const primary = this.context.directory.find(known.record.primary);
+    if (primary?.isLeaving && this.hasSuccessor(group, primary.id)) {
+      return this.change(group, ChangeReason.Leaving);
+    }
+    return undefined;
+  }
+
+  private change(
+    group: DatabaseGroup,
+    reason: ChangeReason,
+  ): () => Promise<void> {
+    return () => new PrimaryChange(this.context, group, reason).run();
+  }
+
+  private isGivenUp(group: DatabaseGroup, primary: string): boolean {
+    const records = this.context.members.records;
+    return isPrimaryGivenUp({
+      members: records.length,
+      suspecting: records.filter(({suspects}) => suspects.includes(group.name))
+        .length,
+      isGone: this.context.directory.find(primary) === undefined,
+    });
+  }
+
+  private hasSuccessor(group: DatabaseGroup, leaving: string): boolean {
+    return this.context.directory
+      .ofGroup(group.name)
+      .some(({id, isLeaving}) => id !== leaving && !isLeaving);
+  }
+
+  /** Records the primary of a group that has no record yet. */
+  private async establish(group: DatabaseGroup): Promise<void> {
+    const instances = this.context.directory.ofGroup(group.name);
+    const reports = await Promise.all(
+      instances.map(instance =>
+        this.context.control.ask(instance, {kind: CommandKind.Status}),
+      ),
+    );
+    const leaders = reports
+      .filter(report => report !== undefined)
+      .filter(({isPrimary}) => isPrimary)
+      .sort((left, right) => right.term - left.term);
+    const leader = leaders[0];
+    const isComplete = reports.every(report => report !== undefined);
+    if (leader === undefined || !isComplete) return;
+    await writeRecord(this.context, group, {
+      term: leader.term,
+      primary: leader.id,
+      phase: PrimaryPhase.Steady,
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/core/coordinator/index.ts
@@ -0,0 +1,5 @@
+/** One proxy at a time replaces primaries. */
+export * from './coordinator-task.js';
+export * from './coordinator-key.js';
+export * from './promotion-service.js';
+export * from './control-connections.js';
--- /dev/null
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -0,0 +1,288 @@
+import type {
+  ClockReading,
+  ReplicationReport,
+  PromotionCandidate,
+} from '@sapphireglade/decisions';
+import {chooseTarget, elapsedMs, PrimaryPhase} from '@sapphireglade/decisions';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {RegisteredInstance} from '../directory/index.js';
+import type {DatabaseGroup, KnownRecord} from '../groups/index.js';
+import {VIEW_VALIDITY_MS} from '../groups/index.js';
+import {readClocks, steadyNow} from '../time/index.js';
+import type {InstanceCommand} from '../upstream/index.js';
+import {CommandKind} from '../upstream/index.js';
+import type {ChangeContext} from './change-context.js';
+import {PromotionAnswer} from './promotion-service.js';
+import {writeRecord} from './record-writer.js';
+
+/** Added to the validity of views, for clocks that run at other speeds, in milliseconds. */
+const VALIDITY_MARGIN_MS = 100;
+
+/** Pause between two looks at something that is waited for, in milliseconds. */
+const POLL_MS = 25;
+
+/** Pause before instances that did not report are asked again, in milliseconds. */
+const ASK_AGAIN_MS = 100;
+
+/** Oldest token with which a promotion is ordered, in milliseconds. */
+const TOKEN_VALIDITY_MS = 800;
+
+/** How long a promoted instance may take to lead, in milliseconds. */
+const PROMOTION_TIMEOUT_MS = 4_000;
+
+/** Why a primary is replaced. */
+export const ChangeReason = {
+  /** The primary cannot be used. */
+  Unusable: 'unusable',
+  /** The primary is about to leave. */
+  Leaving: 'leaving',
+  /** Another coordinator began and did not finish. */
+  Unfinished: 'unfinished',
+} as const;
+
+/** One of the reasons. */
+export type ChangeReason = (typeof ChangeReason)[keyof typeof ChangeReason];
+
+/**
+ * One change of a group's primary, carried out by the coordinator.
+ *
+ * The order keeps every acknowledged commit: the record takes the old primary
+ * out of use everywhere, replicas stop receiving from it, and only then the
+ * one with the highest position is promoted.
+ */
+export class PrimaryChange {
+  private readonly reports = new Map<string, ReplicationReport>();
+  private oldReport: ReplicationReport | undefined;
+  private readonly beganAtMs = steadyNow();
+
+  constructor(
+    private readonly context: ChangeContext,
+    private readonly group: DatabaseGroup,
+    private readonly reason: ChangeReason,
+  ) {}
+
+  /**
+   * Carries the change out.
+   *
+   * @throws RecordConflictError if another proxy coordinates by now.
+   * @throws SapphiregladeError if the store does not answer.
+   */
+  async run(): Promise<void> {
+    const record = await this.announce();
+    const announcedAt = readClocks();
+    if (await this.adoptExistingPrimary(record)) return;
+    if (this.reason === ChangeReason.Leaving) {
+      await this.awaitReleases(record, announcedAt);
+      await this.stepDown(record);
+    } else {
+      await Promise.all([
+        this.holdReplicas(record),
+        this.stepDown(record),
+        this.awaitReleases(record, announcedAt),
+      ]);
+    }
+    await this.promoteOne(record);
+  }
+
+  /** Writes that the primary is out of use, unless that is written already. */
+  private async announce(): Promise<KnownRecord> {
+    const known = this.group.record;
+    if (known === undefined) throw new Error('The group has no record.');
+    this.log('A change of primary begins.', {reason: this.reason});
+    if (known.record.phase === PrimaryPhase.Changing) return known;
+    return writeRecord(this.context, this.group, {
+      term: known.record.term,
+      primary: known.record.primary,
+      phase: PrimaryPhase.Changing,
+    });
+  }
+
+  /** An earlier coordinator may have promoted an instance already. */
+  private async adoptExistingPrimary(known: KnownRecord): Promise<boolean> {
+    if (this.reason !== ChangeReason.Unfinished) return false;
+    const answers = await this.askAll(this.replicas(known), {
+      kind: CommandKind.Status,
+    });
+    const leader = answers.find(
+      ({isPrimary, term}) => isPrimary && term > known.record.term,
+    );
+    if (leader === undefined) return false;
+    await this.settle(leader);
+    return true;
+  }
+
+  /** Waits until no proxy can use the old primary any more. */
+  private async awaitReleases(
+    known: KnownRecord,
+    announcedAt: ClockReading,
+  ): Promise<void> {
+    const {members, releases, self} = this.context;
+    const limitMs = VIEW_VALIDITY_MS + VALIDITY_MARGIN_MS;
+    const sinceMs = announcedAt.steadyMs - limitMs;
+    const hasWatchedLong = steadyNow() - members.knownSinceMs > limitMs;
+    for (;;) {
+      const waitedMs = readClocks().steadyMs - announcedAt.steadyMs;
+      if (waitedMs > limitMs) break;
+      const missing = members
+        .liveSince(sinceMs)
+        .filter(name => name !== self)
+        .filter(
+          name => !releases.hasReleased(this.group.name, name, known.revision),
+        );
+      if (missing.length === 0 && hasWatchedLong) break;
+      await sleep(POLL_MS);
+    }
+    this.log('The old primary is out of use everywhere.', {});
+  }
+
+  /** Stops the replicas from receiving, and takes their positions in. */
+  private async holdReplicas(known: KnownRecord): Promise<void> {
+    const missing = this.replicas(known).filter(
+      ({id}) => !this.reports.has(id),
+    );
+    const command: InstanceCommand =
+      this.reason === ChangeReason.Leaving && this.oldReport !== undefined
+        ? {kind: CommandKind.Status}
+        : {kind: CommandKind.HoldTerm, term: known.record.term + 1};
+    for (const report of await this.askAll(missing, command)) {
+      this.reports.set(report.id, report);
+    }
+  }
+
+  /** Ends the old primary's lead, if it can be reached. */
+  private async stepDown(known: KnownRecord): Promise<void> {
+    const old = this.context.directory.find(known.record.primary);
+    if (old === undefined) return;
+    const [report] = await this.askAll([old], {
+      kind: CommandKind.StepDown,
+      term: known.record.term + 1,
+    });
+    if (report !== undefined) this.oldReport = report;
+  }
+
+  /** Chooses and promotes until an instance leads. */
+  private async promoteOne(known: KnownRecord): Promise<void> {
+    let shownReason = '';
+    for (;;) {
+      await this.holdReplicas(known);
+      if (this.oldReport === undefined) await this.stepDown(known);
+      const choice = chooseTarget({
+        replicas: this.candidates(known),
+        oldPrimary: this.oldReport,
+        isReplicated: this.isReplicated,
+      });
+      if (choice.kind === 'promote') {
+        if (await this.promote(choice.target)) return;
+        this.reports.clear();
+      } else if (choice.reason !== shownReason) {
+        shownReason = choice.reason;
+        this.log('The change of primary waits.', {waitsFor: choice.reason});
+      }
+      await sleep(ASK_AGAIN_MS);
+      this.checkStillCoordinating();
+    }
+  }
+
+  /** Orders the promotion with a token that was written for it. */
+  private async promote(target: string): Promise<boolean> {
+    const {context, group} = this;
+    const old = group.record?.record;
+    if (old === undefined) return false;
+    const sentAt = readClocks();
+    const {revision} = await writeRecord(context, group, {
+      term: old.term,
+      primary: old.primary,
+      phase: PrimaryPhase.Changing,
+      target,
+    });
+    if (elapsedMs(sentAt, readClocks()) > TOKEN_VALIDITY_MS) return false;
+    const answer = await context.promotions.promote({
+      group: group.name,
+      instance: target,
+      holder: context.self,
+      fencingToken: revision,
+    });
+    this.log('A promotion was ordered.', {target, token: revision, answer});
+    const isPossible =
+      answer === PromotionAnswer.Accepted || answer === PromotionAnswer.Unknown;
+    return isPossible && (await this.awaitLead(target, old.term));
+  }
+
+  /** Waits until the promoted instance leads. */
+  private async awaitLead(target: string, oldTerm: number): Promise<boolean> {
+    const limitMs = steadyNow() + PROMOTION_TIMEOUT_MS;
+    while (steadyNow() < limitMs) {
+      const endpoint = this.context.directory.find(target);
+      if (endpoint === undefined) return false;
+      const report = await this.context.control.ask(endpoint, {
+        kind: CommandKind.Status,
+      });
+      if (report?.isPrimary && report.term > oldTerm) {
+        await this.settle(report);
+        return true;
+      }
+      await sleep(POLL_MS);
+    }
+    return false;
+  }
+
+  /** Records the new primary and lets the replicas receive from it. */
+  private async settle(leader: ReplicationReport): Promise<void> {
+    await writeRecord(this.context, this.group, {
+      term: leader.term,
+      primary: leader.id,
+      phase: PrimaryPhase.Steady,
+    });
+    this.log('Another instance leads.', {
+      primary: leader.id,
+      term: leader.term,
+      tookMs: Math.round(steadyNow() - this.beganAtMs),
+    });
+    const others = this.context.directory
+      .ofGroup(this.group.name)
+      .filter(({id}) => id !== leader.id);
+    await this.askAll(others, {kind: CommandKind.ReleaseTerm});
+  }
+
+  private async askAll(
+    instances: readonly RegisteredInstance[],
+    command: InstanceCommand,
+  ): Promise<ReplicationReport[]> {
+    const reports = await Promise.all(
+      instances.map(instance => this.context.control.ask(instance, command)),
+    );
+    return reports.filter(report => report !== undefined);
+  }
+
+  /** Every instance that may hold acknowledged commits, but the old primary. */
+  private replicas(known: KnownRecord): RegisteredInstance[] {
+    return this.context.directory
+      .ofGroup(this.group.name)
+      .filter(({id}) => id !== known.record.primary);
+  }
+
+  private candidates(known: KnownRecord): PromotionCandidate[] {
+    return this.replicas(known).map(({id, isLeaving}) => ({
+      id,
+      isLeaving,
+      report: this.reports.get(id),
+    }));
+  }
+
+  private get isReplicated(): boolean {
+    const declared = this.context.configuration.current;
+    return declared?.groups.get(this.group.name)?.isReplicated ?? true;
+  }
+
+  private checkStillCoordinating(): void {
+    if (this.context.coordinatorRevision() !== 0) return;
+    throw new Error('This proxy no longer coordinates.');
+  }
+
+  private log(
+    sentence: string,
+    fields: Record<string, string | number | undefined>,
+  ): void {
+    this.context.log.info(sentence, {group: this.group.name, ...fields});
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/core/coordinator/record-writer.ts
@@ -0,0 +1,43 @@
+import type {PrimaryRecord} from '@sapphireglade/decisions';
+import type {DatabaseGroup, KnownRecord} from '../groups/index.js';
+import {recordKey} from '../groups/index.js';
+import type {ChangeContext} from './change-context.js';
+import {COORDINATOR_KEY} from './coordinator-key.js';
+
+/** The record could not be written, because this proxy may not or cannot. */
+export class RecordConflictError extends Error {
+  constructor(group: string) {
+    super(`The record of group ${group} was changed by another proxy.`);
+    this.name = 'RecordConflictError';
+  }
+}
+
+/**
+ * Writes the record of a group, if this proxy still coordinates and nobody
+ * else has written it.
+ *
+ * @param context - What the change works with.
+ * @param group - The group.
+ * @param record - The record.
+ * @returns The record with its revision.
+ * @throws RecordConflictError if a condition does not hold.
+ */
+export async function writeRecord(
+  context: ChangeContext,
+  group: DatabaseGroup,
+  record: PrimaryRecord,
+): Promise<KnownRecord> {
+  const result = await context.store.transact({
+    conditions: [
+      {key: COORDINATOR_KEY, revision: context.coordinatorRevision()},
+      {key: recordKey(group.name), revision: group.record?.revision ?? 0},
+    ],
+    puts: [
+      {key: recordKey(group.name), value: JSON.stringify(record), leaseId: 0},
+    ],
+  });
+  if (result.kind !== 'committed') throw new RecordConflictError(group.name);
+  const known = {record, revision: result.revision};
+  group.learnRecord(known);
+  return known;
+}
--- /dev/null
+++ b/packages/gateway/src/core/directory/index.ts
@@ -0,0 +1,3 @@
+/** Which database instances exist. */
+export * from './instance-directory.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/gateway/src/core/doors/readiness-door.ts
@@ -0,0 +1,8 @@
+/** Tells the balancer whether this proxy should get new connections. */
+export abstract class ReadinessDoor {
+  /** Begins to answer. */
+  abstract listen(isReady: () => boolean): Promise<void>;
+
+  /** Stops answering. */
+  abstract close(): Promise<void>;
+}
--- /dev/null
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -0,0 +1,182 @@
+import type {
+  ClockReading,
+  InstanceOption,
+  LogPosition,
+  ViewConfirmation,
+} from '@sapphireglade/decisions';
+import {
+  comparePositions,
+  ObservedPositions,
+  PrimaryPhase,
+  ViewConfirmation as Confirmation,
+} from '@sapphireglade/decisions';
+import {Subject} from 'rxjs';
+import type {RegisteredInstance} from '../directory/index.js';
+import type {InstancePool, ShownPosition} from '../pool/index.js';
+import {readClocks} from '../time/index.js';
+import type {KnownRecord} from './types.js';
+
+/**
+ * How long a view of the primary may be acted on, in milliseconds. A change of
+ * primary waits this long for proxies that have not said that they let go.
+ */
+export const VIEW_VALIDITY_MS = 1_500;
+
+/** Why the primary cannot be used at the moment. */
+export const PrimaryProblem = {
+  /** No primary is recorded yet. */
+  Unknown: 'unknown',
+  /** Another primary is being chosen. */
+  Changing: 'changing',
+  /** The record may be out of date. */
+  Unconfirmed: 'unconfirmed',
+  /** The recorded primary is not in the directory. */
+  Missing: 'missing',
+} as const;
+
+/** One of the problems. */
+export type PrimaryProblem =
+  (typeof PrimaryProblem)[keyof typeof PrimaryProblem];
+
+/** An instance of the group, and the connections to it. */
+export interface GroupMember {
+  readonly instance: RegisteredInstance;
+  readonly pool: InstancePool;
+}
+
+/** What one proxy knows of one group. */
+export class DatabaseGroup {
+  /** Positions that the instances have shown. */
+  readonly positions = new ObservedPositions();
+  /** Confirms that the record is the newest one. */
+  readonly confirmation: ViewConfirmation = new Confirmation(VIEW_VALIDITY_MS);
+  private readonly memberTable = new Map<string, GroupMember>();
+  private readonly recordChanges = new Subject<KnownRecord>();
+  private known: KnownRecord | undefined;
+
+  /** @param name - Name of the group. */
+  constructor(readonly name: string) {}
+
+  /** Emits each newer record. */
+  get records$(): Subject<KnownRecord> {
+    return this.recordChanges;
+  }
+
+  /** The newest record of the primary. */
+  get record(): KnownRecord | undefined {
+    return this.known;
+  }
+
+  /** The instances that may be used. */
+  get members(): ReadonlyMap<string, GroupMember> {
+    return this.memberTable;
+  }
+
+  /** Takes a record in unless a newer one is known. */
+  learnRecord(known: KnownRecord): void {
+    if (this.known !== undefined && known.revision <= this.known.revision) {
+      return;
+    }
+    this.known = known;
+    this.recordChanges.next(known);
+  }
+
+  /** Takes in that an answer proved the record to be the newest. */
+  confirm(sentAt: ClockReading): void {
+    this.confirmation.confirm(sentAt);
+  }
+
+  /** Adds an instance. */
+  addMember(member: GroupMember): void {
+    this.memberTable.set(member.instance.id, member);
+    member.pool.positions$.subscribe(shown =>
+      this.learnPosition(member.instance.id, shown),
+    );
+  }
+
+  /** Replaces what an instance has registered of itself. */
+  updateMember(instance: RegisteredInstance): void {
+    const member = this.memberTable.get(instance.id);
+    if (member === undefined) return;
+    this.memberTable.set(instance.id, {instance, pool: member.pool});
+  }
+
+  /** Removes an instance and closes its connections. */
+  removeMember(id: string, reason: string): void {
+    const member = this.memberTable.get(id);
+    if (member === undefined) return;
+    this.memberTable.delete(id);
+    member.pool.end(reason);
+  }
+
+  /** The member that leads, or why it cannot be used. */
+  usablePrimary(): GroupMember | PrimaryProblem {
+    if (this.known === undefined) return PrimaryProblem.Unknown;
+    const {record} = this.known;
+    if (record.phase === PrimaryPhase.Changing) return PrimaryProblem.Changing;
+    if (!this.confirmation.isValid(readClocks())) {
+      return PrimaryProblem.Unconfirmed;
+    }
+    return this.memberTable.get(record.primary) ?? PrimaryProblem.Missing;
+  }
+
+  /** Replicas that may serve reads, as options for a choice. */
+  replicaOptions(
+    regionOf: (zone: string) => string,
+    region: string,
+  ): {
+    readonly options: InstanceOption[];
+    readonly members: ReadonlyMap<string, GroupMember>;
+  } {
+    const primary = this.known?.record.primary;
+    const options = [...this.memberTable.values()]
+      .filter(({instance}) => instance.id !== primary && !instance.isLeaving)
+      .filter(({pool}) => pool.connections > 0)
+      .map(member =>
+        toOption(member, regionOf(member.instance.availabilityZone) !== region),
+      );
+    return {options, members: this.memberTable};
+  }
+
+  /** Takes in a position that one instance showed. */
+  private learnPosition(id: string, shown: ShownPosition): void {
+    this.positions.seen(shown.position);
+    const isFromPrimary =
+      this.known !== undefined &&
+      this.known.record.phase === PrimaryPhase.Steady &&
+      this.known.record.primary === id &&
+      shown.position.term <= this.known.record.term &&
+      this.confirmation.isValid(readClocks());
+    if (isFromPrimary) {
+      this.positions.observe(shown.sentAtMs, shown.position);
+    }
+  }
+
+  /** The position that every read must at least have, if any is known. */
+  floorWith(position: LogPosition | undefined): LogPosition | undefined {
+    const newest = this.positions.newest?.position;
+    if (position === undefined) return newest;
+    if (newest === undefined) return position;
+    return comparePositions(position, newest) >= 0 ? position : newest;
+  }
+}
+
+/** Describes a member for the choice of an instance. */
+export function toOption(
+  {instance, pool}: GroupMember,
+  isPaidLink: boolean,
+  isPrimary = false,
+): InstanceOption {
+  return {
+    id: instance.id,
+    isPrimary,
+    roundTripMs: pool.roundTripMs,
+    isPaidLink,
+    queued: pool.queued,
+    connections: pool.connections,
+    free: pool.free,
+    holdingMs: pool.holdingMs,
+    lastBehindAtMs: pool.lastBehindAtMs,
+    lastFailedAtMs: pool.lastFailedAtMs,
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/core/groups/index.ts
@@ -0,0 +1,5 @@
+/** What this proxy knows of each group of instances. */
+export * from './database-group.js';
+export * from './group-registry.js';
+export * from './primary-records.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/gateway/src/core/groups/primary-records.ts
@@ -0,0 +1,67 @@
+import type {PrimaryRecord} from '@sapphireglade/decisions';
+import {PrimaryPhase} from '@sapphireglade/decisions';
+import type {Logger} from '@sapphireglade/runtime';
+import type {StoredItem} from '../store/index.js';
+import {StoreSection} from '../store/index.js';
+import type {GroupRegistry} from './group-registry.js';
+
+/** Prefix of the keys that record each group's primary. */
+export const RECORD_PREFIX = 'sapphireglade/primary/';
+
+/** The key that records a group's primary. */
+export function recordKey(group: string): string {
+  return `${RECORD_PREFIX}${group}`;
+}
+
+/** Follows the records of all groups' primaries in the store. */
+export class PrimaryRecords extends StoreSection {
+  constructor(
+    private readonly groups: GroupRegistry,
+    private readonly log: Logger,
+  ) {
+    super(RECORD_PREFIX);
+  }
+
+  override replace(items: readonly StoredItem[]): void {
+    for (const item of items) this.written(item);
+  }
+
+  override written(item: StoredItem): void {
+    const record = parseRecord(item.value);
+    const name = item.key.slice(RECORD_PREFIX.length);
+    if (record === undefined) {
+      this.log.error('A primary record cannot be read.', {key: item.key});
+      return;
+    }
+    this.groups.ensure(name).learnRecord({record, revision: item.revision});
+    this.log.info('A primary was recorded.', {
+      group: name,
+      primary: record.primary,
+      term: record.term,
+      phase: record.phase,
+      revision: item.revision,
+    });
+  }
+
+  override removed(key: string): void {
+    this.log.warn('A primary record was removed.', {key});
+  }
+}
+
+/** Reads a record, or says that it is none. */
+function parseRecord(value: Buffer): PrimaryRecord | undefined {
+  let content: unknown;
+  try {
+    content = JSON.parse(value.toString('utf8'));
+  } catch {
+    // The caller logs what cannot be read.
+    return undefined;
+  }
+  const record = content as Partial<PrimaryRecord> | null;
+  const isRecord =
+    typeof record?.term === 'number' &&
+    typeof record.primary === 'string' &&
+    (record.phase === PrimaryPhase.Steady ||
+      record.phase === PrimaryPhase.Changing);
+  return isRecord ? (record as PrimaryRecord) : undefined;
+}
--- /dev/null
+++ b/packages/gateway/src/core/groups/types.ts
@@ -0,0 +1,7 @@
+import type {PrimaryRecord} from '@sapphireglade/decisions';
+
+/** A primary record, and the revision at which it was written. */
+export interface KnownRecord {
+  readonly record: PrimaryRecord;
+  readonly revision: number;
+}
--- /dev/null
+++ b/packages/gateway/src/core/membership/index.ts
@@ -0,0 +1,4 @@
+/** Which proxies are alive, and what they say of the primaries. */
+export * from './member-task.js';
+export * from './members.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/gateway/src/core/membership/member-task.ts
@@ -0,0 +1,128 @@
+import {ErrorKind, SapphiregladeError} from '@sapphireglade/decisions';
+import type {Logger} from '@sapphireglade/runtime';
+import {TaskLifecycle} from '@sapphireglade/runtime';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {CoordinationStore} from '../store/index.js';
+import type {Members} from './members.js';
+import {MEMBER_PREFIX} from './members.js';
+
+/** How long a proxy counts as live after its last renewal, in milliseconds. */
+const LEASE_TTL_MS = 3_000;
+
+/** How often the lease is renewed, in milliseconds; a third of its time. */
+const RENEWAL_INTERVAL_MS = 1_000;
+
+/** Pause after a failed call, in milliseconds. */
+const RETRY_PAUSE_MS = 200;
+
+/** What the task needs. */
+export interface MemberTaskOptions {
+  readonly name: string;
+  readonly incarnation: string;
+  readonly store: CoordinationStore;
+  readonly members: Members;
+  readonly log: Logger;
+}
+
+/** Publishes this proxy in the store under a lease, and keeps it there. */
+export class MemberTask extends TaskLifecycle {
+  private readonly ending = new AbortController();
+  private lease: number | undefined;
+  private suspects: readonly string[] = [];
+  private published: string | undefined;
+  private wake: () => void = () => undefined;
+
+  constructor(private readonly options: MemberTaskOptions) {
+    super('member');
+  }
+
+  /** The lease under which this proxy's keys live, if it has one. */
+  get leaseId(): number | undefined {
+    return this.lease;
+  }
+
+  /** Publishes which groups' primaries this proxy cannot use. */
+  publishSuspects(suspects: readonly string[]): void {
+    if (suspects.join() === this.suspects.join()) return;
+    this.suspects = [...suspects];
+    this.wake();
+  }
+
+  protected override onStart(): Promise<void> {
+    void this.keep();
+    return Promise.resolve();
+  }
+
+  protected override async onStop(): Promise<void> {
+    this.ending.abort();
+    this.wake();
+    const lease = this.lease;
+    if (lease === undefined) return;
+    try {
+      await this.options.store.endLease(lease);
+    } catch (error) {
+      this.options.log.warn('The lease could not be ended; it will lapse.', {
+        error: String(error),
+      });
+    }
+  }
+
+  private async keep(): Promise<void> {
+    while (!this.ending.signal.aborted) {
+      try {
+        await this.renew();
+        await this.publish();
+        await this.pause(RENEWAL_INTERVAL_MS);
+      } catch (error) {
+        if (!isStoreFailure(error)) throw error;
+        this.options.log.debug('The lease could not be kept.', {
+          error: String(error),
+        });
+        await this.pause(RETRY_PAUSE_MS);
+      }
+    }
+  }
+
+  private async renew(): Promise<void> {
+    const {store, log} = this.options;
+    if (this.lease !== undefined) {
+      if (await store.renewLease(this.lease)) return;
+      log.warn('The lease of this proxy has ended.', {lease: this.lease});
+    }
+    this.lease = (await store.grantLease(LEASE_TTL_MS)).leaseId;
+    this.published = undefined;
+  }
+
+  /** Writes the member key if it is missing or out of date. */
+  private async publish(): Promise<void> {
+    const {name, incarnation, store, members} = this.options;
+    const value = JSON.stringify({name, incarnation, suspects: this.suspects});
+    const listed = members.find(name)?.incarnation === incarnation;
+    const isCurrent = this.published === value && listed;
+    if (isCurrent || this.lease === undefined) return;
+    const result = await store.transact({
+      conditions: [],
+      puts: [{key: MEMBER_PREFIX + name, value, leaseId: this.lease}],
+    });
+    if (result.kind === 'committed') this.published = value;
+    else this.lease = undefined;
+  }
+
+  /** Waits, unless there is something to publish. */
+  private async pause(milliseconds: number): Promise<void> {
+    const waking = new AbortController();
+    this.wake = () => waking.abort();
+    try {
+      await sleep(milliseconds, undefined, {signal: waking.signal});
+    } catch {
+      // Woken early, because there is something to publish.
+    }
+  }
+}
+
+function isStoreFailure(error: unknown): boolean {
+  return (
+    error instanceof SapphiregladeError &&
+    error.kind === ErrorKind.StoreUnavailable
+  );
+}
--- /dev/null
+++ b/packages/gateway/src/core/membership/members.ts
@@ -0,0 +1,109 @@
+import type {Logger} from '@sapphireglade/runtime';
+import {Subject} from 'rxjs';
+import type {StoredItem} from '../store/index.js';
+import {StoreSection} from '../store/index.js';
+import {steadyNow} from '../time/index.js';
+import type {MemberRecord} from './types.js';
+
+/** Prefix of the keys under which proxies publish themselves. */
+export const MEMBER_PREFIX = 'sapphireglade/members/';
+
+/** How long a proxy that has gone counts for its share, in milliseconds; instances drop dead peers after three seconds. */
+const DEPARTED_SHARE_MS = 3_000;
+
+/** The live proxies, as the store lists them. */
+export class Members extends StoreSection {
+  private readonly live = new Map<string, MemberRecord>();
+  private readonly departedAtMs = new Map<string, number>();
+  private readonly changes = new Subject<void>();
+  private sinceMs = Infinity;
+
+  constructor(private readonly log: Logger) {
+    super(MEMBER_PREFIX);
+  }
+
+  /** Emits after each change. */
+  get changes$(): Subject<void> {
+    return this.changes;
+  }
+
+  /** Since when the proxies have been followed, in milliseconds. */
+  get knownSinceMs(): number {
+    return this.sinceMs;
+  }
+
+  /** What the live proxies publish. */
+  get records(): MemberRecord[] {
+    return [...this.live.values()];
+  }
+
+  /** Finds a live proxy. */
+  find(name: string): MemberRecord | undefined {
+    return this.live.get(name);
+  }
+
+  /** Names of the proxies that may hold connections. */
+  get connectionHolders(): string[] {
+    const limitMs = steadyNow() - DEPARTED_SHARE_MS;
+    const departed = [...this.departedAtMs]
+      .filter(([name, atMs]) => atMs > limitMs && !this.live.has(name))
+      .map(([name]) => name);
+    return [...this.live.keys(), ...departed];
+  }
+
+  /** Names of the proxies that are live or left after a time, in milliseconds. */
+  liveSince(sinceMs: number): string[] {
+    const departed = [...this.departedAtMs]
+      .filter(([, atMs]) => atMs > sinceMs)
+      .map(([name]) => name);
+    return [...new Set([...this.live.keys(), ...departed])];
+  }
+
+  override replace(items: readonly StoredItem[]): void {
+    this.sinceMs = steadyNow();
+    const present = new Set(items.map(({key}) => key));
+    for (const name of [...this.live.keys()]) {
+      const key = MEMBER_PREFIX + name;
+      if (!present.has(key)) this.removed(key);
+    }
+    for (const item of items) this.written(item);
+  }
+
+  override written(item: StoredItem): void {
+    const record = parseMember(item.value);
+    if (record === undefined) {
+      this.log.error('A member record cannot be read.', {key: item.key});
+      return;
+    }
+    const known = this.live.get(record.name);
+    this.live.set(record.name, record);
+    this.departedAtMs.delete(record.name);
+    if (known?.incarnation !== record.incarnation) {
+      this.log.info('A proxy joined.', {member: record.name});
+    }
+    this.changes.next();
+  }
+
+  override removed(key: string): void {
+    const name = key.slice(MEMBER_PREFIX.length);
+    if (!this.live.delete(name)) return;
+    this.departedAtMs.set(name, steadyNow());
+    this.log.warn('A proxy left.', {member: name});
+    this.changes.next();
+  }
+}
+
+/** Reads a member record, or says that it is none. */
+function parseMember(value: Buffer): MemberRecord | undefined {
+  try {
+    const record = JSON.parse(value.toString('utf8')) as Partial<MemberRecord>;
+    const isRecord =
+      typeof record.name === 'string' &&
+      typeof record.incarnation === 'string' &&
+      Array.isArray(record.suspects);
+    return isRecord ? (record as MemberRecord) : undefined;
+  } catch {
+    // The caller logs what cannot be read.
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/core/pool/index.ts
@@ -0,0 +1,4 @@
+/** Connections to instances, within this proxy's share. */
+export * from './instance-pool.js';
+export * from './pooled-connection.js';
+export * from './types.js';
--- /dev/null
+++ b/packages/gateway/src/core/pool/instance-pool.ts
@@ -0,0 +1,362 @@
+import type {LogPosition, SapphiregladeError} from '@sapphireglade/decisions';
+import {
+  DispatchQueue,
+  ErrorKind,
+  HoldingTime,
+  planSynchronization,
+  SapphiregladeError as ProductError,
+  synchronizationCost,
+  TransactionState,
+} from '@sapphireglade/decisions';
+import type {Logger} from '@sapphireglade/runtime';
+import {Subject} from 'rxjs';
+import {steadyNow} from '../time/index.js';
+import type {
+  InstanceConnector,
+  InstanceEndpoint,
+  InstanceReply,
+} from '../upstream/index.js';
+import {PooledConnection} from './pooled-connection.js';
+import type {ConnectionRequest, WaitingConnectionRequest} from './types.js';
+
+/** How long opening a connection may take, in milliseconds. */
+const OPEN_TIMEOUT_MS = 1_000;
+
+/** Pause between two failed openings, in milliseconds. */
+const REOPEN_PAUSE_MS = 150;
+
+/** Pause after the instance refused a connection over its limit, in milliseconds. */
+const OVER_LIMIT_PAUSE_MS = 400;
+
+/** Weight of a slower answer in the estimated round trip; a faster one replaces it. */
+const ROUND_TRIP_WEIGHT = 0.02;
+
+/** Round trip that is assumed before the first answer, in milliseconds. */
+const INITIAL_ROUND_TRIP_MS = 20;
+
+/** A position that the instance showed, and when it was asked. */
+export interface ShownPosition {
+  readonly sentAtMs: number;
+  readonly position: LogPosition;
+}
+
+/**
+ * The connections of this proxy to one instance.
+ *
+ * A connection serves one session's statement or transaction at a time. The
+ * number of connections never passes the share; requests beyond it wait in
+ * order of urgency or are refused at once.
+ */
+export class InstancePool {
+  /** When the instance last refused a read because it was behind. */
+  lastBehindAtMs = -Infinity;
+  /** When the instance last failed to answer, in milliseconds. */
+  lastFailedAtMs = -Infinity;
+  private readonly open = new Set<PooledConnection>();
+  private readonly idle: PooledConnection[] = [];
+  private readonly queue = new DispatchQueue<WaitingConnectionRequest>();
+  private readonly holding = new HoldingTime();
+  private readonly shown = new Subject<ShownPosition>();
+  private opening = 0;
+  private share = 0;
+  private roundTrip = INITIAL_ROUND_TRIP_MS;
+  private unreachable: number | undefined;
+  private reopenAtMs = 0;
+  private isEnded = false;
+
+  constructor(
+    readonly endpoint: InstanceEndpoint,
+    private readonly connector: InstanceConnector,
+    private readonly log: Logger,
+  ) {}
+
+  /** Emits each position that the instance shows. */
+  get positions$(): Subject<ShownPosition> {
+    return this.shown;
+  }
+
+  /** Requests that wait. */
+  get queued(): number {
+    return this.queue.length;
+  }
+
+  /** Connections that are open. */
+  get connections(): number {
+    return this.open.size;
+  }
+
+  /** Connections that are free. */
+  get free(): number {
+    return this.idle.length;
+  }
+
+  /** Smoothed time for which a request holds a connection, in milliseconds. */
+  get holdingMs(): number {
+    return this.holding.milliseconds;
+  }
+
+  /** Smoothed round trip to the instance, in milliseconds. */
+  get roundTripMs(): number {
+    return this.roundTrip;
+  }
+
+  /** Since when no connection could be opened, if that is so. */
+  get unreachableSinceMs(): number | undefined {
+    return this.unreachable;
+  }
+
+  /** Since when the instance owes an answer and has been silent. */
+  get silentSinceMs(): number | undefined {
+    const all = [...this.open];
+    const waiting = all.flatMap(({waitingSinceMs}) => waitingSinceMs ?? []);
+    if (waiting.length === 0) return undefined;
+    const lastAnswerMs = Math.max(
+      ...all.map(({lastAnsweredAtMs}) => lastAnsweredAtMs),
+    );
+    return Math.max(Math.min(...waiting), lastAnswerMs);
+  }
+
+  /** Since when a command has been waiting for its answer, if one has. */
+  get stalledSinceMs(): number | undefined {
+    const waiting = [...this.open].flatMap(
+      ({waitingSinceMs}) => waitingSinceMs ?? [],
+    );
+    return waiting.length === 0 ? undefined : Math.min(...waiting);
+  }
+
+  /** Sets how many connections may be open; more than that are closed. */
+  setShare(share: number): void {
+    this.share = share;
+    while (this.open.size + this.opening > share) {
+      const surplus = this.idle.pop();
+      if (surplus === undefined) break;
+      this.open.delete(surplus);
+      surplus.close('the share shrank');
+    }
+  }
+
+  /** Opens connections ahead of need, up to the share. */
+  prepareConnections(): void {
+    const nowMs = steadyNow();
+    while (this.mayOpen(nowMs)) this.openConnection();
+  }
+
+  /**
+   * Takes a connection, or waits for one.
+   *
+   * @throws SapphiregladeError of kind `overloaded` or `no-connection`, whose
+   *   outcome is `not run`.
+   */
+  acquire(request: ConnectionRequest): Promise<PooledConnection> {
+    const nowMs = steadyNow();
+    const ready = this.takeIdle(request.values);
+    if (ready !== undefined) return Promise.resolve(ready);
+    if (this.isEnded) return Promise.reject(this.noConnection('it has left'));
+    this.prepareConnections();
+    if (this.open.size === 0 && this.opening === 0) {
+      return Promise.reject(this.noConnection('it cannot be reached'));
+    }
+    return new Promise((resolve, reject) => {
+      const waiting = {...request, resolve, reject};
+      const refusal = this.queue.offer(waiting, this.supply, nowMs);
+      if (refusal === undefined) return;
+      reject(
+        new ProductError(
+          ErrorKind.Overloaded,
+          `Instance ${this.endpoint.id} has ${this.queue.length} requests waiting.`,
+          {retryAfterMs: Math.ceil(refusal.retryAfterMs)},
+        ),
+      );
+    });
+  }
+
+  /** Takes a free connection without waiting, if there is one. */
+  tryAcquire(): PooledConnection | undefined {
+    return this.takeIdle(new Map());
+  }
+
+  /** Gives a connection back; one that is not clean is closed. */
+  release(connection: PooledConnection): void {
+    this.holding.observe(steadyNow() - connection.takenAtMs);
+    if (!this.open.has(connection)) return;
+    const isClean =
+      connection.isOpen && connection.state === TransactionState.Idle;
+    const isSurplus = this.open.size > this.share;
+    if (!isClean || isSurplus || this.isEnded) {
+      this.discard(connection, isClean ? 'it is not needed' : 'it is unclean');
+      return;
+    }
+    this.idle.push(connection);
+    this.serveQueue();
+  }
+
+  /** Closes a connection whose state is not known. */
+  discard(connection: PooledConnection, reason: string): void {
+    connection.close(reason);
+    this.forget(connection);
+  }
+
+  /** Refuses what has waited past its deadline. */
+  refuseLate(): void {
+    for (const late of this.queue.removeLate(steadyNow())) {
+      late.reject(
+        new ProductError(
+          ErrorKind.DeadlineUnreachable,
+          `No connection to instance ${this.endpoint.id} came free in time.`,
+          {retryAfterMs: Math.ceil(this.holdingMs)},
+        ),
+      );
+    }
+  }
+
+  /** Closes everything, because the instance has left. */
+  end(reason: string): void {
+    this.isEnded = true;
+    for (const waiting of this.queue.removeAll()) {
+      waiting.reject(this.noConnection(reason));
+    }
+    for (const connection of [...this.open]) {
+      this.open.delete(connection);
+      connection.close(reason);
+    }
+    this.idle.length = 0;
+  }
+
+  private get supply(): {connections: number; holdingMs: number} {
+    return {
+      connections: this.open.size + this.opening,
+      holdingMs: this.holdingMs,
+    };
+  }
+
+  private mayOpen(nowMs: number): boolean {
+    const total = this.open.size + this.opening;
+    return !this.isEnded && total < this.share && nowMs >= this.reopenAtMs;
+  }
+
+  /** Prefers the connection that needs the fewest changes. */
+  private takeIdle(
+    values: ReadonlyMap<string, string>,
+  ): PooledConnection | undefined {
+    let best: PooledConnection | undefined;
+    let bestCost = Infinity;
+    for (const connection of this.idle) {
+      const cost = synchronizationCost(planSynchronization(connection, values));
+      if (cost >= bestCost) continue;
+      best = connection;
+      bestCost = cost;
+    }
+    if (best === undefined) return undefined;
+    this.idle.splice(this.idle.indexOf(best), 1);
+    best.takenAtMs = steadyNow();
+    return best;
+  }
+
+  private serveQueue(): void {
+    while (this.idle.length > 0) {
+      const request = this.queue.take();
+      if (request === undefined) return;
+      const connection = this.takeIdle(request.values);
+      if (connection !== undefined) request.resolve(connection);
+    }
+  }
+
+  private openConnection(): void {
+    this.opening += 1;
+    void this.connect().finally(() => {
+      this.opening -= 1;
+      if (this.open.size === 0 && this.opening === 0) this.refuseAll();
+    });
+  }
+
+  private async connect(): Promise<void> {
+    const sentAtMs = steadyNow();
+    try {
+      const connection = await this.connector.open(
+        this.endpoint,
+        OPEN_TIMEOUT_MS,
+      );
+      const pooled = new PooledConnection(connection, (reply, atMs) =>
+        this.learn(reply, atMs),
+      );
+      connection.onClosed(reason => this.lost(pooled, reason));
+      this.opened(pooled, connection.greeting, sentAtMs);
+    } catch (error) {
+      this.openFailed(error as SapphiregladeError);
+    }
+  }
+
+  private opened(
+    pooled: PooledConnection,
+    greeting: InstanceReply,
+    sentAtMs: number,
+  ): void {
+    if (this.isEnded || this.open.size >= this.share) {
+      pooled.close('it is not needed');
+      return;
+    }
+    if (this.unreachable !== undefined) {
+      this.log.info('An instance can be reached again.', this.fields);
+    }
+    this.unreachable = undefined;
+    this.open.add(pooled);
+    this.learn(greeting, sentAtMs);
+    this.idle.push(pooled);
+    this.serveQueue();
+  }
+
+  private openFailed(error: SapphiregladeError): void {
+    const nowMs = steadyNow();
+    const isOverLimit = error.kind === ErrorKind.Overloaded;
+    this.reopenAtMs =
+      nowMs + (isOverLimit ? OVER_LIMIT_PAUSE_MS : REOPEN_PAUSE_MS);
+    if (isOverLimit) return;
+    this.lastFailedAtMs = nowMs;
+    if (this.open.size > 0 || this.unreachable !== undefined) return;
+    this.unreachable = nowMs;
+    this.log.warn('An instance cannot be reached.', {
+      ...this.fields,
+      error: error.message,
+    });
+  }
+
+  private refuseAll(): void {
+    for (const waiting of this.queue.removeAll()) {
+      waiting.reject(this.noConnection('it cannot be reached'));
+    }
+  }
+
+  private learn(reply: InstanceReply, sentAtMs: number): void {
+    const tookMs = steadyNow() - sentAtMs;
+    if (tookMs < this.roundTrip) this.roundTrip = tookMs;
+    else this.roundTrip += ROUND_TRIP_WEIGHT * (tookMs - this.roundTrip);
+    if (reply.position === undefined) return;
+    this.shown.next({sentAtMs, position: reply.position});
+  }
+
+  private lost(connection: PooledConnection, reason: string): void {
+    if (!this.open.has(connection)) return;
+    this.lastFailedAtMs = steadyNow();
+    this.log.debug('A connection was lost.', {...this.fields, reason});
+    this.forget(connection);
+    this.prepareConnections();
+  }
+
+  private forget(connection: PooledConnection): void {
+    this.open.delete(connection);
+    const index = this.idle.indexOf(connection);
+    if (index >= 0) this.idle.splice(index, 1);
+  }
+
+  private noConnection(reason: string): Error {
+    return new ProductError(
+      ErrorKind.NoConnection,
+      `There is no connection to instance ${this.endpoint.id}: ${reason}.`,
+      {retryAfterMs: REOPEN_PAUSE_MS},
+    );
+  }
+
+  private get fields(): Record<string, string> {
+    return {instance: this.endpoint.id, group: this.endpoint.group};
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/core/primary-watch/index.ts
@@ -0,0 +1,3 @@
+/** Whether this proxy can use each group's primary. */
+export * from './primary-watch-task.js';
+export * from './release-task.js';
--- /dev/null
+++ b/packages/gateway/src/core/primary-watch/primary-watch-task.ts
@@ -0,0 +1,132 @@
+import {PrimaryPhase} from '@sapphireglade/decisions';
+import type {Logger} from '@sapphireglade/runtime';
+import {TaskLifecycle} from '@sapphireglade/runtime';
+import type {DatabaseGroup, GroupRegistry} from '../groups/index.js';
+import type {MemberTask} from '../membership/index.js';
+import type {InstancePool} from '../pool/index.js';
+import {steadyNow} from '../time/index.js';
+import {CommandKind, ConnectionLostError} from '../upstream/index.js';
+
+/** How often primaries are looked at, in milliseconds. */
+const CHECK_INTERVAL_MS = 100;
+
+/** Age of the newest position after which the primary is asked, in milliseconds. */
+const PING_AFTER_MS = 300;
+
+/** How long a primary may be unreachable before it is suspected, in milliseconds. */
+const UNREACHABLE_LIMIT_MS = 200;
+
+/** How long a primary may owe an answer before it is suspected, in milliseconds. */
+const SILENT_LIMIT_MS = 700;
+
+/** Watches the primaries, asks idle ones for their position, and reports. */
+export class PrimaryWatchTask extends TaskLifecycle {
+  private timer: NodeJS.Timeout | undefined;
+  private suspected = new Set<string>();
+  private readonly pinging = new Set<InstancePool>();
+
+  constructor(
+    private readonly groups: GroupRegistry,
+    private readonly member: MemberTask,
+    private readonly log: Logger,
+  ) {
+    super('primary-watch');
+  }
+
+  protected override onStart(): Promise<void> {
+    this.timer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
+    return Promise.resolve();
+  }
+
+  protected override onStop(): Promise<void> {
+    clearInterval(this.timer);
+    return Promise.resolve();
+  }
+
+  private check(): void {
+    const suspects = new Set<string>();
+    for (const group of this.groups.all) {
+      for (const {pool} of group.members.values()) {
+        pool.refuseLate();
+        pool.prepareConnections();
+      }
+      const pool = primaryPool(group);
+      if (pool === undefined) continue;
+      const reason = suspicionOf(pool, steadyNow());
+      if (reason !== undefined) {
+        suspects.add(group.name);
+        this.logNew(group, pool, reason);
+      }
+      this.pingIfIdle(group, pool);
+    }
+    this.suspected = suspects;
+    this.member.publishSuspects([...suspects].sort());
+  }
+
+  private logNew(
+    group: DatabaseGroup,
+    pool: InstancePool,
+    reason: string,
+  ): void {
+    if (this.suspected.has(group.name)) return;
+    this.log.warn('A primary is suspected.', {
+      group: group.name,
+      instance: pool.endpoint.id,
+      reason,
+    });
+  }
+
+  /** Keeps positions fresh where no traffic does. */
+  private pingIfIdle(group: DatabaseGroup, pool: InstancePool): void {
+    const newestMs = group.positions.newest?.sentAtMs ?? -Infinity;
+    const isFresh = steadyNow() - newestMs < PING_AFTER_MS;
+    if (isFresh || this.pinging.has(pool)) return;
+    void this.ping(pool);
+  }
+
+  private async ping(pool: InstancePool): Promise<void> {
+    const connection = pool.tryAcquire();
+    if (connection === undefined) return;
+    this.pinging.add(pool);
+    try {
+      await connection.run({kind: CommandKind.Ping});
+      pool.release(connection);
+    } catch (error) {
+      if (!(error instanceof ConnectionLostError)) throw error;
+      // The pool has logged the loss and replaces the connection.
+      pool.discard(connection, 'it was lost');
+    } finally {
+      this.pinging.delete(pool);
+    }
+  }
+}
+
+/** The pool of the recorded primary, if the group has one. */
+function primaryPool(group: DatabaseGroup): InstancePool | undefined {
+  const record = group.record?.record;
+  if (record === undefined || record.phase !== PrimaryPhase.Steady) {
+    return undefined;
+  }
+  return group.members.get(record.primary)?.pool;
+}
+
+/** Why a primary is suspected, or nothing if it is not. */
+function suspicionOf(pool: InstancePool, nowMs: number): string | undefined {
+  const {unreachableSinceMs, silentSinceMs, stalledSinceMs} = pool;
+  if (isPast(unreachableSinceMs, nowMs, UNREACHABLE_LIMIT_MS)) {
+    return 'it cannot be reached';
+  }
+  if (isPast(silentSinceMs, nowMs, SILENT_LIMIT_MS)) return 'it is silent';
+  if (isPast(stalledSinceMs, nowMs, SILENT_LIMIT_MS)) {
+    return 'a statement is not answered';
+  }
+  return undefined;
+}
+
+function isPast(
+  sinceMs: number | undefined,
+  nowMs: number,
+  limitMs: number,
+): boolean {
+  return sinceMs !== undefined && nowMs - sinceMs > limitMs;
+}
--- /dev/null
+++ b/packages/gateway/src/core/primary-watch/release-task.ts
@@ -0,0 +1,88 @@
+import {PrimaryPhase} from '@sapphireglade/decisions';
+import type {Logger} from '@sapphireglade/runtime';
+import type {
+  DatabaseGroup,
+  GroupRegistry,
+  KnownRecord,
+} from '../groups/index.js';
+import type {MemberTask} from '../membership/index.js';
+import type {CoordinationStore, StoredItem} from '../store/index.js';
+import {StoreSection} from '../store/index.js';
+
+/** Prefix of the keys under which proxies say that they let a primary go. */
+export const RELEASE_PREFIX = 'sapphireglade/released/';
+
+/**
+ * Says in the store that this proxy no longer uses an old primary, and follows
+ * what the others say.
+ */
+export class Releases extends StoreSection {
+  /** Revision of the record that each proxy has taken in, by group and name. */
+  private readonly revisions = new Map<string, number>();
+
+  constructor(
+    private readonly self: string,
+    private readonly store: CoordinationStore,
+    private readonly member: MemberTask,
+    private readonly log: Logger,
+  ) {
+    super(RELEASE_PREFIX);
+  }
+
+  /** Begins to answer the records of a group. */
+  follow(group: DatabaseGroup): void {
+    group.records$.subscribe(known => void this.answer(group.name, known));
+  }
+
+  /** Says whether a proxy has let go of what a record took out of use. */
+  hasReleased(group: string, member: string, recordRevision: number): boolean {
+    const revision = this.revisions.get(`${group}/${member}`);
+    return revision !== undefined && revision >= recordRevision;
+  }
+
+  override replace(items: readonly StoredItem[]): void {
+    for (const item of items) this.written(item);
+  }
+
+  override written(item: StoredItem): void {
+    const name = item.key.slice(RELEASE_PREFIX.length);
+    const revision = Number(item.value.toString('utf8'));
+    if (Number.isSafeInteger(revision)) this.revisions.set(name, revision);
+    else this.log.error('A release cannot be read.', {key: item.key});
+  }
+
+  override removed(key: string): void {
+    this.revisions.delete(key.slice(RELEASE_PREFIX.length));
+  }
+
+  /** The record has been taken in, so nothing new goes to the old primary. */
+  private async answer(group: string, known: KnownRecord): Promise<void> {
+    const leaseId = this.member.leaseId;
+    const isAsked = known.record.phase === PrimaryPhase.Changing;
+    if (!isAsked || leaseId === undefined) return;
+    try {
+      await this.store.transact({
+        conditions: [],
+        puts: [
+          {
+            key: `${RELEASE_PREFIX}${group}/${this.self}`,
+            value: String(known.revision),
+            leaseId,
+          },
+        ],
+      });
+    } catch (error) {
+      // The change of primary waits until this proxy's view has run out.
+      this.log.warn('A release could not be published.', {
+        group,
+        revision: known.revision,
+        error: String(error),
+      });
+    }
+  }
+}
+
+/** Answers the records of every group that the registry holds. */
+export function followAll(releases: Releases, groups: GroupRegistry): void {
+  groups.onGroup(group => releases.follow(group));
+}
--- /dev/null
+++ b/packages/gateway/src/core/process/gateway-adapters.ts
@@ -0,0 +1,22 @@
+import type {ConfigurationHolder} from '../configuration/index.js';
+import type {PromotionService} from '../coordinator/index.js';
+import type {InstanceDirectory} from '../directory/index.js';
+import type {CallerDoor, ReadinessDoor} from '../doors/index.js';
+import type {CoordinationStore, StoreSection} from '../store/index.js';
+import type {InstanceConnector} from '../upstream/index.js';
+
+/** Everything that depends on what the outside speaks. */
+export interface GatewayAdapters {
+  readonly store: CoordinationStore;
+  readonly connector: InstanceConnector;
+  readonly promotions: PromotionService;
+  readonly callerDoor: CallerDoor;
+  readonly readinessDoor: ReadinessDoor;
+  /** Prefix that covers every key that is followed. */
+  readonly watchedPrefix: string;
+  /** Sections that hold the configuration and the directory. */
+  readonly sections: (
+    configuration: ConfigurationHolder,
+    directory: InstanceDirectory,
+  ) => StoreSection[];
+}
--- /dev/null
+++ b/packages/gateway/src/core/sessions/primary-wait.ts
@@ -0,0 +1,57 @@
+import {ErrorKind, SapphiregladeError} from '@sapphireglade/decisions';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {DatabaseGroup, GroupMember} from '../groups/index.js';
+import {PrimaryProblem} from '../groups/index.js';
+import {steadyNow} from '../time/index.js';
+
+/** How often the view is looked at while a request waits, in milliseconds. */
+const POLL_MS = 20;
+
+/** Longest wait for a confirmation of the view, in milliseconds; two watches. */
+const UNCONFIRMED_WAIT_MS = 500;
+
+/** Expected length of a change of primary, in milliseconds. */
+const EXPECTED_CHANGE_MS = 1_200;
+
+/**
+ * Waits until a group has a primary that may be used.
+ *
+ * A request that could not be served before its deadline is refused at once.
+ *
+ * @param group - The group.
+ * @param deadlineMs - Until when, in milliseconds of the steady clock.
+ * @param unsuitable - An instance that has just refused to be the primary.
+ * @throws SapphiregladeError of kind `no-primary`, whose outcome is `not run`.
+ */
+export async function awaitPrimary(
+  group: DatabaseGroup,
+  deadlineMs: number,
+  unsuitable?: string,
+): Promise<GroupMember> {
+  const beganAtMs = steadyNow();
+  for (;;) {
+    const primary = group.usablePrimary();
+    const isUsable =
+      typeof primary === 'object' && primary.instance.id !== unsuitable;
+    if (isUsable) return primary;
+    const problem =
+      typeof primary === 'string' ? primary : PrimaryProblem.Changing;
+    const nowMs = steadyNow();
+    const endsAtMs = beganAtMs + expectedWaitMs(problem);
+    if (nowMs > endsAtMs || endsAtMs > deadlineMs) {
+      throw new SapphiregladeError(
+        ErrorKind.NoPrimary,
+        `Group ${group.name} has no usable primary: ${problem}.`,
+        {retryAfterMs: Math.max(POLL_MS, Math.ceil(endsAtMs - nowMs))},
+      );
+    }
+    await sleep(POLL_MS);
+  }
+}
+
+/** How long the problem is expected to last, in milliseconds. */
+function expectedWaitMs(problem: PrimaryProblem): number {
+  return problem === PrimaryProblem.Changing
+    ? EXPECTED_CHANGE_MS
+    : UNCONFIRMED_WAIT_MS;
+}
--- /dev/null
+++ b/packages/gateway/src/core/sessions/runnable-statement.ts
@@ -0,0 +1,53 @@
+import type {
+  LogPosition,
+  PreparedStatement,
+  SessionValues,
+} from '@sapphireglade/decisions';
+import {upstreamNameOf} from '@sapphireglade/decisions';
+import type {Route} from '../configuration/index.js';
+import type {InstanceCommand} from '../upstream/index.js';
+import {CommandKind} from '../upstream/index.js';
+
+/** A statement that an instance has to run. */
+export interface RunnableStatement {
+  readonly requestId: string;
+  readonly isRead: boolean;
+  /** The text, for a statement that is not prepared. */
+  readonly text: string | undefined;
+  /** The prepared statement, otherwise. */
+  readonly prepared: PreparedStatement | undefined;
+  /** Parameters of the prepared statement. */
+  readonly parameters: string;
+}
+
+/** What a statement runs for. */
+export interface ExecutionRequest {
+  readonly statement: RunnableStatement;
+  readonly route: Route;
+  readonly values: SessionValues;
+  /** When the statement or its transaction began, in milliseconds. */
+  readonly startedAtMs: number;
+  /** Until when, in milliseconds of the steady clock. */
+  readonly deadlineMs: number;
+  /** Position of the session's last commit. */
+  readonly ownCommit: LogPosition | undefined;
+}
+
+/**
+ * Turns a statement into the command that runs it.
+ *
+ * @param statement - The statement.
+ * @param atLeast - Position that the instance must have, for a read.
+ */
+export function toCommand(
+  statement: RunnableStatement,
+  atLeast: LogPosition | undefined,
+): InstanceCommand {
+  const {requestId, prepared, parameters} = statement;
+  if (prepared !== undefined) {
+    const name = upstreamNameOf(prepared);
+    return {kind: CommandKind.Execute, requestId, name, parameters, atLeast};
+  }
+  const text = statement.text ?? '';
+  return {kind: CommandKind.Statement, requestId, text, atLeast};
+}
--- /dev/null
+++ b/packages/gateway/src/core/sessions/session-context.ts
@@ -0,0 +1,14 @@
+import type {Logger} from '@sapphireglade/runtime';
+import type {ConfigurationHolder} from '../configuration/index.js';
+import type {GroupRegistry} from '../groups/index.js';
+
+/** What every session of a process shares. */
+export interface SessionContext {
+  readonly configuration: ConfigurationHolder;
+  readonly groups: GroupRegistry;
+  /** Region of this VM. */
+  readonly region: string;
+  /** Finds the region of an availability zone. */
+  readonly regionOf: (zone: string) => string;
+  readonly log: Logger;
+}
--- /dev/null
+++ b/packages/gateway/src/core/settings/index.ts
@@ -0,0 +1,2 @@
+/** The settings of a gateway process. */
+export * from './settings-schema.js';
--- /dev/null
+++ b/packages/gateway/src/core/upstream/connection-lost-error.ts
@@ -0,0 +1,14 @@
+/** A connection ended before a command was answered. */
+export class ConnectionLostError extends Error {
+  /**
+   * @param reason - What ended the connection.
+   * @param wasSent - Whether a byte of the command may have left this process.
+   */
+  constructor(
+    reason: string,
+    readonly wasSent: boolean,
+  ) {
+    super(`The connection to the instance was lost: ${reason}`);
+    this.name = 'ConnectionLostError';
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,15 @@
+/** The gateway: callers' sessions before databases that replicate their own writes. */
+export * from './core/configuration/index.js';
+export * from './core/coordinator/index.js';
+export * from './core/directory/index.js';
+export * from './core/doors/index.js';
+export * from './core/groups/index.js';
+export * from './core/membership/index.js';
+export * from './core/pool/index.js';
+export * from './core/primary-watch/index.js';
+export * from './core/process/index.js';
+export * from './core/sessions/index.js';
+export * from './core/settings/index.js';
+export * from './core/store/index.js';
+export * from './core/time/index.js';
+export * from './core/upstream/index.js';
--- /dev/null
+++ b/scripts/bundle-platform.js
@@ -0,0 +1,31 @@
+/**
+ * Bundles the gateway and its platform adapter into one file under target/.
+ * One file starts several times faster than the packages that it is made of.
+ */
+import {fileURLToPath} from 'node:url';
+import {build} from 'esbuild';
+
+const ROOT = fileURLToPath(new URL('..', import.meta.url));
+
+const PACKAGES = ['decisions', 'runtime', 'gateway'];
+
+await build({
+  absWorkingDir: ROOT,
+  entryPoints: ['platform/src/main.ts'],
+  outfile: 'target/sapphireglade-gateway.mjs',
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  minifySyntax: true,
+  banner: {
+    js: "import {createRequire} from 'node:module'; const require = createRequire(import.meta.url);",
+  },
+  alias: Object.fromEntries(
+    PACKAGES.map(name => [
+      `@sapphireglade/${name}`,
+      `./packages/${name}/src/index.ts`,
+    ]),
+  ),
+  logLevel: 'warning',
+});
