Prove views of the primary by replicas while the store is away

Ruled out: instances or admission; every instance answered all the while. Change: replicas that are not held prove a view; shares grow only after the list has settled, and refusals over the cap back off; not ready is said so.

--- a/packages/gateway/src/core/groups/group-registry.ts
+++ b/packages/gateway/src/core/groups/group-registry.ts
@@ -1,5 +1,5 @@
 import type {ClockReading} from '@sapphireglade/decisions';
-import {connectionShare} from '@sapphireglade/decisions';
+import {connectionShare, ShareHolders} from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
 import type {ConfigurationHolder} from '../configuration/index.js';
 import type {
@@ -8,6 +8,7 @@
 } from '../directory/index.js';
 import {InstancePool} from '../pool/index.js';
 import type {InstanceConnector} from '../upstream/index.js';
+import {steadyNow} from '../time/index.js';
 import {DatabaseGroup} from './database-group.js';
 
 /** Connections of each instance that the coordinator may use. */
@@ -27,6 +28,7 @@
 /** All groups, with connections to the instances that the directory lists. */
 export class GroupRegistry {
   private readonly groups = new Map<string, DatabaseGroup>();
+  private readonly sharers = new ShareHolders();
   private readonly listeners: ((group: DatabaseGroup) => void)[] = [];
 
   constructor(private readonly options: GroupRegistryOptions) {
@@ -79,7 +81,7 @@
   /** Divides the connection limits among the live proxies. */
   divide(): void {
     const declared = this.options.configuration.current;
-    const members = this.options.members();
+    const members = this.sharers.update(this.options.members(), steadyNow());
     for (const group of this.groups.values()) {
       const limit = declared?.groups.get(group.name)?.connectionLimit ?? 0;
       for (const {instance, pool} of group.members.values()) {
--- a/packages/gateway/src/core/membership/members.ts
+++ b/packages/gateway/src/core/membership/members.ts
@@ -8,9 +8,6 @@
 /** Prefix of the keys under which proxies publish themselves. */
 export const MEMBER_PREFIX = 'sapphireglade/members/';
 
-/** How long a proxy that has gone counts for its share, in milliseconds; instances drop dead peers after three seconds. */
-const DEPARTED_SHARE_MS = 3_000;
-
 /** The live proxies, as the store lists them. */
 export class Members extends StoreSection {
   private readonly live = new Map<string, MemberRecord>();
@@ -42,13 +39,9 @@
     return this.live.get(name);
   }
 
-  /** Names of the proxies that may hold connections. */
-  get connectionHolders(): string[] {
-    const limitMs = steadyNow() - DEPARTED_SHARE_MS;
-    const departed = [...this.departedAtMs]
-      .filter(([name, atMs]) => atMs > limitMs && !this.live.has(name))
-      .map(([name]) => name);
-    return [...this.live.keys(), ...departed];
+  /** Names of the live proxies. */
+  get names(): string[] {
+    return [...this.live.keys()];
   }
 
   /** Names of the proxies that are live or left after a time, in milliseconds. */
--- a/packages/gateway/src/core/pool/instance-pool.ts
+++ b/packages/gateway/src/core/pool/instance-pool.ts
@@ -25,9 +25,12 @@
 /** Pause between two failed openings, in milliseconds. */
 const REOPEN_PAUSE_MS = 150;
 
-/** Pause after the instance refused a connection over its limit, in milliseconds. */
+/** First pause after the instance refused a connection over its limit, in milliseconds; it doubles. */
 const OVER_LIMIT_PAUSE_MS = 400;
 
+/** Longest pause after such refusals, in milliseconds; dead peers are dropped after three seconds. */
+const MAXIMUM_OVER_LIMIT_PAUSE_MS = 3_200;
+
 /** Weight of a slower answer in the estimated round trip; a faster one replaces it. */
 const ROUND_TRIP_WEIGHT = 0.02;
 
@@ -62,6 +65,7 @@
   private roundTrip = INITIAL_ROUND_TRIP_MS;
   private unreachable: number | undefined;
   private reopenAtMs = 0;
+  private overLimitPauseMs = OVER_LIMIT_PAUSE_MS;
   private isEnded = false;
 
   constructor(
@@ -299,6 +303,7 @@
       this.log.info('An instance can be reached again.', this.fields);
     }
     this.unreachable = undefined;
+    this.overLimitPauseMs = OVER_LIMIT_PAUSE_MS;
     this.open.add(pooled);
     this.learn(greeting, sentAtMs);
     this.idle.push(pooled);
@@ -308,9 +313,15 @@
   private openFailed(error: SapphiregladeError): void {
     const nowMs = steadyNow();
     const isOverLimit = error.kind === ErrorKind.Overloaded;
-    this.reopenAtMs =
-      nowMs + (isOverLimit ? OVER_LIMIT_PAUSE_MS : REOPEN_PAUSE_MS);
-    if (isOverLimit) return;
+    if (isOverLimit) {
+      this.reopenAtMs = nowMs + this.overLimitPauseMs * (0.5 + Math.random());
+      this.overLimitPauseMs = Math.min(
+        MAXIMUM_OVER_LIMIT_PAUSE_MS,
+        this.overLimitPauseMs * 2,
+      );
+      return;
+    }
+    this.reopenAtMs = nowMs + REOPEN_PAUSE_MS;
     this.lastFailedAtMs = nowMs;
     if (this.open.size > 0 || this.unreachable !== undefined) return;
     this.unreachable = nowMs;
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -11,7 +11,12 @@
 import {InstanceDirectory} from '../directory/index.js';
 import {GroupRegistry, PrimaryRecords} from '../groups/index.js';
 import {Members, MemberTask} from '../membership/index.js';
-import {followAll, PrimaryWatchTask, Releases} from '../primary-watch/index.js';
+import {
+  followAll,
+  PrimaryWatchTask,
+  Releases,
+  ViewProofTask,
+} from '../primary-watch/index.js';
 import type {SessionContext} from '../sessions/index.js';
 import {CallerSession} from '../sessions/index.js';
 import type {GatewaySettings} from '../settings/index.js';
@@ -45,6 +50,7 @@
   private readonly follower: StoreFollower;
   private readonly member: MemberTask;
   private readonly watch: PrimaryWatchTask;
+  private readonly proofs: ViewProofTask;
   private readonly coordinator: CoordinatorTask;
   private readonly incarnation = randomUUID();
   private housekeeping: NodeJS.Timeout | undefined;
@@ -67,7 +73,7 @@
       configuration: this.configuration,
       directory: this.directory,
       connector,
-      members: () => this.members.connectionHolders,
+      members: () => this.members.names,
       log: loggers(LogPart.Pool),
     });
     this.member = new MemberTask({
@@ -81,6 +87,8 @@
     const releases = new Releases(name, store, this.member, failoverLog);
     followAll(releases, this.groups);
     this.watch = new PrimaryWatchTask(this.groups, this.member, failoverLog);
+    const {region, regionOf} = this;
+    this.proofs = new ViewProofTask(this.groups, region, regionOf, failoverLog);
     const key = new CoordinatorKey();
     this.follower = new StoreFollower({
       store,
@@ -117,6 +125,17 @@
     this.members.changes$.subscribe(() => this.groups.divide());
   }
 
+  /** Finds the region of an availability zone. */
+  private get regionOf(): (zone: string) => string {
+    const {regions} = this.settings;
+    return zone => regions[zone] ?? zone;
+  }
+
+  /** Region of this VM. */
+  private get region(): string {
+    return this.regionOf(this.settings.availabilityZone);
+  }
+
   /** Whether this proxy can serve callers. */
   get isReady(): boolean {
     if (this.isStopping || this.configuration.current === undefined) {
@@ -129,13 +148,13 @@
 
   /** Starts everything; callers are accepted at once, the balancer is told when. */
   async start(): Promise<void> {
-    const {availabilityZone, name, regions} = this.settings;
+    const {availabilityZone, name} = this.settings;
     const log = this.loggers(LogPart.Process);
-    const regionOf = (zone: string): string => regions[zone] ?? zone;
+    const {region, regionOf} = this;
     const context: SessionContext = {
       configuration: this.configuration,
       groups: this.groups,
-      region: regionOf(availabilityZone),
+      region,
       regionOf,
       log: this.loggers(LogPart.Routing),
     };
@@ -146,6 +165,7 @@
     await this.follower.start();
     await this.member.start();
     await this.watch.start();
+    await this.proofs.start();
     await this.coordinator.start();
     this.housekeeping = setInterval(() => {
       this.directory.dropMissing(this.follower.isStoreReachable);
@@ -187,6 +207,7 @@
     clearInterval(this.housekeeping);
     await this.adapters.callerDoor.close();
     await this.watch.stop(0);
+    await this.proofs.stop(0);
     await this.follower.stop(0);
     await this.member.stop(0);
     await this.adapters.readinessDoor.close();
--- a/packages/gateway/src/core/sessions/caller-session.ts
+++ b/packages/gateway/src/core/sessions/caller-session.ts
@@ -19,6 +19,12 @@
 import type {SessionReply, SessionRequest, Statement} from './types.js';
 import {StatementKind} from './types.js';
 
+/**
+ * Part of the latency objective for which a statement may wait for a
+ * connection; past it another proxy is the better choice for its caller.
+ */
+const QUEUE_PART = 0.5;
+
 /**
  * One caller's session, for as long as its connection is open.
  *
@@ -54,9 +60,12 @@
     return this.state === TransactionState.Idle;
   }
 
-  /** Whether the database is declared. */
-  get isRouted(): boolean {
-    return this.findRoute() !== undefined;
+  /** Why the session cannot begin, if it cannot. */
+  get refusal(): ErrorKind | undefined {
+    if (this.context.configuration.current === undefined) {
+      return ErrorKind.NotReady;
+    }
+    return this.findRoute() === undefined ? ErrorKind.NotFound : undefined;
   }
 
   /** Serves one request; requests of a session are served one at a time. */
@@ -234,6 +243,7 @@
       values: this.values,
       startedAtMs,
       deadlineMs: startedAtMs + route.statementTimeoutMs,
+      queueDeadlineMs: startedAtMs + route.targetLatencyMs * QUEUE_PART,
       ownCommit: this.ownGroup === route.group ? this.ownCommit : undefined,
     };
   }
--- a/packages/gateway/src/core/sessions/primary-wait.ts
+++ b/packages/gateway/src/core/sessions/primary-wait.ts
@@ -7,8 +7,8 @@
 /** How often the view is looked at while a request waits, in milliseconds. */
 const POLL_MS = 20;
 
-/** Longest wait for a confirmation of the view, in milliseconds; two watches. */
-const UNCONFIRMED_WAIT_MS = 500;
+/** Longest wait for a confirmation of the view, in milliseconds; one answer of a store that works. */
+const UNCONFIRMED_WAIT_MS = 100;
 
 /** Expected length of a change of primary, in milliseconds. */
 const EXPECTED_CHANGE_MS = 1_200;
--- a/packages/gateway/src/core/sessions/runnable-statement.ts
+++ b/packages/gateway/src/core/sessions/runnable-statement.ts
@@ -29,6 +29,8 @@
   readonly startedAtMs: number;
   /** Until when, in milliseconds of the steady clock. */
   readonly deadlineMs: number;
+  /** Until when it may wait for a connection, in milliseconds. */
+  readonly queueDeadlineMs: number;
   /** Position of the session's last commit. */
   readonly ownCommit: LogPosition | undefined;
 }
--- a/packages/gateway/src/core/sessions/statement-executor.ts
+++ b/packages/gateway/src/core/sessions/statement-executor.ts
@@ -145,7 +145,7 @@
     try {
       const connection = await pool.acquire({
         priority: request.route.priority,
-        deadlineMs: request.deadlineMs,
+        deadlineMs: request.queueDeadlineMs,
         values: request.values.values,
       });
       bound = {pool, connection};
