Hold few connections in ordinary times and open more on demand

Ruled out: start-up time (listening within half a second) and the store. Change: one warm connection an instance, others opened on demand and closed when unused; a proxy that has just started takes one; requests wait briefly where the instance is at its limit.

--- a/packages/decisions/src/core/primary-change/choose-target.ts
+++ b/packages/decisions/src/core/primary-change/choose-target.ts
@@ -1,9 +1,15 @@
+import type {LogPosition} from '../groups/index.js';
 import {comparePositions} from '../groups/index.js';
 import type {ReplicationReport, PromotionCandidate} from './types.js';
 
 /** What to do next in a change of primary. */
 export type TargetChoice =
-  | {readonly kind: 'promote'; readonly target: string}
+  | {
+      readonly kind: 'promote';
+      readonly target: string;
+      /** Position of the target; it holds every acknowledged commit. */
+      readonly position: LogPosition;
+    }
   | {readonly kind: 'wait'; readonly reason: string};
 
 /** What is known when a target is chosen. */
@@ -64,8 +70,8 @@
   )[0];
 }
 
-function promote(candidate: PromotionCandidate): TargetChoice {
-  return {kind: 'promote', target: candidate.id};
+function promote({id, report}: ReportedCandidate): TargetChoice {
+  return {kind: 'promote', target: id, position: report.received};
 }
 
 function wait(reason: string): TargetChoice {
--- a/packages/decisions/src/core/primary-change/types.ts
+++ b/packages/decisions/src/core/primary-change/types.ts
@@ -21,6 +21,11 @@
   readonly phase: PrimaryPhase;
   /** Instance that was chosen to lead next, once that is decided. */
   readonly target?: string | undefined;
+  /**
+   * Position that holds every commit acknowledged before the target was
+   * chosen; nothing can be acknowledged until the target leads.
+   */
+  readonly lastPosition?: LogPosition | undefined;
 }
 
 /** What an instance said of itself after it was asked to stop following. */
--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -1,5 +1,6 @@
 import type {
   ClockReading,
+  LogPosition,
   ReplicationReport,
   PromotionCandidate,
 } from '@sapphireglade/decisions';
@@ -165,18 +166,20 @@
     let shownReason = '';
     for (;;) {
       await this.holdReplicas(known);
-      if (this.oldReport === undefined) await this.stepDown(known);
       const choice = chooseTarget({
         replicas: this.candidates(known),
         oldPrimary: this.oldReport,
         isReplicated: this.isReplicated,
       });
       if (choice.kind === 'promote') {
-        if (await this.promote(choice.target)) return;
+        if (await this.promote(choice.target, choice.position)) return;
         this.reports.clear();
-      } else if (choice.reason !== shownReason) {
-        shownReason = choice.reason;
-        this.log('The change of primary waits.', {waitsFor: choice.reason});
+      } else {
+        if (choice.reason !== shownReason) {
+          shownReason = choice.reason;
+          this.log('The change of primary waits.', {waitsFor: choice.reason});
+        }
+        if (this.oldReport === undefined) await this.stepDown(known);
       }
       await sleep(ASK_AGAIN_MS);
       this.checkStillCoordinating();
@@ -184,7 +187,10 @@
   }
 
   /** Orders the promotion with a token that was written for it. */
-  private async promote(target: string): Promise<boolean> {
+  private async promote(
+    target: string,
+    lastPosition: LogPosition,
+  ): Promise<boolean> {
     const {context, group} = this;
     const old = group.record?.record;
     if (old === undefined) return false;
@@ -194,6 +200,7 @@
       primary: old.primary,
       phase: PrimaryPhase.Changing,
       target,
+      lastPosition,
     });
     if (elapsedMs(sentAt, readClocks()) > TOKEN_VALIDITY_MS) return false;
     const answer = await context.promotions.promote({
--- a/packages/gateway/src/core/groups/database-group.ts
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -13,7 +13,7 @@
 import {Subject} from 'rxjs';
 import type {RegisteredInstance} from '../directory/index.js';
 import type {InstancePool, ShownPosition} from '../pool/index.js';
-import {readClocks} from '../time/index.js';
+import {readClocks, steadyNow} from '../time/index.js';
 import type {KnownRecord} from './types.js';
 
 /**
@@ -78,6 +78,10 @@
       return;
     }
     this.known = known;
+    const {lastPosition} = known.record;
+    if (lastPosition !== undefined) {
+      this.positions.observe(steadyNow(), lastPosition);
+    }
     this.recordChanges.next(known);
   }
 
--- a/packages/gateway/src/core/groups/group-registry.ts
+++ b/packages/gateway/src/core/groups/group-registry.ts
@@ -93,7 +93,7 @@
             this.options.self,
           ),
         );
-        pool.prepareConnections();
+        pool.maintain();
       }
     }
   }
--- a/packages/gateway/src/core/pool/instance-pool.ts
+++ b/packages/gateway/src/core/pool/instance-pool.ts
@@ -26,10 +26,16 @@
 const REOPEN_PAUSE_MS = 150;
 
 /** First pause after the instance refused a connection over its limit, in milliseconds; it doubles. */
-const OVER_LIMIT_PAUSE_MS = 400;
+const OVER_LIMIT_PAUSE_MS = 200;
 
 /** Longest pause after such refusals, in milliseconds; dead peers are dropped after three seconds. */
-const MAXIMUM_OVER_LIMIT_PAUSE_MS = 3_200;
+const MAXIMUM_OVER_LIMIT_PAUSE_MS = 800;
+
+/** Connections that are kept open without need. */
+const WARM_CONNECTIONS = 1;
+
+/** How long a connection past the warm ones may be unused, in milliseconds. */
+const UNUSED_LIMIT_MS = 2_000;
 
 /** Weight of a slower answer in the estimated round trip; a faster one replaces it. */
 const ROUND_TRIP_WEIGHT = 0.02;
@@ -66,6 +72,8 @@
   private unreachable: number | undefined;
   private reopenAtMs = 0;
   private overLimitPauseMs = OVER_LIMIT_PAUSE_MS;
+  /** Whether the instance refused the last opening over its limit. */
+  private isOverLimit = false;
   private isEnded = false;
 
   constructor(
@@ -139,10 +147,25 @@
     }
   }
 
-  /** Opens connections ahead of need, up to the share. */
-  prepareConnections(): void {
+  /**
+   * Opens the connections that are kept warm, and closes unused ones.
+   *
+   * Few connections in ordinary times leave room below the owner's limit for
+   * proxies that start again while their old connections still count.
+   */
+  maintain(): void {
     const nowMs = steadyNow();
-    while (this.mayOpen(nowMs)) this.openConnection();
+    const isCold = this.open.size + this.opening < WARM_CONNECTIONS;
+    if (isCold && this.mayOpen(nowMs)) this.openConnection();
+    if (this.queue.length > this.opening && this.mayOpen(nowMs)) {
+      this.openConnection();
+    }
+    const unused = this.idle[0];
+    const isUnused =
+      unused !== undefined && nowMs - unused.releasedAtMs > UNUSED_LIMIT_MS;
+    if (isUnused && this.open.size > WARM_CONNECTIONS) {
+      this.discard(unused, 'it is not used');
+    }
   }
 
   /**
@@ -156,8 +179,8 @@
     const ready = this.takeIdle(request.values);
     if (ready !== undefined) return Promise.resolve(ready);
     if (this.isEnded) return Promise.reject(this.noConnection('it has left'));
-    this.prepareConnections();
-    if (this.open.size === 0 && this.opening === 0) {
+    if (this.mayOpen(nowMs)) this.openConnection();
+    if (!this.mayServeSoon) {
       return Promise.reject(this.noConnection('it cannot be reached'));
     }
     return new Promise((resolve, reject) => {
@@ -190,6 +213,7 @@
       this.discard(connection, isClean ? 'it is not needed' : 'it is unclean');
       return;
     }
+    connection.releasedAtMs = steadyNow();
     this.idle.push(connection);
     this.serveQueue();
   }
@@ -228,11 +252,19 @@
 
   private get supply(): {connections: number; holdingMs: number} {
     return {
-      connections: this.open.size + this.opening,
+      connections: Math.max(
+        this.open.size + this.opening,
+        this.isOverLimit ? 1 : this.share,
+      ),
       holdingMs: this.holdingMs,
     };
   }
 
+  /** Whether a connection is open, or will probably open. */
+  private get mayServeSoon(): boolean {
+    return this.open.size + this.opening > 0 || this.isOverLimit;
+  }
+
   private mayOpen(nowMs: number): boolean {
     const total = this.open.size + this.opening;
     return !this.isEnded && total < this.share && nowMs >= this.reopenAtMs;
@@ -244,7 +276,8 @@
   ): PooledConnection | undefined {
     let best: PooledConnection | undefined;
     let bestCost = Infinity;
-    for (const connection of this.idle) {
+    // The last one used comes first among equals, so that others fall idle.
+    for (const connection of [...this.idle].reverse()) {
       const cost = synchronizationCost(planSynchronization(connection, values));
       if (cost >= bestCost) continue;
       best = connection;
@@ -269,7 +302,7 @@
     this.opening += 1;
     void this.connect().finally(() => {
       this.opening -= 1;
-      if (this.open.size === 0 && this.opening === 0) this.refuseAll();
+      if (!this.mayServeSoon) this.refuseAll();
     });
   }
 
@@ -304,6 +337,7 @@
     }
     this.unreachable = undefined;
     this.overLimitPauseMs = OVER_LIMIT_PAUSE_MS;
+    this.isOverLimit = false;
     this.open.add(pooled);
     this.learn(greeting, sentAtMs);
     this.idle.push(pooled);
@@ -312,8 +346,8 @@
 
   private openFailed(error: SapphiregladeError): void {
     const nowMs = steadyNow();
-    const isOverLimit = error.kind === ErrorKind.Overloaded;
-    if (isOverLimit) {
+    this.isOverLimit = error.kind === ErrorKind.Overloaded;
+    if (this.isOverLimit) {
       this.reopenAtMs = nowMs + this.overLimitPauseMs * (0.5 + Math.random());
       this.overLimitPauseMs = Math.min(
         MAXIMUM_OVER_LIMIT_PAUSE_MS,
@@ -350,7 +384,7 @@
     this.lastFailedAtMs = steadyNow();
     this.log.debug('A connection was lost.', {...this.fields, reason});
     this.forget(connection);
-    this.prepareConnections();
+    this.maintain();
   }
 
   private forget(connection: PooledConnection): void {
--- a/packages/gateway/src/core/pool/pooled-connection.ts
+++ b/packages/gateway/src/core/pool/pooled-connection.ts
@@ -26,6 +26,8 @@
   readonly prepared = new Set<string>();
   /** When the connection was taken from the pool, in milliseconds. */
   takenAtMs = 0;
+  /** When the connection was given back to the pool, in milliseconds. */
+  releasedAtMs = steadyNow();
   /** When the connection opened, in milliseconds. */
   readonly openedAtMs = steadyNow();
   private transactionState: TransactionState = TransactionState.Idle;
--- a/packages/gateway/src/core/primary-watch/primary-watch-task.ts
+++ b/packages/gateway/src/core/primary-watch/primary-watch-task.ts
@@ -48,7 +48,7 @@
     for (const group of this.groups.all) {
       for (const {pool} of group.members.values()) {
         pool.refuseLate();
-        pool.prepareConnections();
+        pool.maintain();
       }
       const pool = primaryPool(group);
       if (pool === undefined) continue;
