Let cut proxies learn primaries from instances, and keep fewer connections warm

Change: an instance that leads a higher term is taken as the primary and its view proved by replicas; a change that orders a second promotion passes over the first one's term and waits for such views to run out. Only the primary and the instances of the own region are kept connected without need.

--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -55,6 +55,8 @@
   private readonly reports = new Map<string, ReplicationReport>();
   private oldReport: ReplicationReport | undefined;
   private readonly beganAtMs = steadyNow();
+  /** Promotions that were ordered without another instance leading. */
+  private failedOrders = 0;
 
   constructor(
     private readonly context: ChangeContext,
@@ -144,7 +146,7 @@
     const command: InstanceCommand =
       this.reason === ChangeReason.Leaving && this.oldReport !== undefined
         ? {kind: CommandKind.Status}
-        : {kind: CommandKind.HoldTerm, term: known.record.term + 1};
+        : {kind: CommandKind.HoldTerm, term: this.nextTerm(known)};
     for (const report of await this.askAll(missing, command)) {
       this.reports.set(report.id, report);
     }
@@ -156,7 +158,7 @@
     if (old === undefined) return;
     const [report] = await this.askAll([old], {
       kind: CommandKind.StepDown,
-      term: known.record.term + 1,
+      term: this.nextTerm(known),
     });
     if (report !== undefined) this.oldReport = report;
   }
@@ -173,7 +175,7 @@
       });
       if (choice.kind === 'promote') {
         if (await this.promote(choice.target, choice.position)) return;
-        this.reports.clear();
+        await this.beginAgain(known);
       } else {
         if (choice.reason !== shownReason) {
           shownReason = choice.reason;
@@ -186,6 +188,23 @@
     }
   }
 
+  /**
+   * An instance that was promoted without being seen to lead may lead yet, and
+   * proxies without the store may have found it: its term is passed over, and
+   * their views of it have to run out.
+   */
+  private async beginAgain(known: KnownRecord): Promise<void> {
+    this.failedOrders += 1;
+    this.reports.clear();
+    await this.holdReplicas(known);
+    await sleep(VIEW_VALIDITY_MS + VALIDITY_MARGIN_MS);
+  }
+
+  /** The lowest term that no earlier order of this change can have begun. */
+  private nextTerm(known: KnownRecord): number {
+    return known.record.term + 1 + this.failedOrders;
+  }
+
   /** Orders the promotion with a token that was written for it. */
   private async promote(
     target: string,
--- a/packages/gateway/src/core/groups/database-group.ts
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -85,6 +85,18 @@
     this.recordChanges.next(known);
   }
 
+  /**
+   * Takes in that an instance says it leads a higher term than is recorded.
+   *
+   * It counts until the store shows a newer record.
+   */
+  learnLeader(term: number, primary: string): void {
+    if (this.known === undefined || term <= this.known.record.term) return;
+    const record = {term, primary, phase: PrimaryPhase.Steady};
+    this.known = {record, revision: this.known.revision};
+    this.recordChanges.next(this.known);
+  }
+
   /** Takes in that an answer proved the record to be the newest. */
   confirm(sentAt: ClockReading): void {
     this.confirmation.confirm(sentAt);
@@ -135,7 +147,7 @@
     const primary = this.known?.record.primary;
     const options = [...this.memberTable.values()]
       .filter(({instance}) => instance.id !== primary && !instance.isLeaving)
-      .filter(({pool}) => pool.connections > 0)
+      .filter(({pool}) => pool.unreachableSinceMs === undefined)
       .map(member =>
         toOption(member, regionOf(member.instance.availabilityZone) !== region),
       );
--- a/packages/gateway/src/core/groups/group-registry.ts
+++ b/packages/gateway/src/core/groups/group-registry.ts
@@ -22,6 +22,8 @@
   readonly connector: InstanceConnector;
   /** Names of the live proxies. */
   readonly members: () => readonly string[];
+  /** Whether an availability zone is in the region of this proxy. */
+  readonly isNear: (zone: string) => boolean;
   readonly log: Logger;
 }
 
@@ -93,11 +95,24 @@
             this.options.self,
           ),
         );
+        pool.isKeptWarm = this.isOftenUsed(group, instance);
         pool.maintain();
       }
     }
   }
 
+  /** The primary and the instances of this region get most statements. */
+  private isOftenUsed(
+    group: DatabaseGroup,
+    instance: RegisteredInstance,
+  ): boolean {
+    const isPrimary =
+      group.record === undefined
+        ? instance.claimsPrimary
+        : group.record.record.primary === instance.id;
+    return isPrimary || this.options.isNear(instance.availabilityZone);
+  }
+
   /** Adds an instance, or opens it anew if it has started again. */
   private keep(instance: RegisteredInstance): void {
     const group = this.ensure(instance.group);
--- a/packages/gateway/src/core/pool/instance-pool.ts
+++ b/packages/gateway/src/core/pool/instance-pool.ts
@@ -57,6 +57,8 @@
  * order of urgency or are refused at once.
  */
 export class InstancePool {
+  /** Whether a connection is kept open without need. */
+  isKeptWarm = true;
   /** When the instance last refused a read because it was behind. */
   lastBehindAtMs = -Infinity;
   /** When the instance last failed to answer, in milliseconds. */
@@ -155,7 +157,8 @@
    */
   maintain(): void {
     const nowMs = steadyNow();
-    const isCold = this.open.size + this.opening < WARM_CONNECTIONS;
+    const isCold =
+      this.isKeptWarm && this.open.size + this.opening < WARM_CONNECTIONS;
     if (isCold && this.mayOpen(nowMs)) this.openConnection();
     if (this.queue.length > this.opening && this.mayOpen(nowMs)) {
       this.openConnection();
@@ -163,7 +166,8 @@
     const unused = this.idle[0];
     const isUnused =
       unused !== undefined && nowMs - unused.releasedAtMs > UNUSED_LIMIT_MS;
-    if (isUnused && this.open.size > WARM_CONNECTIONS) {
+    const kept = this.isKeptWarm ? WARM_CONNECTIONS : 0;
+    if (isUnused && this.open.size > kept) {
       this.discard(unused, 'it is not used');
     }
   }
--- a/packages/gateway/src/core/primary-watch/view-proof-task.ts
+++ b/packages/gateway/src/core/primary-watch/view-proof-task.ts
@@ -1,4 +1,5 @@
-import {PrimaryPhase} from '@sapphireglade/decisions';
+import type {ReplicationReport} from '@sapphireglade/decisions';
+import {PrimaryPhase, SapphiregladeError} from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
 import {TaskLifecycle} from '@sapphireglade/runtime';
 import type {
@@ -6,15 +7,18 @@
   GroupMember,
   GroupRegistry,
 } from '../groups/index.js';
-import {readClocks, TIMED_OUT, within} from '../time/index.js';
-import type {InstanceReply} from '../upstream/index.js';
+import type {InstancePool, PooledConnection} from '../pool/index.js';
+import {readClocks, steadyNow, TIMED_OUT, within} from '../time/index.js';
 import {CommandKind} from '../upstream/index.js';
 
 /** How often the age of the views is looked at, in milliseconds. */
 const CHECK_INTERVAL_MS = 100;
 
-/** Age of a view after which replicas are asked, in milliseconds; longer than two answers of a store that works take. */
-const ASK_AFTER_MS = 750;
+/** Age of a view after which replicas are asked, in milliseconds; longer than two watches of a store that works take. */
+const ASK_AFTER_MS = 1_100;
+
+/** Goes before every caller's request. */
+const CONTROL_PRIORITY = -1;
 
 /** How long a replica may take to answer, in milliseconds. */
 const ANSWER_TIMEOUT_MS = 400;
@@ -26,6 +30,9 @@
  * one. A replica that was not held when it was asked therefore proves that no
  * change had been completed by then. Its connection must be older than the
  * last proof, because a replica that starts again forgets what held it.
+ *
+ * An instance that says it leads a higher term is taken as the primary, so
+ * that a proxy without the store takes part in a change that others made.
  */
 export class ViewProofTask extends TaskLifecycle {
   private timer: NodeJS.Timeout | undefined;
@@ -56,7 +63,7 @@
     let isAnyOld = false;
     for (const group of this.groups.all) {
       if (group.confirmation.ageMs(now) < ASK_AFTER_MS) continue;
-      if (group.record?.record.phase !== PrimaryPhase.Steady) continue;
+      if (group.record === undefined) continue;
       isAnyOld = true;
       if (!this.asking.has(group)) void this.prove(group);
     }
@@ -76,7 +83,7 @@
   private async prove(group: DatabaseGroup): Promise<void> {
     this.asking.add(group);
     try {
-      for (const member of this.replicasOf(group)) {
+      for (const member of this.membersOf(group)) {
         if (await this.askMember(group, member)) return;
       }
     } finally {
@@ -84,20 +91,48 @@
     }
   }
 
-  /** Replicas of this region first, because the others cost paid bytes. */
-  private replicasOf(group: DatabaseGroup): GroupMember[] {
+  /** Instances of this region first, because the others cost paid bytes. */
+  private membersOf(group: DatabaseGroup): GroupMember[] {
     const isFar = ({instance}: GroupMember): number =>
       Number(this.regionOf(instance.availabilityZone) !== this.region);
-    return [...group.members.values()]
-      .filter(({instance}) => instance.id !== group.record?.record.primary)
-      .sort((left, right) => isFar(left) - isFar(right));
+    return [...group.members.values()].sort(
+      (left, right) => isFar(left) - isFar(right),
+    );
+  }
+
+  private learnLeader(group: DatabaseGroup, report: ReplicationReport): void {
+    const term = group.record?.record.term ?? Infinity;
+    if (report.term <= term) return;
+    this.log.info('An instance leads a higher term than is recorded.', {
+      group: group.name,
+      primary: report.id,
+      term: report.term,
+    });
+    group.learnLeader(report.term, report.id);
+  }
+
+  /** Takes a connection, if one is free or can be opened quickly. */
+  private async connectionOf(
+    pool: InstancePool,
+  ): Promise<PooledConnection | undefined> {
+    try {
+      return await pool.acquire({
+        priority: CONTROL_PRIORITY,
+        deadlineMs: steadyNow() + ANSWER_TIMEOUT_MS,
+        values: new Map(),
+      });
+    } catch (error) {
+      if (!(error instanceof SapphiregladeError)) throw error;
+      // The next instance is asked instead.
+      return undefined;
+    }
   }
 
   private async askMember(
     group: DatabaseGroup,
     {pool}: GroupMember,
   ): Promise<boolean> {
-    const connection = pool.tryAcquire();
+    const connection = await this.connectionOf(pool);
     if (connection === undefined) return false;
     const known = group.record;
     const sentAt = readClocks();
@@ -111,18 +146,26 @@
       return false;
     }
     pool.release(connection);
+    const {report} = reply;
+    if (report?.isPrimary) {
+      this.learnLeader(group, report);
+      return false;
+    }
     const isProof =
       isOldEnough &&
       group.record === known &&
-      provesTerm(reply, known?.record.term);
+      known?.record.phase === PrimaryPhase.Steady &&
+      provesTerm(report, known.record.term);
     if (isProof) group.confirm(sentAt);
     return isProof;
   }
 }
 
 /** Says whether a replica's answer proves that no higher term has begun. */
-function provesTerm(reply: InstanceReply, term: number | undefined): boolean {
-  const {report} = reply;
-  if (report === undefined || term === undefined) return false;
+function provesTerm(
+  report: ReplicationReport | undefined,
+  term: number,
+): boolean {
+  if (report === undefined) return false;
   return !report.isPrimary && report.heldTerm <= term && report.term <= term;
 }
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -74,6 +74,7 @@
       directory: this.directory,
       connector,
       members: () => this.members.names,
+      isNear: zone => this.regionOf(zone) === this.region,
       log: loggers(LogPart.Pool),
     });
     this.member = new MemberTask({
