--- /dev/null
+++ b/packages/decisions/test/connected-session/synchronize.test.ts
@@ -0,0 +1,92 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import type {PreparedStatement} from '../../src/index.js';
+import {
+  planSynchronization,
+  PreparedKind,
+  SessionValues,
+  synchronizationCost,
+  upstreamNameOf,
+} from '../../src/index.js';
+
+/** A connection that does what it is told. */
+class ModelConnection {
+  readonly values = new Map<string, string>();
+  readonly prepared = new Set<string>();
+
+  /** Does what a plan says. */
+  apply(
+    plan: ReturnType<typeof planSynchronization>,
+    name: string | undefined,
+  ): void {
+    if (plan.clear) {
+      this.values.clear();
+      this.prepared.clear();
+    }
+    for (const [key, value] of plan.values) this.values.set(key, value);
+    if (plan.prepare && name !== undefined) this.prepared.add(name);
+  }
+}
+
+const NAME = fc.constantFrom('a', 'b', 'c', 'd');
+const VALUES = fc.dictionary(NAME, fc.constantFrom('1', '2', '3'));
+const STATEMENT = fc.option(
+  fc.record({
+    kind: fc.constantFrom(PreparedKind.Read, PreparedKind.Write),
+    shape: fc.constantFrom('q1', 'q2', 'q3'),
+  }),
+  {nil: undefined},
+);
+
+describe('planSynchronization', () => {
+  it('makes one connection serve many sessions without mixing them', () => {
+    const turns = fc.array(fc.tuple(VALUES, STATEMENT), {maxLength: 30});
+    fc.assert(
+      fc.property(turns, sessions => {
+        const connection = new ModelConnection();
+        for (const [dictionary, statement] of sessions) {
+          const values = new Map(Object.entries(dictionary));
+          const name = statement && upstreamNameOf(statement);
+          const plan = planSynchronization(connection, values, name);
+          connection.apply(plan, name);
+          expect(connection.values).toEqual(values);
+          if (name !== undefined) {
+            expect(connection.prepared.has(name)).toEqual(true);
+          }
+          const again = planSynchronization(connection, values, name);
+          expect(synchronizationCost(again)).toEqual(0);
+        }
+      }),
+      {seed: 11, numRuns: 500},
+    );
+  });
+
+  it('gives statements that differ different names', () => {
+    const read: PreparedStatement = {kind: PreparedKind.Read, shape: 'q'};
+    const write: PreparedStatement = {kind: PreparedKind.Write, shape: 'q'};
+    expect(upstreamNameOf(read) === upstreamNameOf(write)).toEqual(false);
+  });
+});
+
+describe('SessionValues', () => {
+  it('keeps a bounded number of values and names', () => {
+    const session = new SessionValues();
+    for (let index = 0; index < 1_000; index += 1) {
+      expect(session.set(`value-${index}`, '')).toEqual(true);
+    }
+    expect(session.set('one more', '')).toEqual(false);
+    expect(session.set('value-7', 'changed')).toEqual(true);
+    expect(session.prepare('s', {kind: PreparedKind.Read, shape: 'q'})).toEqual(
+      false,
+    );
+  });
+
+  it('forgets a name once', () => {
+    const session = new SessionValues();
+    session.prepare('s', {kind: PreparedKind.Read, shape: 'q'});
+    expect(session.deallocate('s')).toEqual(true);
+    expect(session.deallocate('s')).toEqual(false);
+    expect(session.prepared('s')).toEqual(undefined);
+  });
+});
--- /dev/null
+++ b/packages/decisions/test/connection-plan/connection-share.test.ts
@@ -0,0 +1,62 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {connectionShare, ShareHolders} from '../../src/index.js';
+
+const MEMBERS = fc
+  .uniqueArray(fc.integer({min: 0, max: 200}), {minLength: 1, maxLength: 60})
+  .map(numbers => numbers.map(number => `proxy-${number}`));
+
+describe('connectionShare', () => {
+  it('keeps the sum of all shares at the limit', () => {
+    fc.assert(
+      fc.property(
+        MEMBERS,
+        fc.integer({min: 60, max: 250}),
+        (members, limit) => {
+          const shares = members.map(self =>
+            connectionShare('instance', limit, members, self),
+          );
+          const sum = shares.reduce((total, share) => total + share, 0);
+          expect(sum).toEqual(limit);
+          expect(Math.max(...shares) - Math.min(...shares) <= 1).toEqual(true);
+        },
+      ),
+      {seed: 5, numRuns: 300},
+    );
+  });
+
+  it('gives the same share whatever order the members are listed in', () => {
+    const members = ['c', 'a', 'b', 'd'];
+    const sorted = [...members].sort();
+    expect(connectionShare('i', 22, members, 'b')).toEqual(
+      connectionShare('i', 22, sorted, 'b'),
+    );
+  });
+
+  it('counts a proxy that is not listed yet', () => {
+    expect(connectionShare('i', 10, ['a'], 'b')).toEqual(5);
+  });
+
+  it('leaves one connection where there are more proxies than connections', () => {
+    const members = Array.from({length: 30}, (_, index) => `proxy-${index}`);
+    expect(connectionShare('i', 22, members, 'proxy-7') >= 1).toEqual(true);
+  });
+});
+
+describe('ShareHolders', () => {
+  it('assumes others until the list has had time to fill', () => {
+    const holders = new ShareHolders();
+    expect(holders.update(['a'], 0).length).toEqual(20);
+    expect(holders.update(['a', 'b'], 4_000).length).toEqual(20);
+    expect(holders.update(['a', 'b'], 5_001)).toEqual(['a', 'b']);
+  });
+
+  it('keeps the part of a proxy that left while its connections may count', () => {
+    const holders = new ShareHolders();
+    holders.update(['a', 'b'], 0);
+    holders.update(['a', 'b'], 6_000);
+    expect(holders.update(['a'], 9_000)).toEqual(['a', 'b']);
+    expect(holders.update(['a'], 11_001)).toEqual(['a']);
+  });
+});
--- /dev/null
+++ b/packages/decisions/test/dispatch/dispatch-queue.test.ts
@@ -0,0 +1,113 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import type {QueueSupply} from '../../src/index.js';
+import {DispatchQueue} from '../../src/index.js';
+
+interface Request {
+  readonly name: number;
+  readonly priority: number;
+  readonly deadlineMs: number;
+}
+
+const SUPPLY: QueueSupply = {connections: 2, holdingMs: 30};
+
+/** Offers and what became of them, in a burst before few connections. */
+interface Replay {
+  readonly served: readonly number[];
+  readonly late: readonly number[];
+  readonly refused: readonly number[];
+}
+
+/** Serves a burst: each connection is held for the same time. */
+function replay(
+  burst: readonly Request[],
+  queue: DispatchQueue<Request>,
+): Replay {
+  const refused = burst
+    .filter(request => queue.offer(request, SUPPLY, 0) !== undefined)
+    .map(({name}) => name);
+  const served: number[] = [];
+  const late: number[] = [];
+  let nowMs = SUPPLY.holdingMs / SUPPLY.connections;
+  for (let next = queue.take(); next !== undefined; next = queue.take()) {
+    (nowMs <= next.deadlineMs ? served : late).push(next.name);
+    nowMs += SUPPLY.holdingMs / SUPPLY.connections;
+  }
+  return {served, late, refused};
+}
+
+const BURST = fc
+  .array(
+    fc.record({
+      priority: fc.nat(2),
+      deadlineMs: fc.integer({min: 5, max: 800}),
+    }),
+    {maxLength: 120},
+  )
+  .map(rows => rows.map((row, name) => ({...row, name})));
+
+describe('DispatchQueue', () => {
+  it('serves the most urgent first, equals by deadline', () => {
+    const queue = new DispatchQueue<Request>();
+    const offers = [
+      {name: 1, priority: 2, deadlineMs: 900},
+      {name: 2, priority: 1, deadlineMs: 900},
+      {name: 3, priority: 1, deadlineMs: 500},
+      {name: 4, priority: 0, deadlineMs: 900},
+    ];
+    for (const offer of offers) queue.offer(offer, SUPPLY, 0);
+    const order = offers.map(() => queue.take()?.name);
+    expect(order).toEqual([4, 3, 2, 1]);
+  });
+
+  it('refuses at once what could not be served in time, and says when to come back', () => {
+    const queue = new DispatchQueue<Request>();
+    for (let name = 0; name < 10; name += 1) {
+      queue.offer({name, priority: 1, deadlineMs: 1_000}, SUPPLY, 0);
+    }
+    const refusal = queue.offer(
+      {name: 10, priority: 1, deadlineMs: 100},
+      SUPPLY,
+      0,
+    );
+    // It would go first among equals, so its own wait is short.
+    expect(refusal).toEqual(undefined);
+    const hopeless = queue.offer(
+      {name: 11, priority: 2, deadlineMs: 100},
+      SUPPLY,
+      0,
+    );
+    expect(hopeless?.expectedWaitMs).toEqual(180);
+    expect(hopeless?.retryAfterMs).toEqual(180);
+  });
+
+  it('never loses or doubles a request of a burst', () => {
+    fc.assert(
+      fc.property(BURST, burst => {
+        const {served, late, refused} = replay(burst, new DispatchQueue());
+        const all = [...served, ...late, ...refused].sort((a, b) => a - b);
+        expect(all).toEqual(burst.map(({name}) => name));
+      }),
+      {seed: 3, numRuns: 500},
+    );
+  });
+
+  it('removes exactly what is past its deadline', () => {
+    fc.assert(
+      fc.property(BURST, fc.nat(800), (burst, nowMs) => {
+        const queue = new DispatchQueue<Request>();
+        const waiting = burst.filter(
+          request => queue.offer(request, SUPPLY, 0) === undefined,
+        );
+        const late = queue.removeLate(nowMs).map(({name}) => name);
+        const expected = waiting
+          .filter(({deadlineMs}) => deadlineMs <= nowMs)
+          .map(({name}) => name);
+        expect([...late].sort()).toEqual([...expected].sort());
+        expect(queue.length).toEqual(waiting.length - late.length);
+      }),
+      {seed: 4, numRuns: 300},
+    );
+  });
+});
--- /dev/null
+++ b/packages/decisions/test/instance-choice/observed-positions.test.ts
@@ -0,0 +1,59 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {comparePositions, ObservedPositions} from '../../src/index.js';
+
+const STEPS = fc.array(
+  fc.record({
+    afterMs: fc.integer({min: 0, max: 60}),
+    commits: fc.nat(3),
+    isNewTerm: fc.boolean(),
+  }),
+  {minLength: 1, maxLength: 400},
+);
+
+describe('ObservedPositions', () => {
+  it('never gives a position that lacks a commit acknowledged before the time', () => {
+    fc.assert(
+      fc.property(STEPS, fc.nat(3_000), (steps, ageMs) => {
+        const positions = new ObservedPositions();
+        const history: Array<{atMs: number; term: number; position: number}> =
+          [];
+        let atMs = 0;
+        let term = 1;
+        let position = 0;
+        for (const step of steps) {
+          atMs += step.afterMs;
+          if (step.isNewTerm && step.commits === 3) term += 1;
+          // Observed before the commits of this step, which come later.
+          positions.observe(atMs, {term, position});
+          history.push({atMs, term, position});
+          position += step.commits;
+        }
+        const notBeforeMs = atMs - ageMs;
+        const found = positions.positionFor(notBeforeMs);
+        if (found === undefined) return;
+        const acknowledged = history
+          .filter(each => each.atMs <= notBeforeMs)
+          .at(-1);
+        if (acknowledged === undefined) return;
+        expect(comparePositions(found, acknowledged) >= 0).toEqual(true);
+      }),
+      {seed: 21, numRuns: 500},
+    );
+  });
+
+  it('knows nothing when the primary was not asked since', () => {
+    const positions = new ObservedPositions();
+    positions.observe(1_000, {term: 1, position: 5});
+    expect(positions.positionFor(1_001)).toEqual(undefined);
+    expect(positions.positionFor(1_000)).toEqual({term: 1, position: 5});
+  });
+
+  it('keeps the highest position of any instance', () => {
+    const positions = new ObservedPositions();
+    positions.seen({term: 2, position: 1});
+    positions.seen({term: 1, position: 9});
+    expect(positions.highestSeen).toEqual({term: 2, position: 1});
+  });
+});
