--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -57,8 +57,10 @@
 /** Lists the compiled files of the tests that exist as sources. */
 function findTests() {
   const packages = join(ROOT, 'packages');
-  return readdirSync(packages)
-    .map(name => join(packages, name))
+  return [
+    ...readdirSync(packages).map(name => join(packages, name)),
+    join(ROOT, 'platform'),
+  ]
     .filter(folder => existsSync(join(folder, 'test')))
     .flatMap(folder =>
       readdirSync(join(folder, 'test'), {recursive: true})
