Test changes of primary in a fleet of gateways against an observer of all logs

Several gateways run in one process before a store and a group in memory: crashed, isolated and twice crashed primaries, a store that is down, revoked keys and dropped history. The observer checks reads of every kind of route, own writes, told and promised outcomes, promotions' tokens.

--- /dev/null
+++ b/packages/gateway/test/fleet/primary-change.test.ts
@@ -0,0 +1,167 @@
+import {describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'earl';
+import {MemoryFleet} from '../support/memory-fleet.js';
+import {ObservedCallers} from '../support/observed-callers.js';
+
+/** Proxies of each fleet. */
+const PROXIES = 4;
+
+/** How long a fault may take to be repaired in a test, in milliseconds. */
+const REPAIR_TIMEOUT_MS = 20_000;
+
+/** A fault of a fleet, and what must be so before it counts as repaired. */
+interface FaultCase {
+  readonly name: string;
+  readonly strike: (fleet: MemoryFleet) => Promise<void> | void;
+  readonly heal?: (fleet: MemoryFleet) => Promise<void> | void;
+  /** Proxies at which writes must be acknowledged again. */
+  readonly writersAfter: readonly string[];
+}
+
+const EVERY_PROXY = Array.from(
+  {length: PROXIES},
+  (_, index) => `proxy-${index}`,
+);
+
+/** Ends the lead of the first primary. */
+function crashPrimary({group}: MemoryFleet): void {
+  group.instances[0]!.isDown = true;
+}
+
+/** Cuts the primary off from its replicas and all proxies but the first. */
+function isolatePrimary(fleet: MemoryFleet): void {
+  const [primary, ...replicas] = fleet.group.instances;
+  for (const {id} of replicas) fleet.group.cut(primary!.id, id);
+  for (const {name} of fleet.proxies.slice(1)) {
+    fleet.group.cut(name, primary!.id);
+  }
+}
+
+/** Removes the keys of a proxy although its lease goes on. */
+function revokeKeys(fleet: MemoryFleet, name: string): void {
+  for (const key of [...fleet.store.items.keys()]) {
+    if (key.endsWith(`/${name}`)) fleet.store.remove(key);
+  }
+}
+
+const CASES: readonly FaultCase[] = [
+  {
+    name: 'the primary crashes',
+    strike: crashPrimary,
+    writersAfter: EVERY_PROXY,
+  },
+  {
+    name: 'the primary is isolated with one proxy on its side that has the store',
+    strike: isolatePrimary,
+    writersAfter: EVERY_PROXY,
+  },
+  {
+    name: 'the primary is isolated with one proxy on its side that has lost the store',
+    strike: fleet => {
+      isolatePrimary(fleet);
+      fleet.proxies[0]!.store.isCut = true;
+    },
+    writersAfter: EVERY_PROXY,
+  },
+  {
+    name: 'the primary crashes, its history in the store is dropped, and a live proxy loses its key',
+    strike: async fleet => {
+      revokeKeys(fleet, 'proxy-1');
+      crashPrimary(fleet);
+      await sleep(300);
+      fleet.store.compact();
+    },
+    writersAfter: EVERY_PROXY,
+  },
+  {
+    name: 'the primary crashes while the store is down for everybody',
+    strike: async fleet => {
+      for (const {store} of fleet.proxies) store.isCut = true;
+      await sleep(2_500);
+      crashPrimary(fleet);
+      await sleep(500);
+    },
+    heal: fleet => {
+      for (const {store} of fleet.proxies) store.isCut = false;
+    },
+    writersAfter: EVERY_PROXY,
+  },
+  {
+    name: 'a second primary crashes right after the first, which is back',
+    strike: async fleet => {
+      const [first] = fleet.group.instances;
+      crashPrimary(fleet);
+      await sleep(4_000);
+      first!.isDown = false;
+      first!.isPrimary = false;
+      const next = fleet.group.instances.find(
+        ({isPrimary, isDown}) => isPrimary && !isDown,
+      );
+      if (next !== undefined) next.isDown = true;
+    },
+    writersAfter: EVERY_PROXY,
+  },
+];
+
+/** Waits until writes are acknowledged at proxies, all later than now. */
+async function awaitWriters(
+  callers: ObservedCallers,
+  names: readonly string[],
+): Promise<void> {
+  const sinceMs = performance.now();
+  const limitMs = sinceMs + REPAIR_TIMEOUT_MS;
+  const isRepaired = (): boolean =>
+    names.every(name => (callers.lastWriteMs.get(name) ?? 0) > sinceMs);
+  while (!isRepaired()) {
+    if (performance.now() > limitMs) throw new Error('It was not repaired.');
+    await sleep(20);
+  }
+}
+
+/** Plays one fault and returns what the observer saw. */
+async function play(fault: FaultCase): Promise<{
+  readonly callers: ObservedCallers;
+  readonly fleet: MemoryFleet;
+}> {
+  const fleet = new MemoryFleet();
+  const callers = new ObservedCallers(fleet);
+  try {
+    await fleet.start(PROXIES);
+    callers.start();
+    await awaitWriters(callers, EVERY_PROXY);
+    await fault.strike(fleet);
+    await fault.heal?.(fleet);
+    await awaitWriters(callers, fault.writersAfter);
+    await sleep(300);
+  } finally {
+    await callers.stop();
+    await fleet.stop();
+  }
+  return {callers, fleet};
+}
+
+describe('a change of primary in a fleet of gateways', {concurrency: 3}, () => {
+  for (const fault of CASES) {
+    it(`keeps every promise when ${fault.name}`, async () => {
+      const {callers, fleet} = await play(fault);
+      const {group} = fleet;
+      expect(callers.staleReads).toEqual([]);
+      expect(group.lost).toEqual([]);
+      const leader = group.instances.find(
+        ({isPrimary, isDown, term}) =>
+          isPrimary &&
+          !isDown &&
+          term === Math.max(...group.instances.map(each => each.term)),
+      );
+      const kept = leader?.log.flatMap(({requestId}) => requestId.split('+'));
+      const rows = new Set(kept);
+      expect(callers.told.filter(each => !rows.has(each))).toEqual([]);
+      expect(callers.promisedNotRun.filter(each => rows.has(each))).toEqual([]);
+      expect(kept?.length).toEqual(rows.size);
+      const ascending = [...group.tokens].sort((left, right) => left - right);
+      expect(group.tokens).toEqual(ascending);
+      expect(new Set(group.tokens).size).toEqual(group.tokens.length);
+    });
+  }
+});
--- /dev/null
+++ b/packages/gateway/test/support/memory-fleet.ts
@@ -0,0 +1,230 @@
+import type {
+  GatewayAdapters,
+  GatewaySettings,
+  SessionFactory,
+} from '../../src/index.js';
+import {ReadConsistency} from '@sapphireglade/decisions';
+import {createSilentLogger, LogLevel} from '@sapphireglade/runtime';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+  CallerDoor,
+  GatewayProcess,
+  PromotionAnswer,
+  PromotionService,
+  ReadinessDoor,
+  StoreSection,
+} from '../../src/index.js';
+import type {Promotion} from '../../src/index.js';
+import {MemoryConnector} from './memory-connector.js';
+import {MemoryGroup} from './memory-group.js';
+import {MemoryStore, MemoryStoreState} from './memory-store.js';
+
+/** Name of the group that the fleet serves. */
+export const GROUP = 'ledger';
+
+/** How long a fleet may take to be ready, in milliseconds. */
+const READY_TIMEOUT_MS = 15_000;
+
+/** A door without sockets. */
+class MemoryDoor extends CallerDoor {
+  override readonly openConnections = 0;
+  openSession: SessionFactory | undefined;
+
+  override listen(openSession: SessionFactory): Promise<void> {
+    this.openSession = openSession;
+    return Promise.resolve();
+  }
+
+  override drain(): void {
+    return undefined;
+  }
+
+  override endOpenTransactions(): void {
+    return undefined;
+  }
+
+  override close(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+/** A readiness door that the test asks itself. */
+class MemoryReadiness extends ReadinessDoor {
+  isReady: () => boolean = () => false;
+
+  override listen(isReady: () => boolean): Promise<void> {
+    this.isReady = isReady;
+    return Promise.resolve();
+  }
+
+  override close(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+/** The platform's promotions; a proxy's orders may be held back. */
+class MemoryPromotions extends PromotionService {
+  /** How long orders of this proxy are under way, in milliseconds. */
+  delayMs = 1;
+
+  constructor(private readonly group: MemoryGroup) {
+    super();
+  }
+
+  override async promote(promotion: Promotion): Promise<PromotionAnswer> {
+    await sleep(this.delayMs);
+    const isRunning = this.group.promote(
+      promotion.instance,
+      promotion.fencingToken,
+    );
+    return isRunning ? PromotionAnswer.Accepted : PromotionAnswer.NotRunning;
+  }
+}
+
+/** Declares one route of each kind. */
+class FixedSection extends StoreSection {
+  constructor(apply: () => void) {
+    super('fixed/');
+    apply();
+  }
+
+  override replace(): void {
+    return undefined;
+  }
+
+  override written(): void {
+    return undefined;
+  }
+
+  override removed(): void {
+    return undefined;
+  }
+}
+
+/** One proxy of the fleet, and the handles of its faults. */
+export interface FleetProxy {
+  readonly name: string;
+  readonly gateway: GatewayProcess;
+  readonly store: MemoryStore;
+  readonly promotions: MemoryPromotions;
+  readonly open: SessionFactory;
+  readonly isReady: () => boolean;
+}
+
+/** Several gateways in one process before one group in memory. */
+export class MemoryFleet {
+  readonly store = new MemoryStoreState();
+  readonly group = new MemoryGroup(GROUP, 3);
+  readonly proxies: FleetProxy[] = [];
+
+  /** Starts proxies and waits until all are ready and know the primary. */
+  async start(size: number): Promise<void> {
+    for (let index = 0; index < size; index += 1) {
+      await this.startProxy(`proxy-${index}`);
+    }
+    const limitMs = performance.now() + READY_TIMEOUT_MS;
+    const isSettled = (): boolean =>
+      this.proxies.every(({isReady}) => isReady()) &&
+      [...this.store.items.keys()].some(key => key.includes('/primary/'));
+    while (!isSettled()) {
+      if (performance.now() > limitMs) throw new Error('It is not ready.');
+      await sleep(20);
+    }
+    // Long enough for every proxy to have followed the members for a while.
+    await sleep(1_700);
+  }
+
+  /** Stops everything. */
+  async stop(): Promise<void> {
+    this.group.close();
+    this.store.close();
+    for (const {gateway} of this.proxies) await gateway.stop();
+  }
+
+  private async startProxy(name: string): Promise<void> {
+    const groups = new Map([[GROUP, this.group]]);
+    const door = new MemoryDoor();
+    const readiness = new MemoryReadiness();
+    const store = new MemoryStore(this.store);
+    const promotions = new MemoryPromotions(this.group);
+    const adapters: GatewayAdapters = {
+      store,
+      connector: new MemoryConnector(name, groups),
+      promotions,
+      callerDoor: door,
+      readinessDoor: readiness,
+      watchedPrefix: '',
+      sections: (configuration, directory) => [
+        new FixedSection(() => {
+          this.register(directory);
+          configuration.offer(CONFIGURATION);
+        }),
+      ],
+    };
+    const gateway = new GatewayProcess(settingsOf(name), adapters, () =>
+      createSilentLogger(),
+    );
+    await gateway.start();
+    const open = door.openSession;
+    if (open === undefined) throw new Error('The door was not opened.');
+    const {isReady} = readiness;
+    this.proxies.push({name, gateway, store, promotions, open, isReady});
+  }
+
+  private register(
+    directory: Parameters<GatewayAdapters['sections']>[1],
+  ): void {
+    for (const [index, {id}] of this.group.instances.entries()) {
+      directory.register({
+        id,
+        group: GROUP,
+        host: 'memory',
+        port: 1,
+        availabilityZone: `zone-${index}`,
+        isLeaving: false,
+        claimsPrimary: index === 0,
+        slots: 3,
+        bornAtMs: 1,
+      });
+    }
+  }
+}
+
+const ROUTE = {
+  group: GROUP,
+  statementTimeoutMs: 1_000,
+  targetLatencyMs: 800,
+  priority: 1,
+};
+
+const CONFIGURATION = {
+  version: 1,
+  routes: new Map(
+    [
+      {consistency: ReadConsistency.Primary, maximumStalenessMs: 0},
+      {consistency: ReadConsistency.BoundedStaleness, maximumStalenessMs: 700},
+      {consistency: ReadConsistency.ReadYourWrites, maximumStalenessMs: 900},
+    ].map(row => [
+      row.consistency,
+      {...ROUTE, ...row, database: row.consistency},
+    ]),
+  ),
+  groups: new Map([
+    [GROUP, {name: GROUP, connectionLimit: 60, isReplicated: true}],
+  ]),
+  transactionIdleMs: 3_000,
+};
+
+function settingsOf(name: string): GatewaySettings {
+  return {
+    name,
+    availabilityZone: 'zone-0',
+    regions: {'zone-0': 'east', 'zone-1': 'east', 'zone-2': 'east'},
+    listen: {callers: 'memory:1', readiness: 'memory:2'},
+    store: {address: 'memory:3'},
+    promotion: {address: 'memory:4'},
+    maximumCallers: 100,
+    stopGraceS: 0.1,
+    logLevel: LogLevel.Error,
+  };
+}
--- /dev/null
+++ b/packages/gateway/test/support/memory-group.ts
@@ -0,0 +1,162 @@
+import type {LogPosition} from '@sapphireglade/decisions';
+import {comparePositions} from '@sapphireglade/decisions';
+
+/** One way between instances, in milliseconds. */
+const REPLICATION_DELAY_MS = 2;
+
+/** How long a promotion takes, in milliseconds. */
+const PROMOTION_MS = 60;
+
+/** One committed write. */
+export interface LogEntry {
+  readonly position: LogPosition;
+  readonly requestId: string;
+}
+
+/** One instance of a group in memory. */
+export class MemoryInstance {
+  log: LogEntry[] = [];
+  isPrimary = false;
+  term = 1;
+  heldTerm = 0;
+  isDown = false;
+
+  constructor(readonly id: string) {}
+
+  /** Position of the newest entry. */
+  get position(): LogPosition {
+    return this.log.at(-1)?.position ?? {term: 1, position: 0};
+  }
+}
+
+/** A group of instances in memory, with what an observer of all knows. */
+export class MemoryGroup {
+  readonly instances: readonly MemoryInstance[];
+  /** Pairs of names that cannot reach each other, as "a|b". */
+  readonly cuts = new Set<string>();
+  /** Every token with which a promotion was ordered, in order. */
+  readonly tokens: number[] = [];
+  /** Acknowledged entries that a promotion dropped. */
+  readonly lost: string[] = [];
+  /** Requests whose commit was acknowledged, and when, in milliseconds. */
+  readonly acknowledged = new Map<
+    string,
+    {atMs: number; position: LogPosition}
+  >();
+  private readonly timers = new Set<NodeJS.Timeout>();
+
+  constructor(
+    readonly name: string,
+    size: number,
+  ) {
+    this.instances = Array.from(
+      {length: size},
+      (_, index) => new MemoryInstance(`${name}-${index}`),
+    );
+    this.instances[0]!.isPrimary = true;
+  }
+
+  /** Cuts two parties off from each other. */
+  cut(left: string, right: string): void {
+    this.cuts.add(`${left}|${right}`).add(`${right}|${left}`);
+  }
+
+  /** Whether a party reaches an instance. */
+  reaches(party: string, instance: MemoryInstance): boolean {
+    return !instance.isDown && !this.cuts.has(`${party}|${instance.id}`);
+  }
+
+  /** Finds an instance. */
+  find(id: string): MemoryInstance | undefined {
+    return this.instances.find(instance => instance.id === id);
+  }
+
+  /**
+   * Commits a write at an instance.
+   *
+   * @returns The entry once a replica has it, or nothing if it does not lead;
+   *   no answer comes if it loses the lead meanwhile, because the entry may
+   *   be kept or dropped.
+   */
+  async commit(
+    instance: MemoryInstance,
+    requestId: string,
+  ): Promise<LogEntry | undefined> {
+    if (!instance.isPrimary) return undefined;
+    const {position} = instance.position;
+    const entry = {
+      position: {term: instance.term, position: position + 1},
+      requestId,
+    };
+    instance.log.push(entry);
+    await this.replicate(instance);
+    if (!instance.isPrimary) await new Promise(() => undefined);
+    return entry;
+  }
+
+  /** Promotes an instance, as the platform does. */
+  promote(id: string, token: number): boolean {
+    const target = this.find(id);
+    if (target === undefined || target.isDown) return false;
+    this.tokens.push(token);
+    this.later(PROMOTION_MS, () => this.lead(target));
+    return true;
+  }
+
+  /** Ends what is under way. */
+  close(): void {
+    for (const timer of this.timers) clearTimeout(timer);
+  }
+
+  /** Waits until one replica has an entry; for ever if none can. */
+  private replicate(from: MemoryInstance): Promise<void> {
+    return new Promise(resolve => {
+      const tryAgain = (): void => {
+        const receivers = this.instances.filter(
+          replica =>
+            replica !== from &&
+            !replica.isPrimary &&
+            replica.heldTerm <= from.term &&
+            replica.term <= from.term &&
+            this.reaches(from.id, replica) &&
+            !from.isDown,
+        );
+        for (const replica of receivers) {
+          replica.log = from.log.slice();
+          replica.term = from.term;
+        }
+        if (receivers.length > 0) resolve();
+        else this.later(REPLICATION_DELAY_MS, tryAgain);
+      };
+      this.later(REPLICATION_DELAY_MS, tryAgain);
+    });
+  }
+
+  private lead(target: MemoryInstance): void {
+    const newest = Math.max(
+      ...this.instances.flatMap(({term, heldTerm}) => [term, heldTerm]),
+    );
+    target.isPrimary = true;
+    target.term = Math.max(newest, target.term + 1);
+    target.heldTerm = 0;
+    const kept = new Set(target.log.map(({requestId}) => requestId));
+    for (const requestId of this.acknowledged.keys()) {
+      if (!kept.has(requestId)) this.lost.push(requestId);
+    }
+    for (const other of this.instances) {
+      const isFollower = other !== target && this.reaches(target.id, other);
+      if (!isFollower) continue;
+      other.isPrimary = false;
+      const isAhead = comparePositions(other.position, target.position) > 0;
+      if (isAhead) other.log = target.log.slice();
+    }
+  }
+
+  private later(milliseconds: number, work: () => void): void {
+    const timer = setTimeout(() => {
+      this.timers.delete(timer);
+      work();
+    }, milliseconds);
+    this.timers.add(timer);
+  }
+}
--- /dev/null
+++ b/packages/gateway/test/support/memory-store.ts
@@ -0,0 +1,176 @@
+import {ErrorKind, SapphiregladeError} from '@sapphireglade/decisions';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {
+  GrantedLease,
+  StoredItem,
+  StoredItems,
+  StoreEvent,
+  StoreTransaction,
+  TransactionResult,
+  WatchResult,
+} from '../../src/index.js';
+import {CoordinationStore} from '../../src/index.js';
+
+/** One way to the store, in milliseconds. */
+const DELAY_MS = 1;
+
+/** How often waiting watches and leases are looked at, in milliseconds. */
+const POLL_MS = 5;
+
+/** What the store holds, shared by all clients. */
+export class MemoryStoreState {
+  readonly items = new Map<string, StoredItem>();
+  readonly events: StoreEvent[] = [];
+  readonly leases = new Map<number, {ttlMs: number; endsAtMs: number}>();
+  revision = 1;
+  /** Changes up to this revision have been dropped. */
+  droppedRevision = 0;
+  private nextLease = 1;
+  private readonly timer = setInterval(() => this.expire(), POLL_MS);
+
+  /** Writes a key. */
+  put(key: string, value: string, leaseId = 0): void {
+    this.revision += 1;
+    const item = {
+      key,
+      value: Buffer.from(value),
+      revision: this.revision,
+      leaseId,
+    };
+    this.items.set(key, item);
+    this.events.push({key, revision: this.revision, item});
+  }
+
+  /** Removes a key, if it is there. */
+  remove(key: string): void {
+    if (!this.items.delete(key)) return;
+    this.revision += 1;
+    this.events.push({key, revision: this.revision, item: undefined});
+  }
+
+  /** Drops the history of changes. */
+  compact(): void {
+    this.droppedRevision = this.revision;
+    this.events.length = 0;
+  }
+
+  /** Grants a lease. */
+  grant(ttlMs: number): number {
+    const id = this.nextLease;
+    this.nextLease += 1;
+    this.leases.set(id, {ttlMs, endsAtMs: performance.now() + ttlMs});
+    return id;
+  }
+
+  /** Ends a lease and removes its keys. */
+  endLease(id: number): void {
+    this.leases.delete(id);
+    for (const item of [...this.items.values()]) {
+      if (item.leaseId === id) this.remove(item.key);
+    }
+  }
+
+  /** Stops the store. */
+  close(): void {
+    clearInterval(this.timer);
+  }
+
+  private expire(): void {
+    const nowMs = performance.now();
+    for (const [id, {endsAtMs}] of this.leases) {
+      if (endsAtMs < nowMs) this.endLease(id);
+    }
+  }
+}
+
+/** One client's way to the store. */
+export class MemoryStore extends CoordinationStore {
+  /** Whether calls of this client are lost. */
+  isCut = false;
+
+  constructor(private readonly state: MemoryStoreState) {
+    super();
+  }
+
+  override async list(prefix: string): Promise<StoredItems> {
+    await this.cross();
+    const items = [...this.state.items.values()].filter(({key}) =>
+      key.startsWith(prefix),
+    );
+    return this.answer({items, revision: this.state.revision});
+  }
+
+  override async watch(
+    prefix: string,
+    afterRevision: number,
+    waitMs: number,
+  ): Promise<WatchResult> {
+    await this.cross();
+    const {state} = this;
+    const endsAtMs = performance.now() + waitMs;
+    for (;;) {
+      if (afterRevision < state.droppedRevision) {
+        return this.answer({kind: 'history-lost'});
+      }
+      const events = state.events.filter(
+        ({key, revision}) => revision > afterRevision && key.startsWith(prefix),
+      );
+      if (events.length > 0 || performance.now() >= endsAtMs) {
+        return this.answer({kind: 'events', events, revision: state.revision});
+      }
+      await sleep(POLL_MS);
+    }
+  }
+
+  override async transact({
+    conditions,
+    puts,
+    removals = [],
+  }: StoreTransaction): Promise<TransactionResult> {
+    await this.cross();
+    const {state} = this;
+    const holds = conditions.every(
+      ({key, revision}) => (state.items.get(key)?.revision ?? 0) === revision,
+    );
+    if (!holds) return this.answer({kind: 'conflict'});
+    const hasLeases = puts.every(
+      ({leaseId}) => leaseId === 0 || state.leases.has(leaseId),
+    );
+    if (!hasLeases) return this.answer({kind: 'lease-ended'});
+    for (const {key, value, leaseId} of puts) state.put(key, value, leaseId);
+    for (const key of removals) state.remove(key);
+    return this.answer({kind: 'committed', revision: state.revision});
+  }
+
+  override async grantLease(ttlMs: number): Promise<GrantedLease> {
+    await this.cross();
+    return this.answer({leaseId: this.state.grant(ttlMs), ttlMs});
+  }
+
+  override async renewLease(leaseId: number): Promise<boolean> {
+    await this.cross();
+    const lease = this.state.leases.get(leaseId);
+    if (lease !== undefined) lease.endsAtMs = performance.now() + lease.ttlMs;
+    return this.answer(lease !== undefined);
+  }
+
+  override async endLease(leaseId: number): Promise<void> {
+    await this.cross();
+    this.state.endLease(leaseId);
+  }
+
+  private async cross(): Promise<void> {
+    await sleep(DELAY_MS);
+    this.failIfCut();
+  }
+
+  private answer<Answer>(answer: Answer): Answer {
+    this.failIfCut();
+    return answer;
+  }
+
+  private failIfCut(): void {
+    if (!this.isCut) return;
+    throw new SapphiregladeError(ErrorKind.StoreUnavailable, 'It is cut off.');
+  }
+}
