Keep one replica connected for proofs, and do not wait for silent instances

Cause: proxies without a replica in their region opened the connection on which they asked for a proof each time anew, so that no answer counted; requests waited for connections to an instance that owed every answer. Change: one replica is kept connected in any case; a pool whose instance owes every answer refuses at once; a wait for a change of primary is measured from its beginning.

--- a/packages/gateway/src/core/groups/database-group.ts
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -53,6 +53,7 @@
   private readonly memberTable = new Map<string, GroupMember>();
   private readonly recordChanges = new Subject<KnownRecord>();
   private known: KnownRecord | undefined;
+  private recordAtMs = 0;
 
   /** @param name - Name of the group. */
   constructor(readonly name: string) {}
@@ -78,6 +79,7 @@
       return;
     }
     this.known = known;
+    this.noteChange(known);
     const {lastPosition} = known.record;
     if (lastPosition !== undefined) {
       this.positions.observe(steadyNow(), lastPosition);
@@ -97,6 +99,18 @@
     this.recordChanges.next(this.known);
   }
 
+  /** Since when the group is without a primary, in milliseconds. */
+  get changingSinceMs(): number {
+    return this.recordAtMs;
+  }
+
+  /** A record that only names the target goes on with the same change. */
+  private noteChange({record}: KnownRecord): void {
+    const goesOn =
+      record.phase === PrimaryPhase.Changing && record.target !== undefined;
+    if (!goesOn) this.recordAtMs = steadyNow();
+  }
+
   /** Takes in that an answer proved the record to be the newest. */
   confirm(sentAt: ClockReading): void {
     this.confirmation.confirm(sentAt);
--- a/packages/gateway/src/core/groups/group-registry.ts
+++ b/packages/gateway/src/core/groups/group-registry.ts
@@ -1,5 +1,9 @@
 import type {ClockReading} from '@sapphireglade/decisions';
-import {connectionShare, ShareHolders} from '@sapphireglade/decisions';
+import {
+  connectionShare,
+  rankNodes,
+  ShareHolders,
+} from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
 import type {ConfigurationHolder} from '../configuration/index.js';
 import type {
@@ -86,6 +90,7 @@
     const members = this.sharers.update(this.options.members(), steadyNow());
     for (const group of this.groups.values()) {
       const limit = declared?.groups.get(group.name)?.connectionLimit ?? 0;
+      const oftenUsed = this.oftenUsed(group);
       for (const {instance, pool} of group.members.values()) {
         pool.setShare(
           connectionShare(
@@ -95,22 +100,33 @@
             this.options.self,
           ),
         );
-        pool.isKeptWarm = this.isOftenUsed(group, instance);
+        pool.isKeptWarm = oftenUsed.has(instance.id);
         pool.maintain();
       }
     }
   }
 
-  /** The primary and the instances of this region get most statements. */
-  private isOftenUsed(
-    group: DatabaseGroup,
-    instance: RegisteredInstance,
-  ): boolean {
-    const isPrimary =
+  /**
+   * Chooses the instances that are kept connected without need: the primary,
+   * the replicas of this region, and one replica in any case, because only a
+   * replica can prove a view of the primary while the store is away.
+   */
+  private oftenUsed(group: DatabaseGroup): ReadonlySet<string> {
+    const instances = [...group.members.values()].map(
+      member => member.instance,
+    );
+    const isPrimary = ({id, claimsPrimary}: RegisteredInstance): boolean =>
       group.record === undefined
-        ? instance.claimsPrimary
-        : group.record.record.primary === instance.id;
-    return isPrimary || this.options.isNear(instance.availabilityZone);
+        ? claimsPrimary
+        : group.record.record.primary === id;
+    const replicas = instances.filter(each => !isPrimary(each));
+    const near = replicas.filter(each =>
+      this.options.isNear(each.availabilityZone),
+    );
+    const names = replicas.map(({id}) => id);
+    const any = rankNodes(this.options.self, names).slice(0, 1);
+    const kept = near.length > 0 ? near.map(({id}) => id) : any;
+    return new Set([...kept, ...instances.filter(isPrimary).map(({id}) => id)]);
   }
 
   /** Adds an instance, or opens it anew if it has started again. */
--- a/packages/gateway/src/core/pool/instance-pool.ts
+++ b/packages/gateway/src/core/pool/instance-pool.ts
@@ -40,6 +40,9 @@
 /** Weight of a slower answer in the estimated round trip; a faster one replaces it. */
 const ROUND_TRIP_WEIGHT = 0.02;
 
+/** How long an instance may owe every answer before requests no longer wait for it, in milliseconds; longer than a full queue of it takes. */
+const SILENT_LIMIT_MS = 500;
+
 /** Round trip that is assumed before the first answer, in milliseconds. */
 const INITIAL_ROUND_TRIP_MS = 20;
 
@@ -183,6 +186,9 @@
     const ready = this.takeIdle(request.values);
     if (ready !== undefined) return Promise.resolve(ready);
     if (this.isEnded) return Promise.reject(this.noConnection('it has left'));
+    if (this.isSilent(nowMs)) {
+      return Promise.reject(this.noConnection('it does not answer'));
+    }
     if (this.mayOpen(nowMs)) this.openConnection();
     if (!this.mayServeSoon) {
       return Promise.reject(this.noConnection('it cannot be reached'));
@@ -264,6 +270,12 @@
     };
   }
 
+  /** Whether the instance owes an answer for so long that waiting is of no use. */
+  private isSilent(nowMs: number): boolean {
+    const sinceMs = this.silentSinceMs;
+    return sinceMs !== undefined && nowMs - sinceMs > SILENT_LIMIT_MS;
+  }
+
   /** Whether a connection is open, or will probably open. */
   private get mayServeSoon(): boolean {
     return this.open.size + this.opening > 0 || this.isOverLimit;
--- a/packages/gateway/src/core/sessions/primary-wait.ts
+++ b/packages/gateway/src/core/sessions/primary-wait.ts
@@ -37,7 +37,7 @@
     const problem =
       typeof primary === 'string' ? primary : PrimaryProblem.Changing;
     const nowMs = steadyNow();
-    const endsAtMs = beganAtMs + expectedWaitMs(problem);
+    const endsAtMs = expectedEnd(group, problem, beganAtMs);
     if (nowMs > endsAtMs || endsAtMs > deadlineMs) {
       throw new SapphiregladeError(
         ErrorKind.NoPrimary,
@@ -49,9 +49,13 @@
   }
 }
 
-/** How long the problem is expected to last, in milliseconds. */
-function expectedWaitMs(problem: PrimaryProblem): number {
+/** When the problem is expected to end, in milliseconds. */
+function expectedEnd(
+  group: DatabaseGroup,
+  problem: PrimaryProblem,
+  beganAtMs: number,
+): number {
   return problem === PrimaryProblem.Changing
-    ? EXPECTED_CHANGE_MS
-    : UNCONFIRMED_WAIT_MS;
+    ? group.changingSinceMs + EXPECTED_CHANGE_MS
+    : beganAtMs + UNCONFIRMED_WAIT_MS;
 }
--- a/packages/gateway/src/core/sessions/statement-executor.ts
+++ b/packages/gateway/src/core/sessions/statement-executor.ts
@@ -125,9 +125,12 @@
       const result = await this.tryTarget(progress, target);
       if ('reply' in result) return result;
       this.logFailure(progress, target, result.error);
+      const limitMs =
+        result.error.kind === ErrorKind.NoConnection && !work.allowsReplica
+          ? request.queueDeadlineMs
+          : request.deadlineMs;
       const isLast =
-        count >= MAXIMUM_ATTEMPTS ||
-        steadyNow() + progress.pauseMs >= request.deadlineMs;
+        count >= MAXIMUM_ATTEMPTS || steadyNow() + progress.pauseMs >= limitMs;
       const mayGoOn = !result.mayBeKept && !isLast;
       if (!mayGoOn) throw result.error;
       await this.prepareNext(progress, target, result.error);
