Wait for the target of a planned change before electing another instance

Ruled out: a promotion without a majority; the trace shows two grants. Change: the attempt waits for the target as long as grants are waited for, and puts the replaced instance last among equals.

--- a/packages/decisions/src/core/failover/advance-planned.ts
+++ b/packages/decisions/src/core/failover/advance-planned.ts
@@ -137,7 +137,10 @@
     phaseSinceMs: nowMs,
   };
   const {reason, target} = planned;
-  return askForTerm({...state, planned: next}, reason, target, nowMs);
+  const primary = state.view?.primary;
+  const replaced = primary === target ? undefined : primary;
+  const electing = {...state, planned: next};
+  return askForTerm(electing, reason, target, nowMs, replaced);
 }
 
 /** Gives up for now and tries again after a while. */
--- a/packages/decisions/src/core/failover/ask-for-term.ts
+++ b/packages/decisions/src/core/failover/ask-for-term.ts
@@ -6,15 +6,17 @@
  *
  * @param reason - Why, for the time line.
  * @param preferred - Instance that wins where logs are equal.
+ * @param replaced - Instance that a planned change replaces.
  */
 export function askForTerm(
   state: FailoverState,
   reason: string,
   preferred: string | undefined,
   nowMs: number,
+  replaced?: string,
 ): FailoverResult {
   const term = Math.max(state.highestTerm, state.view?.term ?? 0) + 1;
-  const attempt = beginAttempt(term, reason, preferred, nowMs);
+  const attempt = beginAttempt(term, reason, preferred, nowMs, replaced);
   const grants = state.group.instances.map(
     ({name}) => ({type: 'grant', instance: name, term}) as const,
   );
--- a/packages/decisions/src/core/failover/attempt.ts
+++ b/packages/decisions/src/core/failover/attempt.ts
@@ -22,6 +22,8 @@
   readonly reason: string;
   /** Instance that wins where logs are equal. */
   readonly preferred?: string;
+  /** Instance that a planned change replaces; it wins only if it must. */
+  readonly replaced?: string;
   readonly startedAtMs: number;
   readonly phase: AttemptPhase;
   /** Answers so far; undefined for an instance that refused or was silent. */
@@ -42,11 +44,13 @@
   reason: string,
   preferred: string | undefined,
   nowMs: number,
+  replaced?: string,
 ): ElectionAttempt {
   return {
     term,
     reason,
     preferred,
+    replaced,
     startedAtMs: nowMs,
     phase: AttemptPhase.Granting,
     answers: new Map(),
@@ -154,7 +158,8 @@
   // A planned target that has caught up needs no further comparison.
   const isSettled =
     candidate === attempt.preferred ||
-    nowMs - majorityAtMs >= policy.grantSettleMs;
+    (!awaitsTarget(attempt, nowMs, policy) &&
+      nowMs - majorityAtMs >= policy.grantSettleMs);
   if (!everyoneAnswered && !isSettled) return attempt;
   return {
     ...attempt,
@@ -164,6 +169,20 @@
   };
 }
 
+/**
+ * Whether the target of a planned change may still grant. A majority without
+ * it would elect the very primary that is to be replaced.
+ */
+function awaitsTarget(
+  attempt: ElectionAttempt,
+  nowMs: number,
+  policy: FailoverPolicy,
+): boolean {
+  const {preferred, answers, startedAtMs} = attempt;
+  if (preferred === undefined || answers.has(preferred)) return false;
+  return nowMs - startedAtMs < policy.grantTimeoutMs;
+}
+
 /** Orders instances for ties: the preferred, the staying, then the leaving. */
 function preferenceOrder(
   attempt: ElectionAttempt,
@@ -171,8 +190,12 @@
 ): string[] {
   const staying = group.instances.filter(({state}) => state === 'active');
   const leaving = group.instances.filter(({state}) => state !== 'active');
-  const names = [...staying, ...leaving].map(({name}) => name);
-  const {preferred} = attempt;
+  const {preferred, replaced} = attempt;
+  const all = [...staying, ...leaving].map(({name}) => name);
+  const names = [
+    ...all.filter(name => name !== replaced),
+    ...all.filter(name => name === replaced),
+  ];
   if (preferred === undefined || !names.includes(preferred)) return names;
   return [preferred, ...names.filter(name => name !== preferred)];
 }
--- a/packages/gateway/src/core/primary-watch/primary-watch-task.ts
+++ b/packages/gateway/src/core/primary-watch/primary-watch-task.ts
@@ -17,7 +17,7 @@
 const UNREACHABLE_LIMIT_MS = 200;
 
 /** How long a primary may owe an answer before it is suspected, in milliseconds. */
-const SILENT_LIMIT_MS = 700;
+const SILENT_LIMIT_MS = 500;
 
 /** Watches the primaries, asks idle ones for their position, and reports. */
 export class PrimaryWatchTask extends TaskLifecycle {
