Hold replicas in every change of primary, and wait for proxies behind partitions

A proxy without the store proved its view by a replica that the planned change had not held; a change also forgot proxies whose lease had lapsed before it began, and counted their views from the announcement, not from the hold. Ruled out: clocks and queues; the read was sent 3 ms after it arrived. Change: every change holds the replicas; a proof needs the primary's own word and a replica that is not held; the proxies that may be running are kept in the store without a lease, and the views of those that do not answer are waited for from the last hold.

--- a/packages/gateway/src/core/coordinator/change-context.ts
+++ b/packages/gateway/src/core/coordinator/change-context.ts
@@ -2,7 +2,7 @@
 import type {ConfigurationHolder} from '../configuration/index.js';
 import type {InstanceDirectory} from '../directory/index.js';
 import type {GroupRegistry} from '../groups/index.js';
-import type {Members} from '../membership/index.js';
+import type {KnownProxies, Members} from '../membership/index.js';
 import type {Releases} from '../primary-watch/index.js';
 import type {CoordinationStore} from '../store/index.js';
 import type {ControlConnections} from './control-connections.js';
@@ -16,6 +16,7 @@
   readonly directory: InstanceDirectory;
   readonly configuration: ConfigurationHolder;
   readonly members: Members;
+  readonly knownProxies: KnownProxies;
   readonly releases: Releases;
   readonly control: ControlConnections;
   readonly promotions: PromotionService;
--- a/packages/gateway/src/core/coordinator/coordinator-task.ts
+++ b/packages/gateway/src/core/coordinator/coordinator-task.ts
@@ -6,6 +6,7 @@
 import {TaskLifecycle} from '@sapphireglade/runtime';
 import type {DatabaseGroup} from '../groups/index.js';
 import type {MemberTask} from '../membership/index.js';
+import {KNOWN_PREFIX} from '../membership/index.js';
 import {steadyNow} from '../time/index.js';
 import {CommandKind} from '../upstream/index.js';
 import type {ChangeContext} from './change-context.js';
@@ -20,6 +21,9 @@
 /** Head start of each better-ranked candidate, in milliseconds. */
 const RANK_DELAY_MS = 100;
 
+/** How long a proxy may be away before it is taken as gone, in milliseconds; regions lose each other for an hour now and then. */
+const FORGET_AFTER_MS = 2 * 3_600_000;
+
 /** What the task needs besides the context of a change. */
 export interface CoordinatorTaskOptions {
   readonly context: Omit<ChangeContext, 'coordinatorRevision'>;
@@ -36,6 +40,7 @@
   private timer: NodeJS.Timeout | undefined;
   private vacantSinceMs: number | undefined;
   private isClaiming = false;
+  private isForgetting = false;
   private readonly changing = new Set<string>();
   private readonly context: ChangeContext;
 
@@ -88,6 +93,33 @@
       return;
     }
     for (const group of this.options.context.groups.all) this.inspect(group);
+    this.forgetDeparted();
+  }
+
+  /** Removes proxies that have been away for longer than any partition. */
+  private forgetDeparted(): void {
+    const {members, knownProxies, store, log} = this.options.context;
+    const limitMs = steadyNow() - FORGET_AFTER_MS;
+    const gone = knownProxies.names.filter(name => {
+      const departedAtMs = members.departedAtMs(name);
+      return departedAtMs !== undefined && departedAtMs < limitMs;
+    });
+    if (gone.length === 0 || this.isForgetting) return;
+    this.isForgetting = true;
+    store
+      .transact({
+        conditions: [],
+        puts: [],
+        removals: gone.slice(0, 20).map(name => KNOWN_PREFIX + name),
+      })
+      .catch((error: Error) =>
+        log.warn('Departed proxies could not be forgotten.', {
+          error: error.message,
+        }),
+      )
+      .finally(() => {
+        this.isForgetting = false;
+      });
   }
 
   /** Better-ranked proxies claim first, so that few calls meet. */
--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -22,6 +22,9 @@
 /** Pause between two looks at something that is waited for, in milliseconds. */
 const POLL_MS = 25;
 
+/** How long a planned change waits for statements that use the primary, in milliseconds. */
+const DRAIN_TIMEOUT_MS = 300;
+
 /** Pause before instances that did not report are asked again, in milliseconds. */
 const ASK_AGAIN_MS = 100;
 
@@ -55,6 +58,8 @@
   private readonly reports = new Map<string, ReplicationReport>();
   private oldReport: ReplicationReport | undefined;
   private readonly beganAtMs = steadyNow();
+  /** When an instance was last held back. */
+  private heldAt: ClockReading = readClocks();
   /** Promotions that were ordered without another instance leading. */
   private failedOrders = 0;
 
@@ -72,17 +77,12 @@
    */
   async run(): Promise<void> {
     const record = await this.announce();
-    const announcedAt = readClocks();
     if (await this.adoptExistingPrimary(record)) return;
     if (this.reason === ChangeReason.Leaving) {
-      await this.awaitReleases(record, announcedAt);
+      await this.awaitReleases(record, DRAIN_TIMEOUT_MS);
       await this.stepDown(record);
     } else {
-      await Promise.all([
-        this.holdReplicas(record),
-        this.stepDown(record),
-        this.awaitReleases(record, announcedAt),
-      ]);
+      await Promise.all([this.holdReplicas(record), this.stepDown(record)]);
     }
     await this.promoteOne(record);
   }
@@ -114,28 +114,46 @@
     return true;
   }
 
-  /** Waits until no proxy can use the old primary any more. */
+  /**
+   * Waits until every proxy that may be running has taken the record in.
+   *
+   * @param known - The record that takes the old primary out of use.
+   * @param limitMs - How long to wait at most, in milliseconds.
+   */
   private async awaitReleases(
     known: KnownRecord,
-    announcedAt: ClockReading,
+    limitMs: number,
   ): Promise<void> {
-    const {members, releases, self} = this.context;
-    const limitMs = VIEW_VALIDITY_MS + VALIDITY_MARGIN_MS;
-    const sinceMs = announcedAt.steadyMs - limitMs;
-    const hasWatchedLong = steadyNow() - members.knownSinceMs > limitMs;
-    for (;;) {
-      const waitedMs = readClocks().steadyMs - announcedAt.steadyMs;
-      if (waitedMs > limitMs) break;
-      const missing = members
-        .liveSince(sinceMs)
-        .filter(name => name !== self)
-        .filter(
-          name => !releases.hasReleased(this.group.name, name, known.revision),
-        );
-      if (missing.length === 0 && hasWatchedLong) break;
+    const untilMs = steadyNow() + limitMs;
+    while (this.unreleased(known).length > 0 && steadyNow() < untilMs) {
       await sleep(POLL_MS);
     }
-    this.log('The old primary is out of use everywhere.', {});
+  }
+
+  /**
+   * Waits until no proxy can use the old primary any more.
+   *
+   * A proxy that has not taken the record in may be cut off from the store. It
+   * proves its view by the old primary and a replica, which it cannot do any
+   * more once these were held; then its last proof has to run out.
+   */
+  private async awaitViews(known: KnownRecord): Promise<void> {
+    const sinceHeldMs = elapsedMs(this.heldAt, readClocks());
+    const remainingMs = VIEW_VALIDITY_MS + VALIDITY_MARGIN_MS - sinceHeldMs;
+    await this.awaitReleases(known, remainingMs);
+    this.log('The old primary is out of use everywhere.', {
+      withoutAnswer: this.unreleased(known).join(' '),
+    });
+  }
+
+  /** Proxies that may still use the old primary. */
+  private unreleased(known: KnownRecord): string[] {
+    const {members, knownProxies, releases, self} = this.context;
+    return [...new Set([...knownProxies.names, ...members.names])]
+      .filter(name => name !== self)
+      .filter(
+        name => !releases.hasReleased(this.group.name, name, known.revision),
+      );
   }
 
   /** Stops the replicas from receiving, and takes their positions in. */
@@ -143,13 +161,12 @@
     const missing = this.replicas(known).filter(
       ({id}) => !this.reports.has(id),
     );
-    const command: InstanceCommand =
-      this.reason === ChangeReason.Leaving && this.oldReport !== undefined
-        ? {kind: CommandKind.Status}
-        : {kind: CommandKind.HoldTerm, term: this.nextTerm(known)};
-    for (const report of await this.askAll(missing, command)) {
-      this.reports.set(report.id, report);
-    }
+    const reports = await this.askAll(missing, {
+      kind: CommandKind.HoldTerm,
+      term: this.nextTerm(known),
+    });
+    if (reports.length > 0) this.heldAt = readClocks();
+    for (const report of reports) this.reports.set(report.id, report);
   }
 
   /** Ends the old primary's lead, if it can be reached. */
@@ -160,7 +177,9 @@
       kind: CommandKind.StepDown,
       term: this.nextTerm(known),
     });
-    if (report !== undefined) this.oldReport = report;
+    if (report === undefined) return;
+    this.oldReport = report;
+    this.heldAt = readClocks();
   }
 
   /** Chooses and promotes until an instance leads. */
@@ -174,8 +193,9 @@
         isReplicated: this.isReplicated,
       });
       if (choice.kind === 'promote') {
+        await this.awaitViews(known);
         if (await this.promote(choice.target, choice.position)) return;
-        await this.beginAgain(known);
+        await this.beginAgain();
       } else {
         if (choice.reason !== shownReason) {
           shownReason = choice.reason;
@@ -193,10 +213,9 @@
    * proxies without the store may have found it: its term is passed over, and
    * their views of it have to run out.
    */
-  private async beginAgain(known: KnownRecord): Promise<void> {
+  private async beginAgain(): Promise<void> {
     this.failedOrders += 1;
     this.reports.clear();
-    await this.holdReplicas(known);
     await sleep(VIEW_VALIDITY_MS + VALIDITY_MARGIN_MS);
   }
 
--- a/packages/gateway/src/core/membership/index.ts
+++ b/packages/gateway/src/core/membership/index.ts
@@ -1,4 +1,5 @@
 /** Which proxies are alive, and what they say of the primaries. */
+export * from './known-proxies.js';
 export * from './member-task.js';
 export * from './members.js';
 export * from './types.js';
--- a/packages/gateway/src/core/membership/member-task.ts
+++ b/packages/gateway/src/core/membership/member-task.ts
@@ -4,6 +4,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {CoordinationStore} from '../store/index.js';
 import type {Members} from './members.js';
+import {KNOWN_PREFIX} from './known-proxies.js';
 import {MEMBER_PREFIX} from './members.js';
 
 /** How long a proxy counts as live after its last renewal, in milliseconds. */
@@ -27,6 +28,8 @@
 /** Publishes this proxy in the store under a lease, and keeps it there. */
 export class MemberTask extends TaskLifecycle {
   private readonly ending = new AbortController();
+  /** Whether the others know that this proxy may act on views. */
+  isRegistered = false;
   private lease: number | undefined;
   private suspects: readonly string[] = [];
   private published: string | undefined;
@@ -58,8 +61,14 @@
     this.wake();
     const lease = this.lease;
     if (lease === undefined) return;
+    const {name, store} = this.options;
     try {
-      await this.options.store.endLease(lease);
+      await store.transact({
+        conditions: [],
+        puts: [],
+        removals: [KNOWN_PREFIX + name],
+      });
+      await store.endLease(lease);
     } catch (error) {
       this.options.log.warn('The lease could not be ended; it will lapse.', {
         error: String(error),
@@ -102,10 +111,17 @@
     if (isCurrent || this.lease === undefined) return;
     const result = await store.transact({
       conditions: [],
-      puts: [{key: MEMBER_PREFIX + name, value, leaseId: this.lease}],
+      puts: [
+        {key: MEMBER_PREFIX + name, value, leaseId: this.lease},
+        {key: KNOWN_PREFIX + name, value: incarnation, leaseId: 0},
+      ],
     });
-    if (result.kind === 'committed') this.published = value;
-    else this.lease = undefined;
+    if (result.kind !== 'committed') {
+      this.lease = undefined;
+      return;
+    }
+    this.published = value;
+    this.isRegistered = true;
   }
 
   /** Waits, unless there is something to publish. */
--- a/packages/gateway/src/core/membership/members.ts
+++ b/packages/gateway/src/core/membership/members.ts
@@ -11,9 +11,8 @@
 /** The live proxies, as the store lists them. */
 export class Members extends StoreSection {
   private readonly live = new Map<string, MemberRecord>();
-  private readonly departedAtMs = new Map<string, number>();
+  private readonly departures = new Map<string, number>();
   private readonly changes = new Subject<void>();
-  private sinceMs = Infinity;
 
   constructor(private readonly log: Logger) {
     super(MEMBER_PREFIX);
@@ -24,11 +23,6 @@
     return this.changes;
   }
 
-  /** Since when the proxies have been followed, in milliseconds. */
-  get knownSinceMs(): number {
-    return this.sinceMs;
-  }
-
   /** What the live proxies publish. */
   get records(): MemberRecord[] {
     return [...this.live.values()];
@@ -44,16 +38,12 @@
     return [...this.live.keys()];
   }
 
-  /** Names of the proxies that are live or left after a time, in milliseconds. */
-  liveSince(sinceMs: number): string[] {
-    const departed = [...this.departedAtMs]
-      .filter(([, atMs]) => atMs > sinceMs)
-      .map(([name]) => name);
-    return [...new Set([...this.live.keys(), ...departed])];
+  /** When a proxy left the list, in milliseconds, if it has. */
+  departedAtMs(name: string): number | undefined {
+    return this.departures.get(name);
   }
 
   override replace(items: readonly StoredItem[]): void {
-    this.sinceMs = steadyNow();
     const present = new Set(items.map(({key}) => key));
     for (const name of [...this.live.keys()]) {
       const key = MEMBER_PREFIX + name;
@@ -70,7 +60,7 @@
     }
     const known = this.live.get(record.name);
     this.live.set(record.name, record);
-    this.departedAtMs.delete(record.name);
+    this.departures.delete(record.name);
     if (known?.incarnation !== record.incarnation) {
       this.log.info('A proxy joined.', {member: record.name});
     }
@@ -80,7 +70,7 @@
   override removed(key: string): void {
     const name = key.slice(MEMBER_PREFIX.length);
     if (!this.live.delete(name)) return;
-    this.departedAtMs.set(name, steadyNow());
+    this.departures.set(name, steadyNow());
     this.log.warn('A proxy left.', {member: name});
     this.changes.next();
   }
--- a/packages/gateway/src/core/primary-watch/view-proof-task.ts
+++ b/packages/gateway/src/core/primary-watch/view-proof-task.ts
@@ -6,6 +6,7 @@
   DatabaseGroup,
   GroupMember,
   GroupRegistry,
+  KnownRecord,
 } from '../groups/index.js';
 import type {InstancePool, PooledConnection} from '../pool/index.js';
 import {readClocks, steadyNow, TIMED_OUT, within} from '../time/index.js';
@@ -23,13 +24,22 @@
 /** How long a replica may take to answer, in milliseconds. */
 const ANSWER_TIMEOUT_MS = 400;
 
+/** What an instance said of itself. */
+interface MemberAnswer {
+  readonly report: ReplicationReport | undefined;
+  /** Whether its connection is older than the last proof. */
+  readonly isOldEnough: boolean;
+}
+
 /**
  * Proves views of primaries by asking replicas while the store is away.
  *
- * A change of primary holds every replica at a higher term before it promotes
- * one. A replica that was not held when it was asked therefore proves that no
- * change had been completed by then. Its connection must be older than the
- * last proof, because a replica that starts again forgets what held it.
+ * Before it promotes an instance, a change of primary holds every replica at a
+ * higher term, or ends the old primary's lead itself. A primary that says it
+ * leads, together with a replica that is not held, therefore proves that no
+ * change had come that far when they were asked. The replica's connection must
+ * be older than the last proof, because a replica that starts again forgets
+ * what held it.
  *
  * An instance that says it leads a higher term is taken as the primary, so
  * that a proxy without the store takes part in a change that others made.
@@ -83,14 +93,56 @@
   private async prove(group: DatabaseGroup): Promise<void> {
     this.asking.add(group);
     try {
-      for (const member of this.membersOf(group)) {
-        if (await this.askMember(group, member)) return;
-      }
+      const sentAt = readClocks();
+      const known = group.record;
+      if (known === undefined) return;
+      const isProven =
+        (await this.primaryLeads(group, known)) &&
+        (await this.isAnyReplicaFree(group, known));
+      if (!isProven) await this.findLeader(group);
+      else if (group.record === known) group.confirm(sentAt);
     } finally {
       this.asking.delete(group);
     }
   }
 
+  /** Whether the recorded primary says itself that it leads. */
+  private async primaryLeads(
+    group: DatabaseGroup,
+    {record}: KnownRecord,
+  ): Promise<boolean> {
+    const primary = group.members.get(record.primary);
+    if (record.phase !== PrimaryPhase.Steady || primary === undefined) {
+      return false;
+    }
+    const answer = await this.askMember(group, primary);
+    const report = answer?.report;
+    return report?.isPrimary === true && report.term === record.term;
+  }
+
+  /** Whether a replica is not held at a higher term, and was not before. */
+  private async isAnyReplicaFree(
+    group: DatabaseGroup,
+    {record}: KnownRecord,
+  ): Promise<boolean> {
+    for (const member of this.membersOf(group)) {
+      if (member.instance.id === record.primary) continue;
+      const answer = await this.askMember(group, member);
+      if (answer?.isOldEnough && provesTerm(answer.report, record.term)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Looks for an instance that leads a higher term. */
+  private async findLeader(group: DatabaseGroup): Promise<void> {
+    for (const member of this.membersOf(group)) {
+      const answer = await this.askMember(group, member);
+      if (answer?.report?.isPrimary) this.learnLeader(group, answer.report);
+    }
+  }
+
   /** Instances of this region first, because the others cost paid bytes. */
   private membersOf(group: DatabaseGroup): GroupMember[] {
     const isFar = ({instance}: GroupMember): number =>
@@ -131,11 +183,9 @@
   private async askMember(
     group: DatabaseGroup,
     {pool}: GroupMember,
-  ): Promise<boolean> {
+  ): Promise<MemberAnswer | undefined> {
     const connection = await this.connectionOf(pool);
-    if (connection === undefined) return false;
-    const known = group.record;
-    const sentAt = readClocks();
+    if (connection === undefined) return undefined;
     const isOldEnough = group.confirmation.coversOpening(connection.openedAtMs);
     const reply = await within(
       connection.run({kind: CommandKind.Status}),
@@ -143,21 +193,10 @@
     ).catch((error: Error) => error);
     if (reply === TIMED_OUT || reply instanceof Error) {
       pool.discard(connection, 'it did not answer');
-      return false;
+      return undefined;
     }
     pool.release(connection);
-    const {report} = reply;
-    if (report?.isPrimary) {
-      this.learnLeader(group, report);
-      return false;
-    }
-    const isProof =
-      isOldEnough &&
-      group.record === known &&
-      known?.record.phase === PrimaryPhase.Steady &&
-      provesTerm(report, known.record.term);
-    if (isProof) group.confirm(sentAt);
-    return isProof;
+    return {report: reply.report, isOldEnough};
   }
 }
 
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -10,7 +10,7 @@
 } from '../coordinator/index.js';
 import {InstanceDirectory} from '../directory/index.js';
 import {GroupRegistry, PrimaryRecords} from '../groups/index.js';
-import {Members, MemberTask} from '../membership/index.js';
+import {KnownProxies, Members, MemberTask} from '../membership/index.js';
 import {
   followAll,
   PrimaryWatchTask,
@@ -91,6 +91,7 @@
     const {region, regionOf} = this;
     this.proofs = new ViewProofTask(this.groups, region, regionOf, failoverLog);
     const key = new CoordinatorKey();
+    const knownProxies = new KnownProxies();
     this.follower = new StoreFollower({
       store,
       watchedPrefix: adapters.watchedPrefix,
@@ -98,11 +99,15 @@
         ...adapters.sections(this.configuration, this.directory),
         this.members,
         releases,
+        knownProxies,
         key,
         new PrimaryRecords(this.groups, failoverLog),
       ],
       log: loggers(LogPart.Store),
-      onConfirmed: sentAt => this.groups.confirmAll(sentAt),
+      // Nobody waits for the views of a proxy that is not known yet.
+      onConfirmed: sentAt => {
+        if (this.member.isRegistered) this.groups.confirmAll(sentAt);
+      },
     });
     this.coordinator = new CoordinatorTask({
       context: {
@@ -113,6 +118,7 @@
         configuration: this.configuration,
         members: this.members,
         releases,
+        knownProxies,
         control: new ControlConnections(connector, failoverLog),
         promotions,
         log: failoverLog,
--- a/packages/gateway/test/fleet/primary-change.test.ts
+++ b/packages/gateway/test/fleet/primary-change.test.ts
@@ -87,6 +87,28 @@
     },
     writersAfter: EVERY_PROXY,
   },
+  {
+    name: 'the primary leaves while a proxy has been without the store for long',
+    strike: async fleet => {
+      fleet.proxies[0]!.store.isCut = true;
+      await sleep(4_000);
+      fleet.announceLeaving(fleet.group.instances[0]!.id);
+      await sleep(3_000);
+    },
+    writersAfter: EVERY_PROXY,
+  },
+  {
+    name: 'the primary is cut off from all but a proxy that has been without the store for long',
+    strike: async fleet => {
+      fleet.proxies[0]!.store.isCut = true;
+      await sleep(4_000);
+      for (const {name} of fleet.proxies.slice(1)) {
+        fleet.group.cut(name, fleet.group.instances[0]!.id);
+      }
+      await sleep(3_000);
+    },
+    writersAfter: EVERY_PROXY.slice(1),
+  },
   {
     name: 'a second primary crashes right after the first, which is back',
     strike: async fleet => {
--- a/packages/gateway/test/support/memory-fleet.ts
+++ b/packages/gateway/test/support/memory-fleet.ts
@@ -14,7 +14,7 @@
   ReadinessDoor,
   StoreSection,
 } from '../../src/index.js';
-import type {Promotion} from '../../src/index.js';
+import type {InstanceDirectory, Promotion} from '../../src/index.js';
 import {MemoryConnector} from './memory-connector.js';
 import {MemoryGroup} from './memory-group.js';
 import {MemoryStore, MemoryStoreState} from './memory-store.js';
@@ -116,6 +116,8 @@
   readonly store = new MemoryStoreState();
   readonly group = new MemoryGroup(GROUP, 3);
   readonly proxies: FleetProxy[] = [];
+  private readonly directories: InstanceDirectory[] = [];
+  private readonly leaving = new Set<string>();
 
   /** Starts proxies and waits until all are ready and know the primary. */
   async start(size: number): Promise<void> {
@@ -156,6 +158,7 @@
       watchedPrefix: '',
       sections: (configuration, directory) => [
         new FixedSection(() => {
+          this.directories.push(directory);
           this.register(directory);
           configuration.offer(CONFIGURATION);
         }),
@@ -171,9 +174,13 @@
     this.proxies.push({name, gateway, store, promotions, open, isReady});
   }
 
-  private register(
-    directory: Parameters<GatewayAdapters['sections']>[1],
-  ): void {
+  /** Announces that an instance is about to leave. */
+  announceLeaving(id: string): void {
+    this.leaving.add(id);
+    for (const directory of this.directories) this.register(directory);
+  }
+
+  private register(directory: InstanceDirectory): void {
     for (const [index, {id}] of this.group.instances.entries()) {
       directory.register({
         id,
@@ -181,7 +188,7 @@
         host: 'memory',
         port: 1,
         availabilityZone: `zone-${index}`,
-        isLeaving: false,
+        isLeaving: this.leaving.has(id),
         claimsPrimary: index === 0,
         slots: 3,
         bornAtMs: 1,
