Cut the four import circles

Types that two modules shared move to modules of their own: attempts and planned changes, readiness, child specifications; the gauges that read the context leave the metrics folder. No behaviour changes.

--- a/packages/decisions/src/core/failover/advance-failover.ts
+++ b/packages/decisions/src/core/failover/advance-failover.ts
@@ -1,5 +1,6 @@
 import {majorityOf} from '../groups/index.js';
-import {advanceAttempt, AttemptPhase, grantedInstances} from './attempt.js';
+import {AttemptPhase} from './attempt-types.js';
+import {advanceAttempt, grantedInstances} from './attempt.js';
 import {waitForOthersMs} from './coordinator-rank.js';
 import {instancesToTell} from './follow.js';
 import {askForTerm} from './ask-for-term.js';
--- a/packages/decisions/src/core/failover/advance-planned.ts
+++ b/packages/decisions/src/core/failover/advance-planned.ts
@@ -1,12 +1,9 @@
 import {askForTerm} from './ask-for-term.js';
 import {betterRanked} from './coordinator-rank.js';
-import {
-  PlannedPhase,
-  PlannedStep,
-  stepPlanned,
-  wishedChange,
-} from './planned-change.js';
-import type {PlannedChange, PlannedWish} from './planned-change.js';
+import {PlannedStep, stepPlanned, wishedChange} from './planned-change.js';
+import type {PlannedWish} from './planned-change.js';
+import type {PlannedChange} from './planned-types.js';
+import {PlannedPhase} from './planned-types.js';
 import type {FailoverPolicy, FailoverResult, FailoverState} from './types.js';
 
 /** Begins a planned change, or moves the one in progress on. */
--- a/packages/decisions/src/core/failover/planned-change.ts
+++ b/packages/decisions/src/core/failover/planned-change.ts
@@ -1,33 +1,8 @@
 import {comparePositions, InstanceRole} from '../groups/index.js';
+import type {PlannedChange} from './planned-types.js';
+import {PlannedPhase} from './planned-types.js';
 import type {FailoverPolicy, FailoverState, KnownInstance} from './types.js';
 
-/** Where a planned change stands. */
-export const PlannedPhase = {
-  /** New writes are held back and those in progress end. */
-  Draining: 'draining',
-  /** The chosen replica reaches the position of the primary. */
-  CatchingUp: 'catching-up',
-  /** The term is being asked for. */
-  Electing: 'electing',
-} as const;
-
-/** One of the phases. */
-export type PlannedPhase = (typeof PlannedPhase)[keyof typeof PlannedPhase];
-
-/** A change of primary while the old one still works. */
-export interface PlannedChange {
-  /** Term of the present primary. */
-  readonly term: number;
-  readonly target: string;
-  readonly reason: string;
-  readonly startedAtMs: number;
-  readonly phase: PlannedPhase;
-  /** When the phase began, in milliseconds. */
-  readonly phaseSinceMs: number;
-  /** When both ends were last asked where they stand, in milliseconds. */
-  readonly probedAtMs?: number;
-}
-
 /** Why the primary should change and to which instance. */
 export interface PlannedWish {
   readonly target: string;
--- a/packages/decisions/src/core/failover/step-failover.ts
+++ b/packages/decisions/src/core/failover/step-failover.ts
@@ -2,9 +2,10 @@
 import type {GroupResource} from '../resources/index.js';
 import {adoptView} from './adopt-view.js';
 import {advanceFailover} from './advance-failover.js';
-import {AttemptPhase, failAttempt, receiveGrant} from './attempt.js';
+import {AttemptPhase} from './attempt-types.js';
+import {failAttempt, receiveGrant} from './attempt.js';
 import {observeReport} from './observe-report.js';
-import {PlannedPhase} from './planned-change.js';
+import {PlannedPhase} from './planned-types.js';
 import type {
   FailoverEffect,
   FailoverEvent,
--- a/packages/decisions/src/core/failover/types.ts
+++ b/packages/decisions/src/core/failover/types.ts
@@ -1,8 +1,8 @@
 import type {GroupView, InstanceRole, LogPosition} from '../groups/index.js';
 import type {TermStart} from '../groups/index.js';
 import type {GroupResource} from '../resources/index.js';
-import type {ElectionAttempt} from './attempt.js';
-import type {PlannedChange} from './planned-change.js';
+import type {ElectionAttempt, GrantAnswer} from './attempt-types.js';
+import type {PlannedChange} from './planned-types.js';
 
 /** What an instance tells of itself, as far as decisions need it. */
 export interface InstanceReport {
@@ -110,14 +110,6 @@
   readonly toldToFollowAtMs: ReadonlyMap<string, number>;
 }
 
-/** Answer of an instance to the request for a term. */
-export interface GrantAnswer {
-  readonly granted: boolean;
-  readonly grantedTerm: number;
-  readonly position: LogPosition;
-  readonly termStarts: readonly TermStart[];
-}
-
 /** How a promotion ended. */
 export const PromotionOutcome = {
   Promoted: 'promoted',
--- a/packages/proxy/src/core/caller-api/caller-routes.ts
+++ b/packages/proxy/src/core/caller-api/caller-routes.ts
@@ -19,8 +19,8 @@
 import type {AnswerContext} from './answers.js';
 import {sendExecution} from './answers.js';
 import type {Authenticator} from './authenticator.js';
-import type {Readiness} from './caller-server.js';
 import {checkGrant, parseBody, readSession, requestIdOf} from './input.js';
+import type {Readiness} from './readiness.js';
 import type {TransactionHandle} from './transaction-handle.js';
 import {decodeHandle, encodeHandle} from './transaction-handle.js';
 
--- a/packages/proxy/src/core/caller-api/caller-server.ts
+++ b/packages/proxy/src/core/caller-api/caller-server.ts
@@ -12,6 +12,7 @@
 import {Authenticator} from './authenticator.js';
 import {CallerRoutes} from './caller-routes.js';
 import {requestIdOf} from './input.js';
+import type {Readiness} from './readiness.js';
 
 /** Longest body of a request, in bytes. */
 const MAXIMUM_BODY_BYTES = 1_048_576;
@@ -22,12 +23,6 @@
 const OK_STATUS = 200;
 const UNAVAILABLE_STATUS = 503;
 
-/** Whether this proxy takes requests. */
-export interface Readiness {
-  /** True once configuration and members are known, until the stop. */
-  isReady(): boolean;
-}
-
 /** Serves callers over HTTP. */
 export class CallerServer extends TaskLifecycle {
   private readonly server: FastifyInstance;
--- a/packages/proxy/src/core/caller-api/index.ts
+++ b/packages/proxy/src/core/caller-api/index.ts
@@ -1,2 +1,3 @@
 /** The interface for callers, over HTTP and JSON. */
 export * from './caller-server.js';
+export * from './readiness.js';
--- /dev/null
+++ b/packages/proxy/src/core/caller-api/readiness.ts
@@ -0,0 +1,5 @@
+/** Whether this proxy takes requests. */
+export interface Readiness {
+  /** True once configuration and members are known, until the stop. */
+  isReady(): boolean;
+}
--- a/packages/proxy/src/core/metrics/process-gauges.ts
+++ b/packages/proxy/src/core/gauges/process-gauges.ts
@@ -1,6 +1,6 @@
 import {EventStream} from '@sapphireglade/decisions';
 import type {ProxyContext} from '../context/index.js';
-import type {GaugeReading} from './metrics-registry.js';
+import type {GaugeReading} from '../metrics/index.js';
 
 /** Labels of a gauge that has none. */
 type NoLabels = Readonly<Record<never, string>>;
--- a/packages/runtime/src/core/supervision/index.ts
+++ b/packages/runtime/src/core/supervision/index.ts
@@ -1,4 +1,5 @@
 /** The supervisor tree and the base class of tasks. */
+export * from './child-specification.js';
 export * from './mailbox.js';
 export * from './periodic-task.js';
 export * from './restart-decision.js';
--- a/packages/runtime/src/core/supervision/supervisor.ts
+++ b/packages/runtime/src/core/supervision/supervisor.ts
@@ -4,11 +4,8 @@
 import type {FailureHistory} from './restart-decision.js';
 import {decideRestart} from './restart-decision.js';
 import {TaskLifecycle} from './task-lifecycle.js';
-import type {
-  ChildSpecification,
-  RestartPolicy,
-  SupervisorReport,
-} from './types.js';
+import type {ChildSpecification} from './child-specification.js';
+import type {RestartPolicy, SupervisorReport} from './types.js';
 import {TaskState} from './types.js';
 
 /** How often and how fast a failed child is started again. */
--- a/packages/runtime/src/core/supervision/types.ts
+++ b/packages/runtime/src/core/supervision/types.ts
@@ -1,5 +1,3 @@
-import type {TaskLifecycle} from './task-lifecycle.js';
-
 /** Where a task is in its life. */
 export const TaskState = {
   Created: 'created',
@@ -13,14 +11,6 @@
 /** One of the states. */
 export type TaskState = (typeof TaskState)[keyof typeof TaskState];
 
-/** How a supervisor makes one of its children. */
-export interface ChildSpecification {
-  /** Name of the child, unique within its supervisor. */
-  readonly name: string;
-  /** Makes a new instance, at the start and after each failure. */
-  readonly create: () => TaskLifecycle;
-}
-
 /** When a failed child is started again. */
 export interface RestartPolicy {
   /** Wait before the first restart, in milliseconds; doubles each time. */
