--- a/packages/gateway/src/core/groups/database-group.ts
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -154,18 +154,14 @@
   replicaOptions(
     regionOf: (zone: string) => string,
     region: string,
-  ): {
-    readonly options: InstanceOption[];
-    readonly members: ReadonlyMap<string, GroupMember>;
-  } {
+  ): InstanceOption[] {
     const primary = this.known?.record.primary;
-    const options = [...this.memberTable.values()]
+    return [...this.memberTable.values()]
       .filter(({instance}) => instance.id !== primary && !instance.isLeaving)
       .filter(({pool}) => pool.unreachableSinceMs === undefined)
       .map(member =>
         toOption(member, regionOf(member.instance.availabilityZone) !== region),
       );
-    return {options, members: this.memberTable};
   }
 
   /** Takes in a position that one instance showed. */
--- a/packages/gateway/src/core/pool/instance-pool.ts
+++ b/packages/gateway/src/core/pool/instance-pool.ts
@@ -16,21 +16,13 @@
   InstanceEndpoint,
   InstanceReply,
 } from '../upstream/index.js';
+import {OpeningPace, REOPEN_PAUSE_MS} from './opening-pace.js';
 import {PooledConnection} from './pooled-connection.js';
 import type {ConnectionRequest, WaitingConnectionRequest} from './types.js';
 
 /** How long opening a connection may take, in milliseconds. */
 const OPEN_TIMEOUT_MS = 1_000;
 
-/** Pause between two failed openings, in milliseconds. */
-const REOPEN_PAUSE_MS = 150;
-
-/** First pause after the instance refused a connection over its limit, in milliseconds; it doubles. */
-const OVER_LIMIT_PAUSE_MS = 200;
-
-/** Longest pause after such refusals, in milliseconds; dead peers are dropped after three seconds. */
-const MAXIMUM_OVER_LIMIT_PAUSE_MS = 800;
-
 /** Connections that are kept open without need. */
 const WARM_CONNECTIONS = 1;
 
@@ -75,10 +67,7 @@
   private share = 0;
   private roundTrip = INITIAL_ROUND_TRIP_MS;
   private unreachable: number | undefined;
-  private reopenAtMs = 0;
-  private overLimitPauseMs = OVER_LIMIT_PAUSE_MS;
-  /** Whether the instance refused the last opening over its limit. */
-  private isOverLimit = false;
+  private readonly pace = new OpeningPace();
   private isEnded = false;
 
   constructor(
@@ -124,13 +113,10 @@
 
   /** Since when the instance owes an answer and has been silent. */
   get silentSinceMs(): number | undefined {
-    const all = [...this.open];
-    const waiting = all.flatMap(({waitingSinceMs}) => waitingSinceMs ?? []);
-    if (waiting.length === 0) return undefined;
-    const lastAnswerMs = Math.max(
-      ...all.map(({lastAnsweredAtMs}) => lastAnsweredAtMs),
-    );
-    return Math.max(Math.min(...waiting), lastAnswerMs);
+    const sinceMs = this.stalledSinceMs;
+    if (sinceMs === undefined) return undefined;
+    const answersMs = [...this.open].map(each => each.lastAnsweredAtMs);
+    return Math.max(sinceMs, ...answersMs);
   }
 
   /** Since when a command has been waiting for its answer, if one has. */
@@ -264,7 +250,7 @@
     return {
       connections: Math.max(
         this.open.size + this.opening,
-        this.isOverLimit ? 1 : this.share,
+        this.pace.isOverLimit ? 1 : this.share,
       ),
       holdingMs: this.holdingMs,
     };
@@ -278,12 +264,12 @@
 
   /** Whether a connection is open, or will probably open. */
   private get mayServeSoon(): boolean {
-    return this.open.size + this.opening > 0 || this.isOverLimit;
+    return this.open.size + this.opening > 0 || this.pace.isOverLimit;
   }
 
   private mayOpen(nowMs: number): boolean {
     const total = this.open.size + this.opening;
-    return !this.isEnded && total < this.share && nowMs >= this.reopenAtMs;
+    return !this.isEnded && total < this.share && this.pace.allows(nowMs);
   }
 
   /** Prefers the connection that needs the fewest changes. */
@@ -352,8 +338,7 @@
       this.log.info('An instance can be reached again.', this.fields);
     }
     this.unreachable = undefined;
-    this.overLimitPauseMs = OVER_LIMIT_PAUSE_MS;
-    this.isOverLimit = false;
+    this.pace.succeeded();
     this.open.add(pooled);
     this.learn(greeting, sentAtMs);
     this.idle.push(pooled);
@@ -362,16 +347,8 @@
 
   private openFailed(error: SapphiregladeError): void {
     const nowMs = steadyNow();
-    this.isOverLimit = error.kind === ErrorKind.Overloaded;
-    if (this.isOverLimit) {
-      this.reopenAtMs = nowMs + this.overLimitPauseMs * (0.5 + Math.random());
-      this.overLimitPauseMs = Math.min(
-        MAXIMUM_OVER_LIMIT_PAUSE_MS,
-        this.overLimitPauseMs * 2,
-      );
-      return;
-    }
-    this.reopenAtMs = nowMs + REOPEN_PAUSE_MS;
+    this.pace.failed(error, nowMs);
+    if (this.pace.isOverLimit) return;
     this.lastFailedAtMs = nowMs;
     if (this.open.size > 0 || this.unreachable !== undefined) return;
     this.unreachable = nowMs;
--- a/packages/gateway/src/core/sessions/instance-selection.ts
+++ b/packages/gateway/src/core/sessions/instance-selection.ts
@@ -10,8 +10,8 @@
 import {steadyNow} from '../time/index.js';
 import type {SessionContext} from './session-context.js';
 
-/** Taken off the allowed age for the way to the replica, in milliseconds. */
-const STALENESS_MARGIN_MS = 100;
+/** Taken off the allowed age, for timers that fire late, in milliseconds. */
+const STALENESS_MARGIN_MS = 20;
 
 /** An instance that may serve a read, and the position that it must have. */
 export interface ReadTarget {
@@ -41,9 +41,7 @@
   const required = requiredPosition(group, route, startedAtMs, ownCommit);
   const options: InstanceOption[] = [];
   if (required !== undefined) {
-    options.push(
-      ...group.replicaOptions(context.regionOf, context.region).options,
-    );
+    options.push(...group.replicaOptions(context.regionOf, context.region));
   }
   if (typeof primary === 'object') {
     const zone = primary.instance.availabilityZone;
