--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -21,6 +21,7 @@
 import {CallerSession} from '../sessions/index.js';
 import type {GatewaySettings} from '../settings/index.js';
 import {StoreFollower} from '../store/index.js';
+import {within} from '../time/index.js';
 import type {GatewayAdapters} from './gateway-adapters.js';
 
 /** How often housekeeping runs, in milliseconds. */
@@ -38,6 +39,9 @@
 /** Part of the grace time after which the process ends in any case. */
 const LAST_PART = 0.9;
 
+/** How long the store may take to hear that this process stops, in milliseconds; its leases lapse anyway. */
+const FAREWELL_TIMEOUT_MS = 250;
+
 /** How often a stopping process looks whether it is done, in milliseconds. */
 const STOP_POLL_MS = 50;
 
@@ -190,7 +194,7 @@
     log.info('The process is stopping.', {
       connections: this.adapters.callerDoor.openConnections,
     });
-    await this.coordinator.stop(0);
+    await within(this.coordinator.stop(0), FAREWELL_TIMEOUT_MS);
     await sleep(BALANCER_DELAY_MS);
     this.adapters.callerDoor.drain();
     const graceMs = this.settings.stopGraceS * 1_000;
@@ -216,7 +220,7 @@
     await this.watch.stop(0);
     await this.proofs.stop(0);
     await this.follower.stop(0);
-    await this.member.stop(0);
+    await within(this.member.stop(0), FAREWELL_TIMEOUT_MS);
     await this.adapters.readinessDoor.close();
   }
 }
