Prolong views by proofs instead of reviving them, and serve metrics

Cause: the fleet test failed once beside load (isolated primary, one proxy without the store): a proof needed a connection older than the last one, so a proxy whose connection had been replaced could never prove a view again. Traced further: a replica that was released before it followed the new primary, or that had started again, could have vouched for the old term (not seen in a run). Ruled out: the wait of the test; the proxy was stuck for good. Change: proofs prolong a view that still counts; a higher leader is taken when a replica follows it in its term; a replica that has started again since it was held is held anew. coversOpening and its case have no caller left and are gone. Counters, durations and gauges are served on listen.metrics; the registry moves from the proxy to the runtime and takes its catalogue.

--- a/packages/decisions/src/core/primary-change/view-confirmation.ts
+++ b/packages/decisions/src/core/primary-change/view-confirmation.ts
@@ -39,16 +39,6 @@
     if (!isOlder) this.confirmedAt = sentAt;
   }
 
-  /**
-   * Says whether a connection was open before the last confirmation.
-   *
-   * @param openedAtMs - When it opened, in milliseconds of the steady clock.
-   */
-  coversOpening(openedAtMs: number): boolean {
-    const confirmedAtMs = this.confirmedAt?.steadyMs;
-    return confirmedAtMs !== undefined && openedAtMs < confirmedAtMs;
-  }
-
   /** Says whether the view may be acted on. */
   isValid(now: ClockReading): boolean {
     if (this.confirmedAt === undefined) return false;
--- a/packages/gateway/src/core/coordinator/change-context.ts
+++ b/packages/gateway/src/core/coordinator/change-context.ts
@@ -2,6 +2,7 @@
 import type {ConfigurationHolder} from '../configuration/index.js';
 import type {InstanceDirectory} from '../directory/index.js';
 import type {GroupRegistry} from '../groups/index.js';
+import type {GatewayMetrics} from '../metrics/index.js';
 import type {KnownProxies, Members} from '../membership/index.js';
 import type {Releases} from '../primary-watch/index.js';
 import type {CoordinationStore} from '../store/index.js';
@@ -22,5 +23,6 @@
   readonly promotions: PromotionService;
   /** Revision at which this proxy became the coordinator; 0 if it is not. */
   readonly coordinatorRevision: () => number;
+  readonly metrics: GatewayMetrics;
   readonly log: Logger;
 }
--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -56,6 +56,8 @@
  */
 export class PrimaryChange {
   private readonly reports = new Map<string, ReplicationReport>();
+  /** When each instance that was held had started. */
+  private readonly heldIncarnations = new Map<string, number | undefined>();
   private oldReport: ReplicationReport | undefined;
   private readonly beganAtMs = steadyNow();
   /** When an instance was last held back. */
@@ -91,6 +93,7 @@
   private async announce(): Promise<KnownRecord> {
     const known = this.group.record;
     if (known === undefined) throw new Error('The group has no record.');
+    this.countStep('begun');
     this.log('A change of primary begins.', {reason: this.reason});
     if (known.record.phase === PrimaryPhase.Changing) return known;
     return writeRecord(this.context, this.group, {
@@ -159,14 +162,23 @@
   /** Stops the replicas from receiving, and takes their positions in. */
   private async holdReplicas(known: KnownRecord): Promise<void> {
     const missing = this.replicas(known).filter(
-      ({id}) => !this.reports.has(id),
+      instance => !this.isHeld(instance),
     );
     const reports = await this.askAll(missing, {
       kind: CommandKind.HoldTerm,
       term: this.nextTerm(known),
     });
     if (reports.length > 0) this.heldAt = readClocks();
-    for (const report of reports) this.reports.set(report.id, report);
+    for (const report of reports) {
+      this.reports.set(report.id, report);
+      const instance = missing.find(({id}) => id === report.id);
+      this.heldIncarnations.set(report.id, instance?.bornAtMs);
+    }
+  }
+
+  /** An instance that has started again forgets what held it. */
+  private isHeld({id, bornAtMs}: RegisteredInstance): boolean {
+    return this.reports.has(id) && this.heldIncarnations.get(id) === bornAtMs;
   }
 
   /** Ends the old primary's lead, if it can be reached. */
@@ -194,6 +206,9 @@
       });
       if (choice.kind === 'promote') {
         await this.awaitViews(known);
+        if (!this.replicas(known).every(each => this.mayBeLeftAsIs(each))) {
+          continue;
+        }
         if (await this.promote(choice.target, choice.position)) return;
         await this.beginAgain();
       } else {
@@ -247,6 +262,7 @@
       holder: context.self,
       fencingToken: revision,
     });
+    this.countStep('ordered');
     this.log('A promotion was ordered.', {target, token: revision, answer});
     const isPossible =
       answer === PromotionAnswer.Accepted || answer === PromotionAnswer.Unknown;
@@ -278,6 +294,7 @@
       primary: leader.id,
       phase: PrimaryPhase.Steady,
     });
+    this.countStep('led');
     this.log('Another instance leads.', {
       primary: leader.id,
       term: leader.term,
@@ -306,6 +323,11 @@
       .filter(({id}) => id !== known.record.primary);
   }
 
+  /** A replica that has started again since it was held is held anew first. */
+  private mayBeLeftAsIs(instance: RegisteredInstance): boolean {
+    return !this.reports.has(instance.id) || this.isHeld(instance);
+  }
+
   private candidates(known: KnownRecord): PromotionCandidate[] {
     return this.replicas(known).map(({id, isLeaving}) => ({
       id,
@@ -324,6 +346,12 @@
     throw new Error('This proxy no longer coordinates.');
   }
 
+  private countStep(step: 'begun' | 'ordered' | 'led'): void {
+    this.context.metrics.increment('sapphireglade_changes_of_primary_total', {
+      step,
+    });
+  }
+
   private log(
     sentence: string,
     fields: Record<string, string | number | undefined>,
--- a/packages/gateway/src/core/doors/readiness-door.ts
+++ b/packages/gateway/src/core/doors/readiness-door.ts
@@ -1,3 +1,12 @@
+/** Serves the metrics of this process to whoever scrapes them. */
+export abstract class MetricsDoor {
+  /** Begins to answer. */
+  abstract listen(render: () => string): Promise<void>;
+
+  /** Stops answering. */
+  abstract close(): Promise<void>;
+}
+
 /** Tells the balancer whether this proxy should get new connections. */
 export abstract class ReadinessDoor {
   /** Begins to answer. */
--- a/packages/gateway/src/core/groups/database-group.ts
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -92,10 +92,11 @@
    *
    * It counts until the store shows a newer record.
    */
-  learnLeader(term: number, primary: string): void {
+  learnLeader(term: number, primary: string, sentAt: ClockReading): void {
     if (this.known === undefined || term <= this.known.record.term) return;
     const record = {term, primary, phase: PrimaryPhase.Steady};
     this.known = {record, revision: this.known.revision};
+    this.confirmation.confirm(sentAt);
     this.recordChanges.next(this.known);
   }
 
@@ -116,6 +117,11 @@
     this.confirmation.confirm(sentAt);
   }
 
+  /** Prolongs a view that still counted when the question was sent. */
+  prolong(sentAt: ClockReading): void {
+    if (this.confirmation.isValid(sentAt)) this.confirmation.confirm(sentAt);
+  }
+
   /** Adds an instance. */
   addMember(member: GroupMember): void {
     this.memberTable.set(member.instance.id, member);
--- /dev/null
+++ b/packages/gateway/src/core/metrics/index.ts
@@ -0,0 +1,4 @@
+/** What the gateway counts and measures. */
+export * from './catalogue.js';
+export * from './gateway-gauges.js';
+export * from './gateway-metrics.js';
--- a/packages/gateway/src/core/pool/instance-pool.ts
+++ b/packages/gateway/src/core/pool/instance-pool.ts
@@ -1,4 +1,4 @@
-import type {LogPosition, SapphiregladeError} from '@sapphireglade/decisions';
+import type {SapphiregladeError} from '@sapphireglade/decisions';
 import {
   DispatchQueue,
   ErrorKind,
@@ -18,7 +18,11 @@
 } from '../upstream/index.js';
 import {OpeningPace, REOPEN_PAUSE_MS} from './opening-pace.js';
 import {PooledConnection} from './pooled-connection.js';
-import type {ConnectionRequest, WaitingConnectionRequest} from './types.js';
+import type {
+  ConnectionRequest,
+  ShownPosition,
+  WaitingConnectionRequest,
+} from './types.js';
 
 /** How long opening a connection may take, in milliseconds. */
 const OPEN_TIMEOUT_MS = 1_000;
@@ -38,12 +42,6 @@
 /** Round trip that is assumed before the first answer, in milliseconds. */
 const INITIAL_ROUND_TRIP_MS = 20;
 
-/** A position that the instance showed, and when it was asked. */
-export interface ShownPosition {
-  readonly sentAtMs: number;
-  readonly position: LogPosition;
-}
-
 /**
  * The connections of this proxy to one instance.
  *
@@ -81,6 +79,11 @@
     return this.shown;
   }
 
+  /** Connections that may be open. */
+  get connectionShare(): number {
+    return this.share;
+  }
+
   /** Requests that wait. */
   get queued(): number {
     return this.queue.length;
@@ -236,9 +239,7 @@
   /** Closes everything, because the instance has left. */
   end(reason: string): void {
     this.isEnded = true;
-    for (const waiting of this.queue.removeAll()) {
-      waiting.reject(this.noConnection(reason));
-    }
+    this.refuseAll(reason);
     for (const connection of [...this.open]) {
       this.open.delete(connection);
       connection.close(reason);
@@ -304,7 +305,7 @@
     this.opening += 1;
     void this.connect().finally(() => {
       this.opening -= 1;
-      if (!this.mayServeSoon) this.refuseAll();
+      if (!this.mayServeSoon) this.refuseAll('it cannot be reached');
     });
   }
 
@@ -358,9 +359,9 @@
     });
   }
 
-  private refuseAll(): void {
+  private refuseAll(reason: string): void {
     for (const waiting of this.queue.removeAll()) {
-      waiting.reject(this.noConnection('it cannot be reached'));
+      waiting.reject(this.noConnection(reason));
     }
   }
 
--- a/packages/gateway/src/core/pool/types.ts
+++ b/packages/gateway/src/core/pool/types.ts
@@ -1,4 +1,4 @@
-import type {WaitingRequest} from '@sapphireglade/decisions';
+import type {LogPosition, WaitingRequest} from '@sapphireglade/decisions';
 import type {PooledConnection} from './pooled-connection.js';
 
 /** A request for a connection. */
@@ -12,3 +12,9 @@
   readonly resolve: (connection: PooledConnection) => void;
   readonly reject: (error: Error) => void;
 }
+
+/** A position that the instance showed, and when it was asked. */
+export interface ShownPosition {
+  readonly sentAtMs: number;
+  readonly position: LogPosition;
+}
--- a/packages/gateway/src/core/process/gateway-adapters.ts
+++ b/packages/gateway/src/core/process/gateway-adapters.ts
@@ -1,7 +1,7 @@
 import type {ConfigurationHolder} from '../configuration/index.js';
 import type {PromotionService} from '../coordinator/index.js';
 import type {InstanceDirectory} from '../directory/index.js';
-import type {CallerDoor, ReadinessDoor} from '../doors/index.js';
+import type {CallerDoor, MetricsDoor, ReadinessDoor} from '../doors/index.js';
 import type {CoordinationStore, StoreSection} from '../store/index.js';
 import type {InstanceConnector} from '../upstream/index.js';
 
@@ -12,6 +12,8 @@
   readonly promotions: PromotionService;
   readonly callerDoor: CallerDoor;
   readonly readinessDoor: ReadinessDoor;
+  /** Missing where no address for metrics is set. */
+  readonly metricsDoor: MetricsDoor | undefined;
   /** Prefix that covers every key that is followed. */
   readonly watchedPrefix: string;
   /** Sections that hold the configuration and the directory. */
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -10,6 +10,7 @@
 } from '../coordinator/index.js';
 import {InstanceDirectory} from '../directory/index.js';
 import {GroupRegistry, PrimaryRecords} from '../groups/index.js';
+import {GatewayMetrics, setGatewayGauges} from '../metrics/index.js';
 import {KnownProxies, Members, MemberTask} from '../membership/index.js';
 import {
   followAll,
@@ -57,6 +58,7 @@
   private readonly proofs: ViewProofTask;
   private readonly coordinator: CoordinatorTask;
   private readonly incarnation = randomUUID();
+  private readonly metrics = new GatewayMetrics();
   private housekeeping: NodeJS.Timeout | undefined;
   private isStopping = false;
 
@@ -125,6 +127,7 @@
         knownProxies,
         control: new ControlConnections(connector, failoverLog),
         promotions,
+        metrics: this.metrics,
         log: failoverLog,
       },
       key,
@@ -167,9 +170,11 @@
       groups: this.groups,
       region,
       regionOf,
+      metrics: this.metrics,
       log: this.loggers(LogPart.Routing),
     };
     await this.adapters.readinessDoor.listen(() => this.isReady);
+    await this.serveMetrics();
     await this.adapters.callerDoor.listen(
       database => new CallerSession(context, database),
     );
@@ -185,6 +190,18 @@
     log.info('The process started.', {name, zone: availabilityZone});
   }
 
+  private async serveMetrics(): Promise<void> {
+    setGatewayGauges(this.metrics, {
+      groups: this.groups,
+      configuration: this.configuration,
+      isReady: () => this.isReady,
+      isStoreReachable: () => this.follower.isStoreReachable,
+      sessions: () => this.adapters.callerDoor.openConnections,
+      members: () => this.members.names.length,
+    });
+    await this.adapters.metricsDoor?.listen(() => this.metrics.render());
+  }
+
   /** Stops without cutting off what callers have begun. */
   async stop(): Promise<void> {
     if (this.isStopping) return;
@@ -222,5 +239,6 @@
     await this.follower.stop(0);
     await within(this.member.stop(0), FAREWELL_TIMEOUT_MS);
     await this.adapters.readinessDoor.close();
+    await this.adapters.metricsDoor?.close();
   }
 }
--- a/packages/gateway/src/core/sessions/caller-session.ts
+++ b/packages/gateway/src/core/sessions/caller-session.ts
@@ -1,6 +1,7 @@
 import type {LogPosition} from '@sapphireglade/decisions';
 import {
   ErrorKind,
+  Outcome,
   SapphiregladeError,
   SessionValues,
   TransactionState,
@@ -72,12 +73,17 @@
   async handle(request: SessionRequest): Promise<SessionReply> {
     clearTimeout(this.idleTimer);
     this.isBusy = true;
+    const beganAtMs = steadyNow();
+    let outcome: Outcome = Outcome.Done;
     try {
       return await this.serve(request);
     } catch (error) {
-      return this.failed(request, error);
+      const known = toProductError(error);
+      outcome = known.outcome;
+      return this.failed(request, known);
     } finally {
       this.isBusy = false;
+      this.count(request, outcome, steadyNow() - beganAtMs);
       if (this.isEnded) this.endTransaction(TransactionState.Idle);
       this.watchIdle();
     }
@@ -288,8 +294,13 @@
   }
 
   /** Answers a request that failed; an open transaction fails with it. */
-  private failed(request: SessionRequest, error: unknown): SessionReply {
-    const known = toProductError(error);
+  private failed(
+    request: SessionRequest,
+    known: SapphiregladeError,
+  ): SessionReply {
+    this.context.metrics.increment('sapphireglade_errors_total', {
+      kind: known.kind,
+    });
     const isOpen = this.state === TransactionState.Open;
     if (isOpen) this.endTransaction(TransactionState.Failed);
     const log = this.context.log;
@@ -315,6 +326,21 @@
     };
   }
 
+  private count(
+    {statement}: SessionRequest,
+    outcome: Outcome,
+    tookMs: number,
+  ): void {
+    const {metrics} = this.context;
+    const labels = {statement: statement?.kind ?? 'none'};
+    metrics.increment('sapphireglade_requests_total', {...labels, outcome});
+    metrics.recordDuration(
+      'sapphireglade_request_duration_seconds',
+      tookMs,
+      labels,
+    );
+  }
+
   private endTransaction(state: TransactionState): void {
     this.transaction?.rollBack();
     this.transaction = undefined;
--- a/packages/gateway/src/core/sessions/session-context.ts
+++ b/packages/gateway/src/core/sessions/session-context.ts
@@ -1,5 +1,6 @@
 import type {Logger} from '@sapphireglade/runtime';
 import type {ConfigurationHolder} from '../configuration/index.js';
+import type {GatewayMetrics} from '../metrics/index.js';
 import type {GroupRegistry} from '../groups/index.js';
 
 /** What every session of a process shares. */
@@ -10,5 +11,6 @@
   readonly region: string;
   /** Finds the region of an availability zone. */
   readonly regionOf: (zone: string) => string;
+  readonly metrics: GatewayMetrics;
   readonly log: Logger;
 }
--- a/packages/gateway/src/core/sessions/statement-executor.ts
+++ b/packages/gateway/src/core/sessions/statement-executor.ts
@@ -250,6 +250,9 @@
     target: ReadTarget,
     error: SapphiregladeError,
   ): void {
+    this.context.metrics.increment('sapphireglade_retries_total', {
+      kind: error.kind,
+    });
     this.context.log.info('An instance did not serve a statement.', {
       request: request.statement.requestId,
       instance: target.member.instance.id,
--- a/packages/gateway/src/core/settings/settings-schema.ts
+++ b/packages/gateway/src/core/settings/settings-schema.ts
@@ -18,6 +18,8 @@
     callers: address,
     /** For the balancer's questions. */
     readiness: address,
+    /** For metrics; they are not served if it is left out. */
+    metrics: address.optional(),
   }),
   /** The platform's store. */
   store: z.strictObject({address}),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,6 +5,7 @@
 export * from './core/doors/index.js';
 export * from './core/groups/index.js';
 export * from './core/membership/index.js';
+export * from './core/metrics/index.js';
 export * from './core/pool/index.js';
 export * from './core/primary-watch/index.js';
 export * from './core/process/index.js';
--- a/packages/gateway/test/support/memory-fleet.ts
+++ b/packages/gateway/test/support/memory-fleet.ts
@@ -155,6 +155,7 @@
       promotions,
       callerDoor: door,
       readinessDoor: readiness,
+      metricsDoor: undefined,
       watchedPrefix: '',
       sections: (configuration, directory) => [
         new FixedSection(() => {
--- a/packages/proxy/src/core/gauges/process-gauges.ts
+++ b/packages/proxy/src/core/gauges/process-gauges.ts
@@ -1,6 +1,6 @@
 import {EventStream} from '@sapphireglade/decisions';
 import type {ProxyContext} from '../context/index.js';
-import type {GaugeReading} from '../metrics/index.js';
+import type {GaugeReading} from '@sapphireglade/runtime';
 
 /** Labels of a gauge that has none. */
 type NoLabels = Readonly<Record<never, string>>;
--- a/packages/proxy/src/core/metrics/catalogue.ts
+++ b/packages/proxy/src/core/metrics/catalogue.ts
@@ -1,28 +1,5 @@
-/** How a metric is shown in the Prometheus text format. */
-export const MetricType = {
-  Counter: 'counter',
-  Gauge: 'gauge',
-  /** Quantiles of durations in seconds. */
-  Summary: 'summary',
-} as const;
-
-/** One of the types. */
-export type MetricType = (typeof MetricType)[keyof typeof MetricType];
-
-/** One metric of the closed catalogue. */
-export interface MetricDefinition<Label extends string = string> {
-  readonly type: MetricType;
-  /** What it counts, as one sentence. */
-  readonly help: string;
-  /** Its labels, in the order in which they are written. */
-  readonly labels: readonly Label[];
-}
-
-/** A value for each label of a metric. */
-export type LabelsOf<Definition> =
-  Definition extends MetricDefinition<infer Label>
-    ? Readonly<Record<Label, string>>
-    : never;
+import type {LabelsOf} from '@sapphireglade/runtime';
+import {counter, gauge, summary} from '@sapphireglade/runtime';
 
 /** The closed catalogue of counters. */
 export const COUNTERS = {
@@ -136,24 +113,3 @@
 export type GaugeLabels<Name extends GaugeName> = LabelsOf<
   (typeof GAUGES)[Name]
 >;
-
-function counter<const Label extends string = never>(
-  help: string,
-  labels: readonly Label[] = [],
-): MetricDefinition<Label> {
-  return {type: MetricType.Counter, help, labels};
-}
-
-function summary<const Label extends string = never>(
-  help: string,
-  labels: readonly Label[] = [],
-): MetricDefinition<Label> {
-  return {type: MetricType.Summary, help, labels};
-}
-
-function gauge<const Label extends string = never>(
-  help: string,
-  labels: readonly Label[] = [],
-): MetricDefinition<Label> {
-  return {type: MetricType.Gauge, help, labels};
-}
--- a/packages/proxy/src/core/metrics/index.ts
+++ b/packages/proxy/src/core/metrics/index.ts
@@ -3,5 +3,3 @@
 export * from './failover-gaps.js';
 export * from './metrics-registry.js';
 export * from './metrics-routes.js';
-export * from './prometheus-text.js';
-export * from './windowed-histogram.js';
--- a/packages/proxy/src/core/metrics/metrics-routes.ts
+++ b/packages/proxy/src/core/metrics/metrics-routes.ts
@@ -1,6 +1,6 @@
 import type {FastifyInstance} from 'fastify';
 import type {MetricsRegistry} from './metrics-registry.js';
-import {PROMETHEUS_MEDIA_TYPE} from './prometheus-text.js';
+import {PROMETHEUS_MEDIA_TYPE} from '@sapphireglade/runtime';
 
 /**
  * Adds `GET /metrics` in the Prometheus text format.
--- /dev/null
+++ b/packages/runtime/src/core/metrics/definitions.ts
@@ -0,0 +1,49 @@
+/** How a metric is shown in the Prometheus text format. */
+export const MetricType = {
+  Counter: 'counter',
+  Gauge: 'gauge',
+  /** Quantiles of durations in seconds. */
+  Summary: 'summary',
+} as const;
+
+/** One of the types. */
+export type MetricType = (typeof MetricType)[keyof typeof MetricType];
+
+/** One metric of the closed catalogue. */
+export interface MetricDefinition<Label extends string = string> {
+  readonly type: MetricType;
+  /** What it counts, as one sentence. */
+  readonly help: string;
+  /** Its labels, in the order in which they are written. */
+  readonly labels: readonly Label[];
+}
+
+/** A value for each label of a metric. */
+export type LabelsOf<Definition> =
+  Definition extends MetricDefinition<infer Label>
+    ? Readonly<Record<Label, string>>
+    : never;
+
+/** Defines a counter. */
+export function counter<const Label extends string = never>(
+  help: string,
+  labels: readonly Label[] = [],
+): MetricDefinition<Label> {
+  return {type: MetricType.Counter, help, labels};
+}
+
+/** Defines a summary of durations. */
+export function summary<const Label extends string = never>(
+  help: string,
+  labels: readonly Label[] = [],
+): MetricDefinition<Label> {
+  return {type: MetricType.Summary, help, labels};
+}
+
+/** Defines a gauge. */
+export function gauge<const Label extends string = never>(
+  help: string,
+  labels: readonly Label[] = [],
+): MetricDefinition<Label> {
+  return {type: MetricType.Gauge, help, labels};
+}
--- /dev/null
+++ b/packages/runtime/src/core/metrics/metrics-registry.ts
@@ -0,0 +1,223 @@
+import type {LabelsOf, MetricDefinition} from './definitions.js';
+import type {MetricLabels} from './prometheus-text.js';
+import {
+  familyHeader,
+  formatLabels,
+  sample,
+  seriesKey,
+} from './prometheus-text.js';
+import {WindowedHistogram} from './windowed-histogram.js';
+
+/** Most label sets of one metric; further ones are not counted. */
+const MAXIMUM_SERIES = 5_000;
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Quantiles of each summary. */
+const QUANTILES = [0.5, 0.95, 0.99, 1] as const;
+
+/** One value of a gauge. */
+export interface GaugeReading<Labels extends MetricLabels = MetricLabels> {
+  readonly labels: Labels;
+  readonly value: number;
+}
+
+/** Series of one metric by the values of their labels. */
+type SeriesMap<Value> = Map<string, Value>;
+
+/** Definitions of metrics by name. */
+export type MetricDefinitions = Readonly<Record<string, MetricDefinition>>;
+
+/** The closed catalogue of a program's metrics. */
+export interface MetricCatalogue<Counters, Durations, Gauges> {
+  readonly counters: Counters;
+  readonly durations: Durations;
+  readonly gauges: Gauges;
+  /** Counts values that had no room for another label set. */
+  readonly droppedCounter: keyof Counters & string;
+}
+
+/** The counters, durations and gauges of a process. */
+export class TypedMetricsRegistry<
+  Counters extends MetricDefinitions,
+  Durations extends MetricDefinitions,
+  Gauges extends MetricDefinitions,
+> {
+  private readonly counters = new Map<string, SeriesMap<number>>();
+  private readonly durations = new Map<string, SeriesMap<WindowedHistogram>>();
+  private readonly gauges = new Map<string, () => readonly GaugeReading[]>();
+
+  /**
+   * @param catalogue - The metrics that there are.
+   * @param now - Monotonic time, in milliseconds.
+   */
+  constructor(
+    private readonly catalogue: MetricCatalogue<Counters, Durations, Gauges>,
+    private readonly now: () => number = () => performance.now(),
+  ) {}
+
+  /**
+   * Adds to a counter.
+   *
+   * @param name - Name from the catalogue.
+   * @param labels - Labels of the series.
+   * @param amount - What to add.
+   */
+  increment<Name extends keyof Counters & string>(
+    name: Name,
+    labels: LabelsOf<Counters[Name]>,
+    amount = 1,
+  ): void {
+    const series = seriesOf(this.counters, name);
+    const key = seriesKey(this.counterOf(name).labels, labels);
+    const value = series.get(key);
+    if (value === undefined && this.isFull(series)) return;
+    series.set(key, (value ?? 0) + amount);
+  }
+
+  /**
+   * Records a duration.
+   *
+   * @param name - Name from the catalogue.
+   * @param durationMs - The duration, in milliseconds.
+   * @param labels - Labels of the series.
+   */
+  recordDuration<Name extends keyof Durations & string>(
+    name: Name,
+    durationMs: number,
+    labels: LabelsOf<Durations[Name]>,
+  ): void {
+    const series = seriesOf(this.durations, name);
+    const key = seriesKey(this.durationOf(name).labels, labels);
+    const nowMs = this.now();
+    let histogram = series.get(key);
+    if (histogram === undefined) {
+      if (this.isFull(series)) return;
+      histogram = new WindowedHistogram(nowMs);
+      series.set(key, histogram);
+    }
+    histogram.record(durationMs, nowMs);
+  }
+
+  /**
+   * Sets how a gauge is read when metrics are asked for.
+   *
+   * @param name - Name from the catalogue.
+   * @param read - Gives the present values.
+   */
+  setGauge<Name extends keyof Gauges & string>(
+    name: Name,
+    read: () => ReadonlyArray<GaugeReading<LabelsOf<Gauges[Name]>>>,
+  ): void {
+    this.gauges.set(name, read);
+  }
+
+  /** The value of a counter. */
+  counter<Name extends keyof Counters & string>(
+    name: Name,
+    labels: LabelsOf<Counters[Name]>,
+  ): number {
+    const key = seriesKey(this.counterOf(name).labels, labels);
+    return this.counters.get(name)?.get(key) ?? 0;
+  }
+
+  /** Everything in the Prometheus text format, version 0.0.4. */
+  render(): string {
+    const lines = [
+      ...this.renderCounters(),
+      ...this.renderDurations(),
+      ...this.renderGauges(),
+    ];
+    return lines.join('\n') + '\n';
+  }
+
+  private renderCounters(): string[] {
+    return [...this.counters].flatMap(([name, series]) => [
+      ...familyHeader(name, this.counterOf(name)),
+      ...[...series].map(([key, value]) =>
+        sample(name, formatLabels(this.counterOf(name).labels, key), value),
+      ),
+    ]);
+  }
+
+  private renderDurations(): string[] {
+    return [...this.durations].flatMap(([name, series]) => [
+      ...familyHeader(name, this.durationOf(name)),
+      ...[...series].flatMap(([key, histogram]) =>
+        this.renderHistogram(name, key, histogram),
+      ),
+    ]);
+  }
+
+  private renderHistogram(
+    name: string,
+    key: string,
+    histogram: WindowedHistogram,
+  ): string[] {
+    const labels = formatLabels(this.durationOf(name).labels, key);
+    const values = histogram.quantilesMs(QUANTILES, this.now());
+    const quantiles = QUANTILES.map((quantile, index) => {
+      const all = [labels, `quantile="${quantile}"`].filter(Boolean).join(',');
+      return sample(name, all, values[index]! / MILLISECONDS_PER_SECOND);
+    });
+    const sumSeconds = histogram.sumMs / MILLISECONDS_PER_SECOND;
+    return [
+      ...quantiles,
+      sample(`${name}_sum`, labels, sumSeconds),
+      sample(`${name}_count`, labels, histogram.count),
+    ];
+  }
+
+  private renderGauges(): string[] {
+    return [...this.gauges].flatMap(([name, read]) => {
+      const definition: MetricDefinition = this.gaugeOf(name);
+      const names = definition.labels;
+      const samples = read().map(({labels, value}) =>
+        sample(name, formatLabels(names, seriesKey(names, labels)), value),
+      );
+      return [...familyHeader(name, definition), ...samples];
+    });
+  }
+
+  private counterOf(name: string): MetricDefinition {
+    return definitionOf(this.catalogue.counters, name);
+  }
+
+  private durationOf(name: string): MetricDefinition {
+    return definitionOf(this.catalogue.durations, name);
+  }
+
+  private gaugeOf(name: string): MetricDefinition {
+    return definitionOf(this.catalogue.gauges, name);
+  }
+
+  /** Says whether a metric takes no further label set, and counts that. */
+  private isFull(series: ReadonlyMap<string, unknown>): boolean {
+    if (series.size < MAXIMUM_SERIES) return false;
+    const dropped = seriesOf(this.counters, this.catalogue.droppedCounter);
+    dropped.set('', (dropped.get('') ?? 0) + 1);
+    return true;
+  }
+}
+
+/** The series of a metric, made where it has none yet. */
+function seriesOf<Name, Value>(
+  families: Map<Name, SeriesMap<Value>>,
+  name: Name,
+): SeriesMap<Value> {
+  const known = families.get(name);
+  if (known !== undefined) return known;
+  const created: SeriesMap<Value> = new Map();
+  families.set(name, created);
+  return created;
+}
+
+/** Looks a metric up. */
+function definitionOf(
+  definitions: MetricDefinitions,
+  name: string,
+): MetricDefinition {
+  const definition = definitions[name];
+  if (definition === undefined) throw new Error(`No metric is called ${name}.`);
+  return definition;
+}
--- a/packages/proxy/src/core/metrics/prometheus-text.ts
+++ b/packages/runtime/src/core/metrics/prometheus-text.ts
@@ -1,4 +1,4 @@
-import type {MetricDefinition} from './catalogue.js';
+import type {MetricDefinition} from './definitions.js';
 
 /** Labels of a series, by name. */
 export type MetricLabels = Readonly<Record<string, string>>;
--- a/scripts/bundle-platform.js
+++ b/scripts/bundle-platform.js
@@ -9,6 +9,21 @@
 
 const PACKAGES = ['decisions', 'runtime', 'gateway'];
 
+/** Leaves the WebAssembly build of histograms out, which nothing uses. */
+const WITHOUT_WEB_ASSEMBLY = {
+  name: 'without-web-assembly',
+  setup(bundler) {
+    bundler.onResolve({filter: /^\.\/wasm$/}, ({importer}) =>
+      importer.includes('hdr-histogram-js')
+        ? {path: 'wasm', namespace: 'left-out'}
+        : undefined,
+    );
+    bundler.onLoad({filter: /.*/, namespace: 'left-out'}, () => ({
+      contents: 'export const WasmHistogram = undefined;',
+    }));
+  },
+};
+
 await build({
   absWorkingDir: ROOT,
   entryPoints: ['platform/src/main.ts'],
@@ -32,6 +47,9 @@
     // Only its ES modules let the bundler leave out what is not used.
     rxjs: './node_modules/rxjs/dist/esm/index.js',
     consola: './node_modules/consola/dist/core.mjs',
+    'hdr-histogram-js':
+      './node_modules/hdr-histogram-js/dist/HistogramBuilder.js',
   },
+  plugins: [WITHOUT_WEB_ASSEMBLY],
   logLevel: 'warning',
 });
