Wait for a connection for most of the latency objective

Cause: after a restart of all proxies the few free connections are in demand; waiting only 0.4 of the objective refused requests that could have been served. Change: 0.8 of the objective.

--- a/packages/gateway/src/core/sessions/caller-session.ts
+++ b/packages/gateway/src/core/sessions/caller-session.ts
@@ -24,7 +24,7 @@
  * Part of the latency objective for which a statement may wait for a
  * connection; past it another proxy is the better choice for its caller.
  */
-const QUEUE_PART = 0.4;
+const QUEUE_PART = 0.8;
 
 /**
  * One caller's session, for as long as its connection is open.
