Suspect a primary for commits that none answers, not for one lost answer

Ruled out: silence of the instance; other connections were answered throughout. Change: a stall counts from the last acknowledged commit; an instance that owes every answer is tried by a new connection first. A proxy that stands in the list of those that may be running acts on views at once after a restart.

--- a/packages/gateway/src/core/membership/known-proxies.ts
+++ b/packages/gateway/src/core/membership/known-proxies.ts
@@ -23,6 +23,11 @@
     return [...this.present];
   }
 
+  /** Whether a proxy of this name may be running, by what the store says. */
+  has(name: string): boolean {
+    return this.present.has(name);
+  }
+
   override replace(items: readonly StoredItem[]): void {
     this.present.clear();
     for (const item of items) this.written(item);
--- a/packages/gateway/src/core/pool/instance-pool.ts
+++ b/packages/gateway/src/core/pool/instance-pool.ts
@@ -1,10 +1,8 @@
 import type {SapphiregladeError} from '@sapphireglade/decisions';
 import {
   DispatchQueue,
-  ErrorKind,
   HoldingTime,
   planSynchronization,
-  SapphiregladeError as ProductError,
   synchronizationCost,
   TransactionState,
 } from '@sapphireglade/decisions';
@@ -12,11 +10,18 @@
 import {Subject} from 'rxjs';
 import {steadyNow} from '../time/index.js';
 import type {
+  InstanceCommand,
   InstanceConnector,
   InstanceEndpoint,
   InstanceReply,
 } from '../upstream/index.js';
-import {OpeningPace, REOPEN_PAUSE_MS} from './opening-pace.js';
+import {
+  isAcknowledgedCommit,
+  silentSince,
+  stalledSince,
+} from './answer-times.js';
+import {OpeningPace} from './opening-pace.js';
+import {cameTooLate, notConnected, queueIsFull} from './pool-errors.js';
 import {PooledConnection} from './pooled-connection.js';
 import type {
   ConnectionRequest,
@@ -39,6 +44,9 @@
 /** How long an instance may owe every answer before requests no longer wait for it, in milliseconds; longer than a full queue of it takes. */
 const SILENT_LIMIT_MS = 500;
 
+/** How long an instance may owe every answer before a new connection tries it, in milliseconds; one answer may be lost alone. */
+const PROBE_AFTER_MS = 200;
+
 /** Round trip that is assumed before the first answer, in milliseconds. */
 const INITIAL_ROUND_TRIP_MS = 20;
 
@@ -63,6 +71,7 @@
   private readonly shown = new Subject<ShownPosition>();
   private opening = 0;
   private share = 0;
+  private lastCommitMs = -Infinity;
   private roundTrip = INITIAL_ROUND_TRIP_MS;
   private unreachable: number | undefined;
   private readonly pace = new OpeningPace();
@@ -116,18 +125,12 @@
 
   /** Since when the instance owes an answer and has been silent. */
   get silentSinceMs(): number | undefined {
-    const sinceMs = this.stalledSinceMs;
-    if (sinceMs === undefined) return undefined;
-    const answersMs = [...this.open].map(each => each.lastAnsweredAtMs);
-    return Math.max(sinceMs, ...answersMs);
+    return silentSince([...this.open]);
   }
 
-  /** Since when a command has been waiting for its answer, if one has. */
+  /** Since when commits have been sent and none has been acknowledged. */
   get stalledSinceMs(): number | undefined {
-    const waiting = [...this.open].flatMap(
-      ({waitingSinceMs}) => waitingSinceMs ?? [],
-    );
-    return waiting.length === 0 ? undefined : Math.min(...waiting);
+    return stalledSince([...this.open], this.lastCommitMs);
   }
 
   /** Sets how many connections may be open; more than that are closed. */
@@ -152,9 +155,10 @@
     const isCold =
       this.isKeptWarm && this.open.size + this.opening < WARM_CONNECTIONS;
     if (isCold && this.mayOpen(nowMs)) this.openConnection();
-    if (this.queue.length > this.opening && this.mayOpen(nowMs)) {
-      this.openConnection();
-    }
+    const needsMore =
+      this.queue.length > this.opening ||
+      (this.opening === 0 && this.owes(PROBE_AFTER_MS, nowMs));
+    if (needsMore && this.mayOpen(nowMs)) this.openConnection();
     const unused = this.idle[0];
     const isUnused =
       unused !== undefined && nowMs - unused.releasedAtMs > UNUSED_LIMIT_MS;
@@ -175,7 +179,7 @@
     const ready = this.takeIdle(request.values);
     if (ready !== undefined) return Promise.resolve(ready);
     if (this.isEnded) return Promise.reject(this.noConnection('it has left'));
-    if (this.isSilent(nowMs)) {
+    if (this.owes(SILENT_LIMIT_MS, nowMs)) {
       return Promise.reject(this.noConnection('it does not answer'));
     }
     if (this.mayOpen(nowMs)) this.openConnection();
@@ -186,13 +190,7 @@
       const waiting = {...request, resolve, reject};
       const refusal = this.queue.offer(waiting, this.supply, nowMs);
       if (refusal === undefined) return;
-      reject(
-        new ProductError(
-          ErrorKind.Overloaded,
-          `Instance ${this.endpoint.id} has ${this.queue.length} requests waiting.`,
-          {retryAfterMs: Math.ceil(refusal.retryAfterMs)},
-        ),
-      );
+      reject(queueIsFull(this.endpoint, this.queue.length, refusal));
     });
   }
 
@@ -226,13 +224,7 @@
   /** Refuses what has waited past its deadline. */
   refuseLate(): void {
     for (const late of this.queue.removeLate(steadyNow())) {
-      late.reject(
-        new ProductError(
-          ErrorKind.DeadlineUnreachable,
-          `No connection to instance ${this.endpoint.id} came free in time.`,
-          {retryAfterMs: Math.ceil(this.holdingMs)},
-        ),
-      );
+      late.reject(cameTooLate(this.endpoint, this.holdingMs));
     }
   }
 
@@ -257,10 +249,10 @@
     };
   }
 
-  /** Whether the instance owes an answer for so long that waiting is of no use. */
-  private isSilent(nowMs: number): boolean {
+  /** Whether the instance has owed every answer for a time, in milliseconds. */
+  private owes(limitMs: number, nowMs: number): boolean {
     const sinceMs = this.silentSinceMs;
-    return sinceMs !== undefined && nowMs - sinceMs > SILENT_LIMIT_MS;
+    return sinceMs !== undefined && nowMs - sinceMs > limitMs;
   }
 
   /** Whether a connection is open, or will probably open. */
@@ -316,8 +308,8 @@
         this.endpoint,
         OPEN_TIMEOUT_MS,
       );
-      const pooled = new PooledConnection(connection, (reply, atMs) =>
-        this.learn(reply, atMs),
+      const pooled = new PooledConnection(connection, (reply, atMs, command) =>
+        this.answered(reply, atMs, command),
       );
       connection.onClosed(reason => this.lost(pooled, reason));
       this.opened(pooled, connection.greeting, sentAtMs);
@@ -365,6 +357,15 @@
     }
   }
 
+  private answered(
+    reply: InstanceReply,
+    sentAtMs: number,
+    command: InstanceCommand,
+  ): void {
+    if (isAcknowledgedCommit(command, reply)) this.lastCommitMs = steadyNow();
+    this.learn(reply, sentAtMs);
+  }
+
   private learn(reply: InstanceReply, sentAtMs: number): void {
     const tookMs = steadyNow() - sentAtMs;
     if (tookMs < this.roundTrip) this.roundTrip = tookMs;
@@ -388,11 +389,7 @@
   }
 
   private noConnection(reason: string): Error {
-    return new ProductError(
-      ErrorKind.NoConnection,
-      `There is no connection to instance ${this.endpoint.id}: ${reason}.`,
-      {retryAfterMs: REOPEN_PAUSE_MS},
-    );
+    return notConnected(this.endpoint, reason);
   }
 
   private get fields(): Record<string, string> {
--- /dev/null
+++ b/packages/gateway/src/core/pool/pool-errors.ts
@@ -0,0 +1,41 @@
+import type {QueueRefusal} from '@sapphireglade/decisions';
+import {ErrorKind, SapphiregladeError} from '@sapphireglade/decisions';
+import type {InstanceEndpoint} from '../upstream/index.js';
+import {REOPEN_PAUSE_MS} from './opening-pace.js';
+
+/** The error for a request that could not have been served in time. */
+export function queueIsFull(
+  {id}: InstanceEndpoint,
+  waiting: number,
+  {retryAfterMs}: QueueRefusal,
+): SapphiregladeError {
+  return new SapphiregladeError(
+    ErrorKind.Overloaded,
+    `Instance ${id} has ${waiting} requests waiting.`,
+    {retryAfterMs: Math.ceil(retryAfterMs)},
+  );
+}
+
+/** The error for a request that waited past its deadline. */
+export function cameTooLate(
+  {id}: InstanceEndpoint,
+  holdingMs: number,
+): SapphiregladeError {
+  return new SapphiregladeError(
+    ErrorKind.DeadlineUnreachable,
+    `No connection to instance ${id} came free in time.`,
+    {retryAfterMs: Math.ceil(holdingMs)},
+  );
+}
+
+/** The error for a request to an instance that cannot be reached. */
+export function notConnected(
+  {id}: InstanceEndpoint,
+  reason: string,
+): SapphiregladeError {
+  return new SapphiregladeError(
+    ErrorKind.NoConnection,
+    `There is no connection to instance ${id}: ${reason}.`,
+    {retryAfterMs: REOPEN_PAUSE_MS},
+  );
+}
--- a/packages/gateway/src/core/pool/pooled-connection.ts
+++ b/packages/gateway/src/core/pool/pooled-connection.ts
@@ -18,6 +18,12 @@
   command: InstanceCommand,
 ) => void;
 
+/** A command that has not been answered. */
+interface OutstandingCommand {
+  readonly sentAtMs: number;
+  readonly awaitsReplica: boolean;
+}
+
 /** A connection of a pool, and what it holds of sessions. */
 export class PooledConnection implements ConnectionContents {
   /** Values that are set on the connection. */
@@ -31,7 +37,7 @@
   /** When the connection opened, in milliseconds. */
   readonly openedAtMs = steadyNow();
   private transactionState: TransactionState = TransactionState.Idle;
-  private outstanding: number[] = [];
+  private readonly outstanding: OutstandingCommand[] = [];
   private lastAnswerMs = steadyNow();
 
   constructor(
@@ -56,14 +62,20 @@
 
   /** When the oldest unanswered command was sent, if any is. */
   get waitingSinceMs(): number | undefined {
-    return this.outstanding[0];
+    return this.outstanding[0]?.sentAtMs;
+  }
+
+  /** When the oldest unanswered commit was sent, if any is. */
+  get committingSinceMs(): number | undefined {
+    return this.outstanding.find(each => each.awaitsReplica)?.sentAtMs;
   }
 
   /** Sends a command and takes in what its answer says. */
   async run(command: InstanceCommand): Promise<InstanceReply> {
     if (!this.isOpen) throw new ConnectionLostError('it is closed', false);
     const sentAtMs = steadyNow();
-    this.outstanding.push(sentAtMs);
+    const awaitsReplica = 'awaitsReplica' in command && command.awaitsReplica;
+    this.outstanding.push({sentAtMs, awaitsReplica});
     const reply = await this.connection.run(command);
     this.outstanding.shift();
     this.lastAnswerMs = steadyNow();
--- a/packages/gateway/src/core/primary-watch/primary-watch-task.ts
+++ b/packages/gateway/src/core/primary-watch/primary-watch-task.ts
@@ -118,7 +118,7 @@
   }
   if (isPast(silentSinceMs, nowMs, SILENT_LIMIT_MS)) return 'it is silent';
   if (isPast(stalledSinceMs, nowMs, SILENT_LIMIT_MS)) {
-    return 'a statement is not answered';
+    return 'no commit is acknowledged';
   }
   return undefined;
 }
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -112,7 +112,8 @@
       log: loggers(LogPart.Store),
       // Nobody waits for the views of a proxy that is not known yet.
       onConfirmed: sentAt => {
-        if (this.member.isRegistered) this.groups.confirmAll(sentAt);
+        const isKnown = this.member.isRegistered || knownProxies.has(name);
+        if (isKnown) this.groups.confirmAll(sentAt);
       },
     });
     this.coordinator = new CoordinatorTask({
--- a/packages/gateway/src/core/sessions/caller-session.ts
+++ b/packages/gateway/src/core/sessions/caller-session.ts
@@ -115,6 +115,7 @@
         return this.run({
           requestId,
           isRead: statement.kind === StatementKind.Read,
+          awaitsReplica: this.commits(statement.kind === StatementKind.Write),
           text: statement.text,
           prepared: undefined,
           parameters: '',
@@ -159,6 +160,7 @@
       this.executionOf(transaction.route, {
         requestId,
         isRead: true,
+        awaitsReplica: transaction.hasWritten,
         text,
         prepared: undefined,
         parameters: '',
@@ -185,6 +187,7 @@
     return this.run({
       requestId,
       isRead: prepared.kind === 'read',
+      awaitsReplica: this.commits(prepared.kind === 'write'),
       text: undefined,
       prepared,
       parameters,
@@ -206,6 +209,11 @@
     return this.answer(reply);
   }
 
+  /** A write outside of a transaction commits at once. */
+  private commits(isWrite: boolean): boolean {
+    return isWrite && this.transaction === undefined;
+  }
+
   private change(
     statement: Extract<
       Statement,
--- a/packages/gateway/src/core/sessions/runnable-statement.ts
+++ b/packages/gateway/src/core/sessions/runnable-statement.ts
@@ -12,6 +12,8 @@
 export interface RunnableStatement {
   readonly requestId: string;
   readonly isRead: boolean;
+  /** Whether it commits a write, whose answer waits for a replica. */
+  readonly awaitsReplica: boolean;
   /** The text, for a statement that is not prepared. */
   readonly text: string | undefined;
   /** The prepared statement, otherwise. */
@@ -45,11 +47,13 @@
   statement: RunnableStatement,
   atLeast: LogPosition | undefined,
 ): InstanceCommand {
-  const {requestId, prepared, parameters} = statement;
+  const {requestId, prepared, parameters, awaitsReplica} = statement;
   if (prepared !== undefined) {
     const name = upstreamNameOf(prepared);
-    return {kind: CommandKind.Execute, requestId, name, parameters, atLeast};
+    const kind = CommandKind.Execute;
+    return {kind, requestId, name, parameters, awaitsReplica, atLeast};
   }
   const text = statement.text ?? '';
-  return {kind: CommandKind.Statement, requestId, text, atLeast};
+  const kind = CommandKind.Statement;
+  return {kind, requestId, text, awaitsReplica, atLeast};
 }
--- a/packages/gateway/src/core/upstream/types.ts
+++ b/packages/gateway/src/core/upstream/types.ts
@@ -50,6 +50,8 @@
       readonly kind: typeof CommandKind.Statement;
       readonly requestId: string;
       readonly text: string;
+      /** Whether the answer waits until a replica has a commit. */
+      readonly awaitsReplica: boolean;
       /** Position that the instance must have, for a read. */
       readonly atLeast?: LogPosition | undefined;
     }
@@ -60,6 +62,8 @@
       readonly name: string;
       /** Parameters, as the caller sent them. */
       readonly parameters: string;
+      /** Whether the answer waits until a replica has a commit. */
+      readonly awaitsReplica: boolean;
       /** Position that the instance must have, for a read. */
       readonly atLeast?: LogPosition | undefined;
     }
