--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,15 @@
 import tsdoc from 'eslint-plugin-tsdoc';
 
 export default [
-  {ignores: ['**/dist/**', '**/node_modules/**', 'measurements/**', 'journal/**', 'target/**']},
+  {
+    ignores: [
+      '**/dist/**',
+      '**/node_modules/**',
+      'measurements/**',
+      'journal/**',
+      'target/**',
+    ],
+  },
   ...gts,
   {
     files: ['**/*.js'],
