Let only the steady clock shorten the wait for views

Cause: found by reading. The wait for proxies behind a partition took the clock that ran further, so that a time of day that jumps ahead on the coordinator would have ended it early; and after a failed order proxies that had answered before were not waited for again, although they may have found the instance of that order since. Change: the wait is measured by the steady clock, and is whole after a failed order. Views still run out by the clock that ran further.

--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -1,5 +1,4 @@
 import type {
-  ClockReading,
   LogPosition,
   ReplicationReport,
   PromotionCandidate,
@@ -60,8 +59,8 @@
   private readonly heldIncarnations = new Map<string, number | undefined>();
   private oldReport: ReplicationReport | undefined;
   private readonly beganAtMs = steadyNow();
-  /** When an instance was last held back. */
-  private heldAt: ClockReading = readClocks();
+  /** When an instance was last held back, in milliseconds of the steady clock. */
+  private heldAtMs = steadyNow();
   /** Promotions that were ordered without another instance leading. */
   private failedOrders = 0;
 
@@ -141,9 +140,12 @@
    * more once these were held; then its last proof has to run out.
    */
   private async awaitViews(known: KnownRecord): Promise<void> {
-    const sinceHeldMs = elapsedMs(this.heldAt, readClocks());
+    // Only the steady clock may shorten a wait; the time of day may jump ahead.
+    const sinceHeldMs = steadyNow() - this.heldAtMs;
     const remainingMs = VIEW_VALIDITY_MS + VALIDITY_MARGIN_MS - sinceHeldMs;
-    await this.awaitReleases(known, remainingMs);
+    // After a failed order any proxy may have found the instance of that order.
+    if (this.failedOrders > 0) await sleep(Math.max(0, remainingMs));
+    else await this.awaitReleases(known, remainingMs);
     this.log('The old primary is out of use everywhere.', {
       withoutAnswer: this.unreleased(known).join(' '),
     });
@@ -168,7 +170,7 @@
       kind: CommandKind.HoldTerm,
       term: this.nextTerm(known),
     });
-    if (reports.length > 0) this.heldAt = readClocks();
+    if (reports.length > 0) this.heldAtMs = steadyNow();
     for (const report of reports) {
       this.reports.set(report.id, report);
       const instance = missing.find(({id}) => id === report.id);
@@ -191,7 +193,7 @@
     });
     if (report === undefined) return;
     this.oldReport = report;
-    this.heldAt = readClocks();
+    this.heldAtMs = steadyNow();
   }
 
   /** Chooses and promotes until an instance leads. */
@@ -210,7 +212,7 @@
           continue;
         }
         if (await this.promote(choice.target, choice.position)) return;
-        await this.beginAgain();
+        this.beginAgain();
       } else {
         if (choice.reason !== shownReason) {
           shownReason = choice.reason;
@@ -228,10 +230,9 @@
    * proxies without the store may have found it: its term is passed over, and
    * their views of it have to run out.
    */
-  private async beginAgain(): Promise<void> {
+  private beginAgain(): void {
     this.failedOrders += 1;
     this.reports.clear();
-    await sleep(VIEW_VALIDITY_MS + VALIDITY_MARGIN_MS);
   }
 
   /** The lowest term that no earlier order of this change can have begun. */
