--- a/packages/gateway/test/support/memory-group.ts
+++ b/packages/gateway/test/support/memory-group.ts
@@ -7,10 +7,20 @@
 /** How long a promotion takes, in milliseconds. */
 const PROMOTION_MS = 60;
 
+/** How long a primary goes on after it can reach a newer one, in milliseconds. */
+const OLD_PRIMARY_MS = 1_000;
+
+/** A value that a write stores. */
+export interface Change {
+  readonly item: string;
+  readonly value: string;
+}
+
 /** One committed write. */
 export interface LogEntry {
   readonly position: LogPosition;
   readonly requestId: string;
+  readonly changes: readonly Change[];
 }
 
 /** One instance of a group in memory. */
@@ -20,6 +30,8 @@
   term = 1;
   heldTerm = 0;
   isDown = false;
+  /** Unix millisecond of its start. */
+  bornAtMs = 1;
 
   constructor(readonly id: string) {}
 
@@ -27,6 +39,13 @@
   get position(): LogPosition {
     return this.log.at(-1)?.position ?? {term: 1, position: 0};
   }
+
+  /** The newest value of an item in its log. */
+  read(item: string): string | undefined {
+    return this.log
+      .findLast(({changes}) => changes.some(change => change.item === item))
+      ?.changes.findLast(change => change.item === item)?.value;
+  }
 }
 
 /** A group of instances in memory, with what an observer of all knows. */
@@ -61,6 +80,25 @@
     this.cuts.add(`${left}|${right}`).add(`${right}|${left}`);
   }
 
+  /** Ends all cuts; a primary that was replaced meanwhile learns of it. */
+  heal(): void {
+    this.cuts.clear();
+    this.later(OLD_PRIMARY_MS, () => this.retireOldPrimaries());
+  }
+
+  /** Ends an instance; what it held of a higher term is forgotten. */
+  crash(instance: MemoryInstance): void {
+    instance.isDown = true;
+    instance.heldTerm = 0;
+  }
+
+  /** Starts an instance again, with its log and as a replica if one leads. */
+  restart(instance: MemoryInstance, nowMs: number): void {
+    instance.isDown = false;
+    instance.bornAtMs = nowMs;
+    this.later(0, () => this.retireOldPrimaries());
+  }
+
   /** Whether a party reaches an instance. */
   reaches(party: string, instance: MemoryInstance): boolean {
     return !instance.isDown && !this.cuts.has(`${party}|${instance.id}`);
@@ -74,6 +112,9 @@
   /**
    * Commits a write at an instance.
    *
+   * @param instance - The instance.
+   * @param requestId - Identifies the write.
+   * @param changes - What it stores.
    * @returns The entry once a replica has it, or nothing if it does not lead;
    *   no answer comes if it loses the lead meanwhile, because the entry may
    *   be kept or dropped.
@@ -81,12 +122,14 @@
   async commit(
     instance: MemoryInstance,
     requestId: string,
+    changes: readonly Change[] = [],
   ): Promise<LogEntry | undefined> {
     if (!instance.isPrimary) return undefined;
     const {position} = instance.position;
     const entry = {
       position: {term: instance.term, position: position + 1},
       requestId,
+      changes,
     };
     instance.log.push(entry);
     await this.replicate(instance);
@@ -119,13 +162,14 @@
             replica.heldTerm <= from.term &&
             replica.term <= from.term &&
             this.reaches(from.id, replica) &&
-            !from.isDown,
+            !from.isDown &&
+            from.isPrimary,
         );
         for (const replica of receivers) {
           replica.log = from.log.slice();
           replica.term = from.term;
         }
-        if (receivers.length > 0) resolve();
+        if (receivers.length > 0 || !from.isPrimary) resolve();
         else this.later(REPLICATION_DELAY_MS, tryAgain);
       };
       this.later(REPLICATION_DELAY_MS, tryAgain);
@@ -152,6 +196,24 @@
     }
   }
 
+  /** A primary that reaches one of a newer term follows it. */
+  private retireOldPrimaries(): void {
+    const leaders = this.instances.filter(
+      ({isPrimary, isDown}) => isPrimary && !isDown,
+    );
+    const newest = leaders.reduce<MemoryInstance | undefined>(
+      (best, each) =>
+        best === undefined || each.term > best.term ? each : best,
+      undefined,
+    );
+    if (newest === undefined) return;
+    for (const old of leaders) {
+      if (old === newest || !this.reaches(old.id, newest)) continue;
+      old.isPrimary = false;
+      old.log = newest.log.slice();
+    }
+  }
+
   private later(milliseconds: number, work: () => void): void {
     const timer = setTimeout(() => {
       this.timers.delete(timer);
--- a/packages/gateway/test/support/memory-store.ts
+++ b/packages/gateway/test/support/memory-store.ts
@@ -62,6 +62,18 @@
     return id;
   }
 
+  /**
+   * Renews a lease.
+   *
+   * @returns Whether it still ran.
+   */
+  renew(id: number): boolean {
+    const lease = this.leases.get(id);
+    if (lease === undefined) return false;
+    lease.endsAtMs = performance.now() + lease.ttlMs;
+    return true;
+  }
+
   /** Ends a lease and removes its keys. */
   endLease(id: number): void {
     this.leases.delete(id);
@@ -149,9 +161,7 @@
 
   override async renewLease(leaseId: number): Promise<boolean> {
     await this.cross();
-    const lease = this.state.leases.get(leaseId);
-    if (lease !== undefined) lease.endsAtMs = performance.now() + lease.ttlMs;
-    return this.answer(lease !== undefined);
+    return this.answer(this.state.renew(leaseId));
   }
 
   override async endLease(leaseId: number): Promise<void> {
--- a/packages/stand-ins/src/core/fleet/fleet-process.ts
+++ b/packages/stand-ins/src/core/fleet/fleet-process.ts
@@ -15,8 +15,8 @@
   readonly name: string;
   /** Path of the program, run by Node.js. */
   readonly program: string;
-  /** Arguments before `--settings FILE`. */
-  readonly command: string;
+  /** Command before `--settings FILE`; none if left out. */
+  readonly command?: string;
   /** Settings, written to a file in the fleet's folder. */
   readonly settings: unknown;
   /** Folder of the settings and logs. */
@@ -66,9 +66,10 @@
     writeFileSync(settingsFile, JSON.stringify(settings, null, 2));
     const log = openSync(this.logFile, 'a');
     const nodeOptions = this.specification.nodeOptions ?? [];
+    const commands = command === undefined ? [] : [command];
     const child = spawn(
       process.execPath,
-      [...nodeOptions, program, command, '--settings', settingsFile],
+      [...nodeOptions, program, ...commands, '--settings', settingsFile],
       {stdio: ['ignore', log, log]},
     );
     closeSync(log);
--- a/packages/stand-ins/src/core/fleet/fleet.ts
+++ b/packages/stand-ins/src/core/fleet/fleet.ts
@@ -19,12 +19,10 @@
 } from './fleet-settings.js';
 import {LoopbackNetwork} from './loopback-network.js';
 import {ProcessGuard} from './process-guard.js';
+import {STAND_INS_PROGRAM} from './programs.js';
 import {seedConfiguration} from './seed-configuration.js';
 import {waitUntil} from './wait-until.js';
 
-const STAND_INS_PROGRAM = fileURLToPath(
-  new URL('../../../../bin/stand-ins.js', import.meta.url),
-);
 const PROXY_PROGRAM = fileURLToPath(
   new URL('../../../../../proxy/bin/sapphireglade.js', import.meta.url),
 );
@@ -50,7 +48,7 @@
 export class Fleet {
   private readonly processes = new Map<string, FleetProcess>();
   private readonly clients: CallerClient[] = [];
-  private readonly guard = new ProcessGuard(STAND_INS_PROGRAM);
+  private readonly guard = new ProcessGuard();
 
   private constructor(
     readonly plan: FleetPlan,
--- a/packages/stand-ins/src/core/fleet/process-guard.ts
+++ b/packages/stand-ins/src/core/fleet/process-guard.ts
@@ -1,5 +1,6 @@
 import type {ChildProcess} from 'node:child_process';
 import {spawn} from 'node:child_process';
+import {STAND_INS_PROGRAM} from './programs.js';
 
 /**
  * Ends the processes of a fleet whatever happens to the launcher: a small
@@ -9,9 +10,9 @@
 export class ProcessGuard {
   private readonly child: ChildProcess;
 
-  /** @param program - Path of the command line of the stand-ins. */
-  constructor(program: string) {
-    this.child = spawn(process.execPath, [program, 'guard'], {
+  /** Starts the guard. */
+  constructor() {
+    this.child = spawn(process.execPath, [STAND_INS_PROGRAM, 'guard'], {
       stdio: ['pipe', 'ignore', 'ignore'],
       detached: true,
     });
--- /dev/null
+++ b/packages/stand-ins/src/core/fleet/programs.ts
@@ -0,0 +1,6 @@
+import {fileURLToPath} from 'node:url';
+
+/** Path of the command line of the stand-ins. */
+export const STAND_INS_PROGRAM = fileURLToPath(
+  new URL('../../../../bin/stand-ins.js', import.meta.url),
+);
--- a/packages/stand-ins/test/fleet.test.ts
+++ b/packages/stand-ins/test/fleet.test.ts
@@ -1,7 +1,6 @@
 import {spawn} from 'node:child_process';
 import {once} from 'node:events';
 import {describe, it} from 'node:test';
-import {fileURLToPath} from 'node:url';
 import {expect} from 'earl';
 import {
   deploymentSchema,
@@ -13,10 +12,6 @@
   waitUntil,
 } from '../src/index.js';
 
-const PROGRAM = fileURLToPath(
-  new URL('../../bin/stand-ins.js', import.meta.url),
-);
-
 /** How long a process may take to be ended, in milliseconds. */
 const END_TIMEOUT_MS = 60_000;
 
@@ -80,7 +75,7 @@
       'setInterval(() => undefined, 1000)',
     ]);
     const ended = once(child, 'exit');
-    const guard = new ProcessGuard(PROGRAM);
+    const guard = new ProcessGuard();
     guard.report(child.pid ?? 0, true);
     guard.close();
     await waitUntil(
