--- a/packages/decisions/src/core/connection-plan/share-holders.ts
+++ b/packages/decisions/src/core/connection-plan/share-holders.ts
@@ -1,6 +1,9 @@
 /** How long a proxy keeps its part after it was last listed, in milliseconds; instances drop dead peers after three seconds. */
 const KEEP_MS = 5_000;
 
+/** How long instances count the connections of dead peers, in milliseconds; the users' platform states three seconds. */
+const DROP_DEAD_MS = 3_000;
+
 /** Proxies that are assumed before the list has settled; enough for a share of one. */
 const ASSUMED_HOLDERS = 20;
 
@@ -9,7 +12,10 @@
  *
  * A proxy that leaves the list keeps its part for a while, because instances
  * may still count its connections. A process that has just started sees an
- * incomplete list, so it assumes others until the list has had time to fill.
+ * incomplete list, so it assumes many others. If it knows the proxies that ran
+ * before it started, it divides among those as soon as instances have dropped
+ * the connections of dead peers: after a loss of power all proxies start again
+ * at the same time, and one connection for each of them comes first.
  */
 export class ShareHolders {
   private readonly lastListedMs = new Map<string, number>();
@@ -20,9 +26,15 @@
    *
    * @param listed - Names of the proxies that are listed now.
    * @param nowMs - The time, in milliseconds of the process clock.
+   * @param earlier - Names of the proxies that ran before this process
+   *   started; empty if it has never run among them.
    * @returns Names of everyone whose part is kept.
    */
-  update(listed: readonly string[], nowMs: number): string[] {
+  update(
+    listed: readonly string[],
+    nowMs: number,
+    earlier: readonly string[] = [],
+  ): string[] {
     this.firstUpdateMs ??= nowMs;
     for (const name of listed) this.lastListedMs.set(name, nowMs);
     for (const [name, atMs] of this.lastListedMs) {
@@ -31,6 +43,9 @@
     const names = [...this.lastListedMs.keys()].sort();
     const isSettled = nowMs - this.firstUpdateMs > KEEP_MS;
     if (isSettled) return names;
+    const isCrowded = nowMs - this.firstUpdateMs <= DROP_DEAD_MS;
+    if (earlier.length > 0 && !isCrowded)
+      return [...new Set([...names, ...earlier])].sort();
     const missing = Math.max(0, ASSUMED_HOLDERS - names.length);
     const assumed = Array.from({length: missing}, (_, index) => `?${index}`);
     return [...names, ...assumed];
--- a/packages/decisions/src/core/primary-change/types.ts
+++ b/packages/decisions/src/core/primary-change/types.ts
@@ -24,6 +24,11 @@
    * time; nothing else may depend on it.
    */
   readonly isPlanned?: boolean | undefined;
+  /**
+   * Promotions that may have been ordered since the term began. Each may have
+   * begun a term, and the coordinator that ordered it may be gone.
+   */
+  readonly orders?: number | undefined;
   /** Instance that was chosen to lead next, once that is decided. */
   readonly target?: string | undefined;
   /**
--- a/packages/decisions/test/connection-plan/connection-share.test.ts
+++ b/packages/decisions/test/connection-plan/connection-share.test.ts
@@ -52,6 +52,20 @@
     expect(holders.update(['a', 'b'], 5_001)).toEqual(['a', 'b']);
   });
 
+  it('divides among the proxies of before while the list fills again', () => {
+    const holders = new ShareHolders();
+    const earlier = ['a', 'b', 'c'];
+    expect(holders.update(['a'], 0, earlier).length).toEqual(20);
+    expect(holders.update(['a'], 3_001, earlier)).toEqual(['a', 'b', 'c']);
+    expect(holders.update(['a', 'd'], 4_000, earlier)).toEqual([
+      'a',
+      'b',
+      'c',
+      'd',
+    ]);
+    expect(holders.update(['a', 'd'], 5_001, earlier)).toEqual(['a', 'd']);
+  });
+
   it('keeps the part of a proxy that left while its connections may count', () => {
     const holders = new ShareHolders();
     holders.update(['a', 'b'], 0);
--- a/packages/gateway/src/core/coordinator/change-context.ts
+++ b/packages/gateway/src/core/coordinator/change-context.ts
@@ -23,6 +23,8 @@
   readonly promotions: PromotionService;
   /** Revision at which this proxy became the coordinator; 0 if it is not. */
   readonly coordinatorRevision: () => number;
+  /** Changes of the proxies' own keys up to this revision are known. */
+  readonly followedRevision: () => number;
   readonly metrics: GatewayMetrics;
   readonly log: Logger;
 }
--- a/packages/gateway/src/core/coordinator/coordinator-task.ts
+++ b/packages/gateway/src/core/coordinator/coordinator-task.ts
@@ -5,7 +5,7 @@
 } from '@sapphireglade/decisions';
 import {TaskLifecycle} from '@sapphireglade/runtime';
 import type {DatabaseGroup} from '../groups/index.js';
-import type {MemberTask} from '../membership/index.js';
+import type {ViewLeaseTask} from '../membership/index.js';
 import {KNOWN_PREFIX} from '../membership/index.js';
 import {steadyNow} from '../time/index.js';
 import {CommandKind} from '../upstream/index.js';
@@ -28,7 +28,8 @@
 export interface CoordinatorTaskOptions {
   readonly context: Omit<ChangeContext, 'coordinatorRevision'>;
   readonly key: CoordinatorKey;
-  readonly member: MemberTask;
+  /** The coordinator's key lives under this lease. */
+  readonly lease: ViewLeaseTask;
   /** Identifies this start of this proxy. */
   readonly holder: string;
   /** Whether the store answers and everything in it is known. */
@@ -137,8 +138,8 @@
   }
 
   private async claim(): Promise<void> {
-    const {context, holder, member} = this.options;
-    const leaseId = member.leaseId;
+    const {context, holder, lease} = this.options;
+    const {leaseId} = lease;
     if (leaseId === undefined) return;
     this.isClaiming = true;
     try {
--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -7,16 +7,13 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {RegisteredInstance} from '../directory/index.js';
 import type {DatabaseGroup, KnownRecord} from '../groups/index.js';
-import {VIEW_VALIDITY_MS} from '../groups/index.js';
 import {readClocks, steadyNow} from '../time/index.js';
 import type {InstanceCommand} from '../upstream/index.js';
 import {CommandKind} from '../upstream/index.js';
 import type {ChangeContext} from './change-context.js';
 import {PromotionAnswer} from './promotion-service.js';
 import {writeRecord} from './record-writer.js';
-
-/** Added to the validity of views, for clocks that run at other speeds, in milliseconds. */
-const VALIDITY_MARGIN_MS = 100;
+import {ViewWithdrawal} from './view-withdrawal.js';
 
 /** Pause between two looks at something that is waited for, in milliseconds. */
 const POLL_MS = 25;
@@ -61,8 +58,9 @@
   private readonly beganAtMs = steadyNow();
   /** When an instance was last held back, in milliseconds of the steady clock. */
   private heldAtMs = steadyNow();
-  /** Promotions that were ordered without another instance leading. */
+  /** Promotions that may have been ordered without another instance leading. */
   private failedOrders = 0;
+  private withdrawal: ViewWithdrawal | undefined;
 
   constructor(
     private readonly context: ChangeContext,
@@ -77,30 +75,51 @@
    * @throws SapphiregladeError if the store does not answer.
    */
   async run(): Promise<void> {
-    const record = await this.announce();
-    if (await this.adoptExistingPrimary(record)) return;
-    if (this.reason === ChangeReason.Leaving) {
-      await this.awaitReleases(record, DRAIN_TIMEOUT_MS);
-      await this.stepDown(record);
-    } else {
-      await Promise.all([this.holdReplicas(record), this.stepDown(record)]);
-    }
-    await this.promoteOne(record);
-  }
-
-  /** Writes that the primary is out of use, unless that is written already. */
-  private async announce(): Promise<KnownRecord> {
     const known = this.group.record;
     if (known === undefined) throw new Error('The group has no record.');
     this.countStep('begun');
     this.log('A change of primary begins.', {reason: this.reason});
-    if (known.record.phase === PrimaryPhase.Changing) return known;
-    return writeRecord(this.context, this.group, {
-      term: known.record.term,
-      primary: known.record.primary,
-      phase: PrimaryPhase.Changing,
-      isPlanned: this.reason === ChangeReason.Leaving,
-    });
+    if (await this.adoptExistingPrimary(known)) return;
+    this.failedOrders = known.record.orders ?? 0;
+    try {
+      const announced = await this.announce(known);
+      if (this.reason === ChangeReason.Leaving) {
+        await this.awaitReleases(DRAIN_TIMEOUT_MS);
+        await this.stepDown(announced);
+      } else {
+        await Promise.all([
+          this.holdReplicas(announced),
+          this.stepDown(announced),
+        ]);
+      }
+      await this.promoteOne(announced);
+    } finally {
+      this.withdrawal?.stop();
+    }
+  }
+
+  /**
+   * Writes that the primary is out of use, and takes it out of use everywhere.
+   *
+   * It is written again although it stands there if an instance was ordered to
+   * lead: proxies may have found that instance, and have to let it go as well.
+   */
+  private async announce(old: KnownRecord): Promise<KnownRecord> {
+    const {term, primary, phase} = old.record;
+    const isWritten = phase === PrimaryPhase.Changing;
+    const known =
+      isWritten && this.failedOrders === 0
+        ? old
+        : await writeRecord(this.context, this.group, {
+            term,
+            primary,
+            phase: PrimaryPhase.Changing,
+            isPlanned: this.reason === ChangeReason.Leaving,
+            orders: this.failedOrders,
+          });
+    this.withdrawal?.stop();
+    this.withdrawal = new ViewWithdrawal(this.context, this.group.name, known);
+    return known;
   }
 
   /** An earlier coordinator may have promoted an instance already. */
@@ -117,49 +136,30 @@
     return true;
   }
 
-  /**
-   * Waits until every proxy that may be running has taken the record in.
-   *
-   * @param known - The record that takes the old primary out of use.
-   * @param limitMs - How long to wait at most, in milliseconds.
-   */
-  private async awaitReleases(
-    known: KnownRecord,
-    limitMs: number,
-  ): Promise<void> {
+  /** Waits for a while until every proxy has taken the record in. */
+  private async awaitReleases(limitMs: number): Promise<void> {
     const untilMs = steadyNow() + limitMs;
-    while (this.unreleased(known).length > 0 && steadyNow() < untilMs) {
+    while (this.silentProxies.length > 0 && steadyNow() < untilMs) {
       await sleep(POLL_MS);
     }
   }
 
-  /**
-   * Waits until no proxy can use the old primary any more.
-   *
-   * A proxy that has not taken the record in may be cut off from the store. It
-   * proves its view by the old primary and a replica, which it cannot do any
-   * more once these were held; then its last proof has to run out.
-   */
-  private async awaitViews(known: KnownRecord): Promise<void> {
-    // Only the steady clock may shorten a wait; the time of day may jump ahead.
-    const sinceHeldMs = steadyNow() - this.heldAtMs;
-    const remainingMs = VIEW_VALIDITY_MS + VALIDITY_MARGIN_MS - sinceHeldMs;
-    // After a failed order any proxy may have found the instance of that order.
-    if (this.failedOrders > 0) await sleep(Math.max(0, remainingMs));
-    else await this.awaitReleases(known, remainingMs);
+  /** Waits until no proxy can use the old primary any more. */
+  private async awaitViews(): Promise<void> {
+    const isDone = (): boolean =>
+      this.withdrawal?.isComplete(this.heldAtMs, this.failedOrders > 0) ===
+      true;
+    while (!isDone()) {
+      this.checkStillCoordinating();
+      await sleep(POLL_MS);
+    }
     this.log('The old primary is out of use everywhere.', {
-      withoutAnswer: this.unreleased(known).join(' '),
+      withoutAnswer: this.silentProxies.join(' '),
     });
   }
 
-  /** Proxies that may still use the old primary. */
-  private unreleased(known: KnownRecord): string[] {
-    const {members, knownProxies, releases, self} = this.context;
-    return [...new Set([...knownProxies.names, ...members.names])]
-      .filter(name => name !== self)
-      .filter(
-        name => !releases.hasReleased(this.group.name, name, known.revision),
-      );
+  private get silentProxies(): readonly string[] {
+    return this.withdrawal?.silent ?? [];
   }
 
   /** Stops the replicas from receiving, and takes their positions in. */
@@ -198,7 +198,8 @@
   }
 
   /** Chooses and promotes until an instance leads. */
-  private async promoteOne(known: KnownRecord): Promise<void> {
+  private async promoteOne(announced: KnownRecord): Promise<void> {
+    let known = announced;
     let shownReason = '';
     for (;;) {
       await this.holdReplicas(known);
@@ -208,12 +209,12 @@
         isReplicated: this.isReplicated,
       });
       if (choice.kind === 'promote') {
-        await this.awaitViews(known);
+        await this.awaitViews();
         if (!this.replicas(known).every(each => this.mayBeLeftAsIs(each))) {
           continue;
         }
         if (await this.promote(choice.target, choice.position)) return;
-        this.beginAgain();
+        known = await this.beginAgain(known);
       } else {
         if (choice.reason !== shownReason) {
           shownReason = choice.reason;
@@ -231,9 +232,10 @@
    * proxies without the store may have found it: its term is passed over, and
    * their views of it have to run out.
    */
-  private beginAgain(): void {
+  private beginAgain(known: KnownRecord): Promise<KnownRecord> {
     this.failedOrders += 1;
     this.reports.clear();
+    return this.announce(known);
   }
 
   /** The lowest term that no earlier order of this change can have begun. */
@@ -255,6 +257,7 @@
       primary: old.primary,
       phase: PrimaryPhase.Changing,
       isPlanned: old.isPlanned,
+      orders: this.failedOrders + 1,
       target,
       lastPosition,
     });
--- a/packages/gateway/src/core/groups/database-group.ts
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -18,9 +18,10 @@
 
 /**
  * How long a view of the primary may be acted on, in milliseconds. A change of
- * primary waits this long for proxies that have not said that they let go.
+ * primary waits this long for proxies that have not said that they let go, so
+ * it takes half of the two seconds in which a failed primary has to be replaced.
  */
-export const VIEW_VALIDITY_MS = 1_500;
+export const VIEW_VALIDITY_MS = 1_000;
 
 /** Why the primary cannot be used at the moment. */
 export const PrimaryProblem = {
--- a/packages/gateway/src/core/groups/group-registry.ts
+++ b/packages/gateway/src/core/groups/group-registry.ts
@@ -26,6 +26,8 @@
   readonly connector: InstanceConnector;
   /** Names of the live proxies. */
   readonly members: () => readonly string[];
+  /** Names of the proxies that ran before this process started. */
+  readonly earlierProxies: () => readonly string[];
   /** Whether an availability zone is in the region of this proxy. */
   readonly isNear: (zone: string) => boolean;
   readonly log: Logger;
@@ -73,6 +75,11 @@
     for (const group of this.groups.values()) group.confirm(sentAt);
   }
 
+  /** Prolongs every view that still counted when the question was sent. */
+  prolongAll(sentAt: ClockReading): void {
+    for (const group of this.groups.values()) group.prolong(sentAt);
+  }
+
   /** Brings pools and shares in line with what is declared and registered. */
   reconcile(): void {
     const declared = this.options.configuration.current;
@@ -87,7 +94,11 @@
   /** Divides the connection limits among the live proxies. */
   divide(): void {
     const declared = this.options.configuration.current;
-    const members = this.sharers.update(this.options.members(), steadyNow());
+    const members = this.sharers.update(
+      this.options.members(),
+      steadyNow(),
+      this.options.earlierProxies(),
+    );
     for (const group of this.groups.values()) {
       const limit = declared?.groups.get(group.name)?.connectionLimit ?? 0;
       const oftenUsed = this.oftenUsed(group);
--- a/packages/gateway/src/core/membership/index.ts
+++ b/packages/gateway/src/core/membership/index.ts
@@ -3,3 +3,4 @@
 export * from './member-task.js';
 export * from './members.js';
 export * from './types.js';
+export * from './view-lease-task.js';
--- a/packages/gateway/src/core/membership/known-proxies.ts
+++ b/packages/gateway/src/core/membership/known-proxies.ts
@@ -12,7 +12,10 @@
  * long. A change of primary waits for the views of all of them.
  */
 export class KnownProxies extends StoreSection {
-  private readonly present = new Set<string>();
+  /** Names that were there when the keys were first read. */
+  private earlierNames: readonly string[] | undefined;
+  /** Lease under which each proxy acts on its views, by name. */
+  private readonly leases = new Map<string, number>();
 
   constructor() {
     super(KNOWN_PREFIX);
@@ -20,24 +23,42 @@
 
   /** Names of the proxies. */
   get names(): string[] {
-    return [...this.present];
+    return [...this.leases.keys()];
+  }
+
+  /**
+   * The proxies that ran before this process started.
+   *
+   * @param self - Name of this proxy.
+   * @returns Their names; empty if this proxy was not among them.
+   */
+  ranBefore(self: string): readonly string[] {
+    const names = this.earlierNames ?? [];
+    return names.includes(self) ? names : [];
   }
 
   /** Whether a proxy of this name may be running, by what the store says. */
   has(name: string): boolean {
-    return this.present.has(name);
+    return this.leases.has(name);
+  }
+
+  /** The lease under which a proxy acts on its views, if it has published one. */
+  leaseOf(name: string): number | undefined {
+    return this.leases.get(name);
   }
 
   override replace(items: readonly StoredItem[]): void {
-    this.present.clear();
+    this.leases.clear();
     for (const item of items) this.written(item);
+    this.earlierNames ??= this.names;
   }
 
   override written(item: StoredItem): void {
-    this.present.add(item.key.slice(KNOWN_PREFIX.length));
+    const name = item.key.slice(KNOWN_PREFIX.length);
+    this.leases.set(name, Number(item.value.toString('utf8')));
   }
 
   override removed(key: string): void {
-    this.present.delete(key.slice(KNOWN_PREFIX.length));
+    this.leases.delete(key.slice(KNOWN_PREFIX.length));
   }
 }
--- a/packages/gateway/src/core/membership/member-task.ts
+++ b/packages/gateway/src/core/membership/member-task.ts
@@ -4,7 +4,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {CoordinationStore} from '../store/index.js';
 import type {Members} from './members.js';
-import {KNOWN_PREFIX} from './known-proxies.js';
 import {MEMBER_PREFIX} from './members.js';
 
 /** How long a proxy counts as live after its last renewal, in milliseconds. */
@@ -28,8 +27,6 @@
 /** Publishes this proxy in the store under a lease, and keeps it there. */
 export class MemberTask extends TaskLifecycle {
   private readonly ending = new AbortController();
-  /** Whether the others know that this proxy may act on views. */
-  isRegistered = false;
   private lease: number | undefined;
   private suspects: readonly string[] = [];
   private published: string | undefined;
@@ -61,14 +58,8 @@
     this.wake();
     const lease = this.lease;
     if (lease === undefined) return;
-    const {name, store} = this.options;
     try {
-      await store.transact({
-        conditions: [],
-        puts: [],
-        removals: [KNOWN_PREFIX + name],
-      });
-      await store.endLease(lease);
+      await this.options.store.endLease(lease);
     } catch (error) {
       this.options.log.warn('The lease could not be ended; it will lapse.', {
         error: String(error),
@@ -111,17 +102,13 @@
     if (isCurrent || this.lease === undefined) return;
     const result = await store.transact({
       conditions: [],
-      puts: [
-        {key: MEMBER_PREFIX + name, value, leaseId: this.lease},
-        {key: KNOWN_PREFIX + name, value: incarnation, leaseId: 0},
-      ],
+      puts: [{key: MEMBER_PREFIX + name, value, leaseId: this.lease}],
     });
     if (result.kind !== 'committed') {
       this.lease = undefined;
       return;
     }
     this.published = value;
-    this.isRegistered = true;
   }
 
   /** Waits, unless there is something to publish. */
--- /dev/null
+++ b/packages/gateway/src/core/membership/view-lease-task.ts
@@ -0,0 +1,170 @@
+import type {ClockReading} from '@sapphireglade/decisions';
+import {SapphiregladeError} from '@sapphireglade/decisions';
+import type {Logger} from '@sapphireglade/runtime';
+import {TaskLifecycle} from '@sapphireglade/runtime';
+import type {CoordinationStore} from '../store/index.js';
+import {readClocks, steadyNow} from '../time/index.js';
+import {KNOWN_PREFIX} from './known-proxies.js';
+
+/** How long the lease runs without a renewal, in milliseconds; a little over the shortest that the users' store grants. */
+const LEASE_TTL_MS = 1_200;
+
+/** Shortest time between two renewals, in milliseconds; a quarter of the validity of views, so that two may be lost. */
+const MINIMUM_INTERVAL_MS = 250;
+
+/** Added to the time between renewals for each live proxy, in milliseconds, so that 640 of them make 1,250 calls a second. */
+const INTERVAL_PER_MEMBER_MS = 0.8;
+
+/** Most renewals that wait for an answer; a slow store answers late, but in order. */
+const MAXIMUM_RENEWALS = 4;
+
+/** What the task needs. */
+export interface ViewLeaseOptions {
+  readonly name: string;
+  readonly store: CoordinationStore;
+  /** How many proxies are live. */
+  readonly memberCount: () => number;
+  readonly log: Logger;
+  /** Called with the time at which a renewal was sent that succeeded. */
+  readonly onRenewed: (sentAt: ClockReading) => void;
+  /** Called when the records have to be read anew before views count. */
+  readonly onRecordsNeeded: () => void;
+}
+
+/** A lease of this proxy, and how far it has come. */
+interface ViewLease {
+  readonly id: number;
+  /** When it was published, in milliseconds of the steady clock. */
+  publishedAtMs: number | undefined;
+  /** Whether the records were read since it was published. */
+  isConfirmed: boolean;
+}
+
+/**
+ * Keeps the lease under which this proxy acts on its views of primaries.
+ *
+ * A change of primary first writes its record and then ends the lease of every
+ * proxy that has not taken the record in. As long as renewals succeed, nobody
+ * has done so, and a view that still counts may be prolonged. A new lease
+ * prolongs nothing before the records were read since it was published:
+ * a change may have begun between the two leases.
+ */
+export class ViewLeaseTask extends TaskLifecycle {
+  private lease: ViewLease | undefined;
+  private timer: NodeJS.Timeout | undefined;
+  private isObtaining = false;
+  private renewals = 0;
+  private isEnding = false;
+
+  constructor(private readonly options: ViewLeaseOptions) {
+    super('view-lease');
+  }
+
+  /** The lease, once the others know of it. */
+  get leaseId(): number | undefined {
+    return this.isPublished ? this.lease?.id : undefined;
+  }
+
+  /** Whether changes of primary wait for this proxy. */
+  get isPublished(): boolean {
+    return this.lease?.publishedAtMs !== undefined;
+  }
+
+  /** Takes in that the records were read by a question sent at a time. */
+  recordsRead(sentAt: ClockReading): void {
+    const publishedAtMs = this.lease?.publishedAtMs;
+    if (this.lease === undefined || publishedAtMs === undefined) return;
+    if (sentAt.steadyMs >= publishedAtMs) this.lease.isConfirmed = true;
+  }
+
+  protected override onStart(): Promise<void> {
+    this.tick();
+    return Promise.resolve();
+  }
+
+  protected override async onStop(): Promise<void> {
+    this.isEnding = true;
+    clearTimeout(this.timer);
+    const {name, store, log} = this.options;
+    try {
+      await store.transact({
+        conditions: [],
+        puts: [],
+        removals: [KNOWN_PREFIX + name],
+      });
+      if (this.lease !== undefined) await store.endLease(this.lease.id);
+    } catch (error) {
+      log.warn('The lease for views could not be ended; it will lapse.', {
+        error: String(error),
+      });
+    }
+  }
+
+  private tick(): void {
+    if (this.isEnding) return;
+    const {lease} = this;
+    if (lease?.publishedAtMs === undefined) void this.obtain();
+    else if (this.renewals < MAXIMUM_RENEWALS) void this.renew(lease);
+    const intervalMs = Math.max(
+      MINIMUM_INTERVAL_MS,
+      this.options.memberCount() * INTERVAL_PER_MEMBER_MS,
+    );
+    this.timer = setTimeout(() => this.tick(), intervalMs);
+  }
+
+  /** Gets a lease and publishes it. */
+  private async obtain(): Promise<void> {
+    if (this.isObtaining) return;
+    this.isObtaining = true;
+    const {name, store} = this.options;
+    try {
+      const {leaseId} = await store.grantLease(LEASE_TTL_MS);
+      const lease: ViewLease = {
+        id: leaseId,
+        publishedAtMs: undefined,
+        isConfirmed: false,
+      };
+      this.lease = lease;
+      const result = await store.transact({
+        conditions: [],
+        puts: [{key: KNOWN_PREFIX + name, value: String(leaseId), leaseId: 0}],
+      });
+      if (result.kind !== 'committed') return;
+      lease.publishedAtMs = steadyNow();
+      this.options.onRecordsNeeded();
+    } catch (error) {
+      this.failed('The lease for views could not be obtained.', error);
+    } finally {
+      this.isObtaining = false;
+    }
+  }
+
+  private async renew(lease: ViewLease): Promise<void> {
+    const sentAt = readClocks();
+    this.renewals += 1;
+    try {
+      const isAlive = await this.options.store.renewLease(lease.id);
+      if (lease !== this.lease) return;
+      if (!isAlive) this.lost();
+      else if (lease.isConfirmed) this.options.onRenewed(sentAt);
+      else this.options.onRecordsNeeded();
+    } catch (error) {
+      this.failed('The lease for views could not be renewed.', error);
+    } finally {
+      this.renewals -= 1;
+    }
+  }
+
+  private lost(): void {
+    this.options.log.warn('The lease for views has ended; getting another.', {
+      lease: this.lease?.id,
+    });
+    this.lease = undefined;
+    if (!this.isEnding) void this.obtain();
+  }
+
+  private failed(sentence: string, error: unknown): void {
+    if (!(error instanceof SapphiregladeError)) throw error;
+    this.options.log.debug(sentence, {error: error.message});
+  }
+}
--- a/packages/gateway/src/core/pool/instance-pool.ts
+++ b/packages/gateway/src/core/pool/instance-pool.ts
@@ -35,8 +35,8 @@
 /** Connections that are kept open without need. */
 const WARM_CONNECTIONS = 1;
 
-/** How long a connection past the warm ones may be unused, in milliseconds. */
-const UNUSED_LIMIT_MS = 2_000;
+/** How long a connection past the warm ones may be unused, in milliseconds; at a loss of power instances go on counting what was open for three seconds. */
+const UNUSED_LIMIT_MS = 400;
 
 /** Weight of a slower answer in the estimated round trip; a faster one replaces it. */
 const ROUND_TRIP_WEIGHT = 0.02;
@@ -340,8 +340,12 @@
 
   private openFailed(error: SapphiregladeError): void {
     const nowMs = steadyNow();
+    const wasOverLimit = this.pace.isOverLimit;
     this.pace.failed(error, nowMs);
-    if (this.pace.isOverLimit) return;
+    if (this.pace.isOverLimit) {
+      if (!wasOverLimit) this.logOverLimit();
+      return;
+    }
     this.lastFailedAtMs = nowMs;
     if (this.open.size > 0 || this.unreachable !== undefined) return;
     this.unreachable = nowMs;
@@ -351,6 +355,15 @@
     });
   }
 
+  private logOverLimit(): void {
+    this.log.info('An instance refused a connection over its limit.', {
+      ...this.fields,
+      open: this.open.size,
+      share: this.share,
+      queued: this.queue.length,
+    });
+  }
+
   private refuseAll(reason: string): void {
     for (const waiting of this.queue.removeAll()) {
       waiting.reject(this.noConnection(reason));
--- a/packages/gateway/src/core/primary-watch/view-proof-task.ts
+++ b/packages/gateway/src/core/primary-watch/view-proof-task.ts
@@ -15,8 +15,11 @@
 /** How often the age of the views is looked at, in milliseconds. */
 const CHECK_INTERVAL_MS = 100;
 
-/** Age of a view after which replicas are asked, in milliseconds; longer than two watches of a store that works take. */
-const ASK_AFTER_MS = 1_100;
+/** Age of a view after which replicas are asked, in milliseconds; longer than two renewals of the lease for views take. */
+const ASK_AFTER_MS = 600;
+
+/** For how long no replica must have been asked before the store counts as back, in milliseconds; twice the time after which they are asked. */
+const STORE_BACK_MS = 1_200;
 
 /** Goes before every caller's request. */
 const CONTROL_PRIORITY = -1;
@@ -41,6 +44,7 @@
   private timer: NodeJS.Timeout | undefined;
   private readonly asking = new Set<DatabaseGroup>();
   private isReported = false;
+  private lastAskedAtMs = -Infinity;
 
   constructor(
     private readonly groups: GroupRegistry,
@@ -63,21 +67,21 @@
 
   private check(): void {
     const now = readClocks();
-    let isAnyOld = false;
     for (const group of this.groups.all) {
       if (group.confirmation.ageMs(now) < ASK_AFTER_MS) continue;
       if (group.record === undefined) continue;
-      isAnyOld = true;
+      this.lastAskedAtMs = steadyNow();
       if (!this.asking.has(group)) void this.prove(group);
     }
-    this.report(isAnyOld);
+    this.report();
   }
 
-  private report(isAnyOld: boolean): void {
-    if (isAnyOld === this.isReported) return;
-    this.isReported = isAnyOld;
+  private report(): void {
+    const isAsking = steadyNow() - this.lastAskedAtMs < STORE_BACK_MS;
+    if (isAsking === this.isReported) return;
+    this.isReported = isAsking;
     this.log.warn(
-      isAnyOld
+      isAsking
         ? 'The store does not confirm the primaries; replicas are asked.'
         : 'The store confirms the primaries again.',
     );
--- a/packages/gateway/src/core/process/gateway-adapters.ts
+++ b/packages/gateway/src/core/process/gateway-adapters.ts
@@ -14,8 +14,8 @@
   readonly readinessDoor: ReadinessDoor;
   /** Missing where no address for metrics is set. */
   readonly metricsDoor: MetricsDoor | undefined;
-  /** Prefix that covers every key that is followed. */
-  readonly watchedPrefix: string;
+  /** Prefix that covers the keys of the configuration and the directory. */
+  readonly announcedPrefix: string;
   /** Sections that hold the configuration and the directory. */
   readonly sections: (
     configuration: ConfigurationHolder,
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -1,7 +1,8 @@
 import {randomUUID} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
+import type {ClockReading} from '@sapphireglade/decisions';
 import type {LoggerFactory} from '@sapphireglade/runtime';
-import {LogPart} from '@sapphireglade/runtime';
+import {LogPart, TaskState} from '@sapphireglade/runtime';
 import {ConfigurationHolder} from '../configuration/index.js';
 import {
   ControlConnections,
@@ -11,7 +12,12 @@
 import {InstanceDirectory} from '../directory/index.js';
 import {GroupRegistry, PrimaryRecords} from '../groups/index.js';
 import {GatewayMetrics, setGatewayGauges} from '../metrics/index.js';
-import {KnownProxies, Members, MemberTask} from '../membership/index.js';
+import {
+  KnownProxies,
+  Members,
+  MemberTask,
+  ViewLeaseTask,
+} from '../membership/index.js';
 import {
   followAll,
   PrimaryWatchTask,
@@ -22,9 +28,24 @@
 import {CallerSession} from '../sessions/index.js';
 import type {GatewaySettings} from '../settings/index.js';
 import {StoreFollower} from '../store/index.js';
-import {within} from '../time/index.js';
+import {readClocks, within} from '../time/index.js';
 import type {GatewayAdapters} from './gateway-adapters.js';
 
+/** Prefix of the keys that the proxies share with each other. */
+const OWN_PREFIX = 'sapphireglade/';
+
+/** How long a watch of the proxies' own keys waits, in milliseconds; they change seldom, and a change of primary ends the lease of a proxy whose watch is silent. */
+const OWN_WATCH_WAIT_MS = 9_000;
+
+/** The same at the coordinator, in milliseconds, which has to learn of failures. */
+const COORDINATOR_WATCH_WAIT_MS = 2_000;
+
+/** How long a watch of the configuration and the directory waits, in milliseconds; with the interval below and its grace time it stays within the 3 s in which a configuration has to be in force. */
+const ANNOUNCED_WATCH_WAIT_MS = 500;
+
+/** Shortest time between two watches of the configuration and the directory, in milliseconds; each instance writes there about once a second. */
+const ANNOUNCED_INTERVAL_MS = 1_500;
+
 /** How often housekeeping runs, in milliseconds. */
 const HOUSEKEEPING_INTERVAL_MS = 500;
 
@@ -52,7 +73,11 @@
   private readonly directory: InstanceDirectory;
   private readonly members: Members;
   private readonly groups: GroupRegistry;
-  private readonly follower: StoreFollower;
+  /** Follows the proxies' own keys. */
+  private readonly ownFollower: StoreFollower;
+  /** Follows the configuration and the directory. */
+  private readonly announcedFollower: StoreFollower;
+  private readonly viewLease: ViewLeaseTask;
   private readonly member: MemberTask;
   private readonly watch: PrimaryWatchTask;
   private readonly proofs: ViewProofTask;
@@ -69,6 +94,7 @@
   ) {
     const {store, connector, promotions} = adapters;
     const {name} = settings;
+    const knownProxies = new KnownProxies();
     this.configuration = new ConfigurationHolder(
       loggers(LogPart.Configuration),
     );
@@ -80,6 +106,7 @@
       directory: this.directory,
       connector,
       members: () => this.members.names,
+      earlierProxies: () => knownProxies.ranBefore(name),
       isNear: zone => this.regionOf(zone) === this.region,
       log: loggers(LogPart.Pool),
     });
@@ -97,12 +124,23 @@
     const {region, regionOf} = this;
     this.proofs = new ViewProofTask(this.groups, region, regionOf, failoverLog);
     const key = new CoordinatorKey();
-    const knownProxies = new KnownProxies();
-    this.follower = new StoreFollower({
+    this.viewLease = new ViewLeaseTask({
+      name,
       store,
-      watchedPrefix: adapters.watchedPrefix,
+      memberCount: () => this.members.names.length,
+      log: loggers(LogPart.Membership),
+      onRenewed: sentAt => this.prolongViews(sentAt),
+      onRecordsNeeded: () => this.ownFollower.refresh(),
+    });
+    this.ownFollower = new StoreFollower({
+      store,
+      watchedPrefix: OWN_PREFIX,
+      watchWaitMs: () =>
+        this.coordinator.isCoordinator
+          ? COORDINATOR_WATCH_WAIT_MS
+          : OWN_WATCH_WAIT_MS,
+      minimumIntervalMs: 0,
       sections: [
-        ...adapters.sections(this.configuration, this.directory),
         this.members,
         releases,
         knownProxies,
@@ -110,12 +148,25 @@
         new PrimaryRecords(this.groups, failoverLog),
       ],
       log: loggers(LogPart.Store),
-      // Nobody waits for the views of a proxy that is not known yet.
       onConfirmed: sentAt => {
-        const isKnown = this.member.isRegistered || knownProxies.has(name);
+        // What is published later is not taken for a trace of an earlier run.
+        const isFirst = this.viewLease.state === TaskState.Created;
+        if (isFirst) void this.viewLease.start();
+        this.viewLease.recordsRead(sentAt);
+        // Nobody waits for the views of a proxy that is not known yet.
+        const isKnown = this.viewLease.isPublished || knownProxies.has(name);
         if (isKnown) this.groups.confirmAll(sentAt);
       },
     });
+    this.announcedFollower = new StoreFollower({
+      store,
+      watchedPrefix: adapters.announcedPrefix,
+      watchWaitMs: () => ANNOUNCED_WATCH_WAIT_MS,
+      minimumIntervalMs: ANNOUNCED_INTERVAL_MS,
+      sections: adapters.sections(this.configuration, this.directory),
+      log: loggers(LogPart.Store),
+      onConfirmed: () => undefined,
+    });
     this.coordinator = new CoordinatorTask({
       context: {
         self: name,
@@ -128,14 +179,17 @@
         knownProxies,
         control: new ControlConnections(connector, failoverLog),
         promotions,
+        followedRevision: () => this.ownFollower.revision,
         metrics: this.metrics,
         log: failoverLog,
       },
       key,
-      member: this.member,
+      lease: this.viewLease,
       holder: `${name}/${this.incarnation}`,
       isInformed: () =>
-        this.follower.isComplete && this.follower.isStoreReachable,
+        this.announcedFollower.isComplete &&
+        this.ownFollower.isComplete &&
+        this.ownFollower.isStoreReachable,
     });
     this.members.changes$.subscribe(() => this.groups.divide());
   }
@@ -161,6 +215,16 @@
     );
   }
 
+  /** A renewed lease prolongs the views that count; others are asked for anew. */
+  private prolongViews(sentAt: ClockReading): void {
+    this.groups.prolongAll(sentAt);
+    const now = readClocks();
+    const areValid = [...this.groups.all].every(({confirmation}) =>
+      confirmation.isValid(now),
+    );
+    if (!areValid) this.ownFollower.refresh();
+  }
+
   /** Starts everything; callers are accepted at once, the balancer is told when. */
   async start(): Promise<void> {
     const {availabilityZone, name} = this.settings;
@@ -179,13 +243,14 @@
     await this.adapters.callerDoor.listen(
       database => new CallerSession(context, database),
     );
-    await this.follower.start();
+    await this.ownFollower.start();
+    await this.announcedFollower.start();
     await this.member.start();
     await this.watch.start();
     await this.proofs.start();
     await this.coordinator.start();
     this.housekeeping = setInterval(() => {
-      this.directory.dropMissing(this.follower.isStoreReachable);
+      this.directory.dropMissing(this.announcedFollower.isStoreReachable);
       this.groups.divide();
     }, HOUSEKEEPING_INTERVAL_MS);
     log.info('The process started.', {name, zone: availabilityZone});
@@ -196,7 +261,7 @@
       groups: this.groups,
       configuration: this.configuration,
       isReady: () => this.isReady,
-      isStoreReachable: () => this.follower.isStoreReachable,
+      isStoreReachable: () => this.ownFollower.isStoreReachable,
       sessions: () => this.adapters.callerDoor.openConnections,
       members: () => this.members.names.length,
     });
@@ -237,8 +302,12 @@
     await this.adapters.callerDoor.close();
     await this.watch.stop(0);
     await this.proofs.stop(0);
-    await this.follower.stop(0);
-    await within(this.member.stop(0), FAREWELL_TIMEOUT_MS);
+    await this.ownFollower.stop(0);
+    await this.announcedFollower.stop(0);
+    await within(
+      Promise.all([this.viewLease.stop(0), this.member.stop(0)]),
+      FAREWELL_TIMEOUT_MS,
+    );
     await this.adapters.readinessDoor.close();
     await this.adapters.metricsDoor?.close();
   }
--- a/packages/gateway/src/core/store/coordination-store.ts
+++ b/packages/gateway/src/core/store/coordination-store.ts
@@ -101,6 +101,6 @@
    */
   abstract renewLease(leaseId: number): Promise<boolean>;
 
-  /** Ends a lease; its keys are removed. */
+  /** Ends a lease, unless it has ended already; its keys are removed. */
   abstract endLease(leaseId: number): Promise<void>;
 }
--- a/packages/gateway/src/core/store/store-follower.ts
+++ b/packages/gateway/src/core/store/store-follower.ts
@@ -2,13 +2,10 @@
 import type {Logger} from '@sapphireglade/runtime';
 import {TaskLifecycle} from '@sapphireglade/runtime';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {readClocks, TIMED_OUT, within} from '../time/index.js';
+import {readClocks, steadyNow, TIMED_OUT, within} from '../time/index.js';
 import type {CoordinationStore, StoreEvent} from './coordination-store.js';
 import type {StoreSection} from './store-section.js';
 
-/** How long one watch waits at the store, in milliseconds; a third of the view's validity. */
-const WATCH_WAIT_MS = 500;
-
 /** How much longer than its wait a watch may take, in milliseconds. */
 const WATCH_GRACE_MS = 700;
 
@@ -21,32 +18,43 @@
 /** Longest pause after failed calls, in milliseconds. */
 const MAXIMUM_PAUSE_MS = 400;
 
+/** Stands for a watch whose answer is not waited for any longer. */
+const INTERRUPTED = Symbol('interrupted');
+
 /** What a follower needs. */
 export interface StoreFollowerOptions {
   readonly store: CoordinationStore;
   readonly sections: readonly StoreSection[];
   /** Prefix that covers all sections. */
   readonly watchedPrefix: string;
+  /** How long one watch waits at the store, in milliseconds. */
+  readonly watchWaitMs: () => number;
+  /** Shortest time between two watches, in milliseconds; changes come in batches then. */
+  readonly minimumIntervalMs: number;
   readonly log: Logger;
   /** Called with the time at which a question was sent that got its answer. */
   readonly onConfirmed: (sentAt: ClockReading) => void;
 }
 
 /**
- * Follows the store: reads every section once, then watches for changes.
+ * Follows a part of the store: reads every section once, then watches for
+ * changes.
  *
  * Each answer proves that everything written before its question was sent is
  * known; whoever acts on the store's content relies on that.
  */
 export class StoreFollower extends TaskLifecycle {
   private readonly ending = new AbortController();
-  private revision = 0;
+  private knownRevision = 0;
   private pauseMs = FIRST_PAUSE_MS;
   private isConnected = false;
   private hasRead = false;
+  /** Whether the next watch, or the present one, is answered at once. */
+  private isHurried = false;
+  private interrupt: () => void = () => undefined;
 
   constructor(private readonly options: StoreFollowerOptions) {
-    super('store-follower');
+    super(`store-follower of "${options.watchedPrefix}"`);
   }
 
   /** Whether every section has been read. */
@@ -59,6 +67,18 @@
     return this.isConnected;
   }
 
+  /** Changes up to this revision are known. */
+  get revision(): number {
+    return this.knownRevision;
+  }
+
+  /** Asks at once, in place of a watch that waits. */
+  refresh(): void {
+    if (this.isHurried) return;
+    this.isHurried = true;
+    this.interrupt();
+  }
+
   protected override onStart(): Promise<void> {
     void this.follow();
     return Promise.resolve();
@@ -71,20 +91,28 @@
 
   private async follow(): Promise<void> {
     while (!this.ending.signal.aborted) {
+      const beganAtMs = steadyNow();
       try {
-        await this.step();
-        this.connected();
+        if (await this.step()) this.connected();
       } catch (error) {
         await this.failed(error);
       }
+      const restMs = this.options.minimumIntervalMs + beganAtMs - steadyNow();
+      if (restMs > 0) await sleep(restMs);
     }
   }
 
-  private async step(): Promise<void> {
+  /**
+   * Reads, or asks for changes.
+   *
+   * @returns Whether the store's answer was taken in.
+   */
+  private async step(): Promise<boolean> {
     const sentAt = readClocks();
     if (!this.hasRead) await this.readSections();
-    else await this.watchOnce();
-    if (this.hasRead) this.options.onConfirmed(sentAt);
+    else if (!(await this.watchOnce())) return false;
+    this.options.onConfirmed(sentAt);
+    return true;
   }
 
   /** Reads all sections; changes continue from the oldest answer. */
@@ -99,26 +127,46 @@
       sections[index]?.replace(answer.items);
       revisions.push(answer.revision);
     }
-    this.revision = Math.min(...revisions);
+    this.knownRevision = Math.min(...revisions);
     this.hasRead = true;
   }
 
-  private async watchOnce(): Promise<void> {
+  /**
+   * Asks for changes.
+   *
+   * @returns Whether the answer was taken in.
+   */
+  private async watchOnce(): Promise<boolean> {
     const {store, watchedPrefix, log} = this.options;
-    const answer = await within(
-      store.watch(watchedPrefix, this.revision, WATCH_WAIT_MS),
-      WATCH_WAIT_MS + WATCH_GRACE_MS,
-    );
-    if (answer === TIMED_OUT) throw new Error('The watch was not answered.');
-    if (answer.kind === 'history-lost') {
-      log.warn('The store dropped its history; reading everything again.', {
-        afterRevision: this.revision,
-      });
-      this.hasRead = false;
-      return;
+    const wasHurried = this.isHurried;
+    const waitMs = wasHurried ? 0 : this.options.watchWaitMs();
+    const interrupted = new Promise<typeof INTERRUPTED>(resolve => {
+      this.interrupt = () => resolve(INTERRUPTED);
+    });
+    try {
+      const answer = await Promise.race([
+        within(
+          store.watch(watchedPrefix, this.knownRevision, waitMs),
+          waitMs + WATCH_GRACE_MS,
+        ),
+        interrupted,
+      ]);
+      if (answer === INTERRUPTED) return false;
+      if (answer === TIMED_OUT) throw new Error('The watch was not answered.');
+      if (answer.kind === 'history-lost') {
+        log.warn('The store dropped its history; reading everything again.', {
+          afterRevision: this.knownRevision,
+        });
+        this.hasRead = false;
+        return false;
+      }
+      for (const event of answer.events) this.dispatch(event);
+      this.knownRevision = Math.max(this.knownRevision, answer.revision);
+      return true;
+    } finally {
+      // A question that was sent already may be too old for whoever asks now.
+      if (wasHurried) this.isHurried = false;
     }
-    for (const event of answer.events) this.dispatch(event);
-    this.revision = Math.max(this.revision, answer.revision);
   }
 
   private dispatch(event: StoreEvent): void {
@@ -133,15 +181,19 @@
     this.pauseMs = FIRST_PAUSE_MS;
     if (this.isConnected) return;
     this.isConnected = true;
-    this.options.log.info('The store answers.', {revision: this.revision});
+    this.options.log.info('The store answers.', {
+      prefix: this.options.watchedPrefix,
+      revision: this.knownRevision,
+    });
   }
 
   private async failed(error: unknown): Promise<void> {
     if (this.ending.signal.aborted) return;
     if (this.isConnected || this.pauseMs === FIRST_PAUSE_MS) {
       this.options.log.warn('The store does not answer; trying again.', {
+        prefix: this.options.watchedPrefix,
         error: String(error),
-        revision: this.revision,
+        revision: this.knownRevision,
       });
     }
     this.isConnected = false;
--- a/packages/gateway/test/support/memory-fleet.ts
+++ b/packages/gateway/test/support/memory-fleet.ts
@@ -140,7 +140,7 @@
   async stop(): Promise<void> {
     this.group.close();
     this.store.close();
-    for (const {gateway} of this.proxies) await gateway.stop();
+    await Promise.all(this.proxies.map(({gateway}) => gateway.stop()));
   }
 
   private async startProxy(name: string): Promise<void> {
@@ -156,7 +156,7 @@
       callerDoor: door,
       readinessDoor: readiness,
       metricsDoor: undefined,
-      watchedPrefix: '',
+      announcedPrefix: 'fixed/',
       sections: (configuration, directory) => [
         new FixedSection(() => {
           this.directories.push(directory);
--- /dev/null
+++ b/packages/gateway/test/view-lease.test.ts
@@ -0,0 +1,114 @@
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {ClockReading} from '@sapphireglade/decisions';
+import {createSilentLogger} from '@sapphireglade/runtime';
+import {expect} from 'earl';
+import {KNOWN_PREFIX, readClocks, ViewLeaseTask} from '../src/index.js';
+import {MemoryStore, MemoryStoreState} from './support/memory-store.js';
+
+/** Name of the proxy. */
+const SELF = 'proxy-0';
+
+/** Longer than two renewals take, in milliseconds. */
+const RENEWALS_MS = 600;
+
+describe('ViewLeaseTask', () => {
+  let state: MemoryStoreState;
+  let store: MemoryStore;
+  let task: ViewLeaseTask;
+  let renewed: ClockReading[];
+  let recordsNeeded: number;
+
+  beforeEach(async () => {
+    state = new MemoryStoreState();
+    store = new MemoryStore(state);
+    renewed = [];
+    recordsNeeded = 0;
+    task = new ViewLeaseTask({
+      name: SELF,
+      store,
+      memberCount: () => 9,
+      log: createSilentLogger(),
+      onRenewed: sentAt => renewed.push(sentAt),
+      onRecordsNeeded: () => {
+        recordsNeeded += 1;
+      },
+    });
+    await task.start();
+    await untilPublished();
+  });
+
+  afterEach(async () => {
+    store.isCut = false;
+    await task.stop(0);
+    state.close();
+  });
+
+  async function untilPublished(): Promise<void> {
+    while (!task.isPublished) await sleep(5);
+  }
+
+  function publishedLease(): number {
+    const value = state.items.get(KNOWN_PREFIX + SELF)?.value;
+    return Number(value?.toString());
+  }
+
+  it('publishes its lease for others to end', () => {
+    expect(publishedLease()).toEqual(task.leaseId ?? 0);
+    expect(recordsNeeded > 0).toEqual(true);
+  });
+
+  it('prolongs nothing before the records were read', async () => {
+    await sleep(RENEWALS_MS);
+    expect(renewed).toEqual([]);
+  });
+
+  it('prolongs nothing by a question that was sent before it was published', async () => {
+    const {steadyMs, wallMs} = readClocks();
+    task.recordsRead({steadyMs: steadyMs - 10_000, wallMs});
+    await sleep(RENEWALS_MS);
+    expect(renewed).toEqual([]);
+  });
+
+  it('prolongs views from the time at which a renewal was sent', async () => {
+    const readAt = readClocks();
+    task.recordsRead(readAt);
+    while (renewed.length === 0) await sleep(5);
+    const {steadyMs} = readClocks();
+    for (const sentAt of renewed) {
+      expect(sentAt.steadyMs >= readAt.steadyMs).toEqual(true);
+      expect(sentAt.steadyMs <= steadyMs).toEqual(true);
+    }
+  });
+
+  it('prolongs nothing by a new lease after the old one was ended', async () => {
+    task.recordsRead(readClocks());
+    const first = publishedLease();
+    state.endLease(first);
+    while (publishedLease() === first) await sleep(5);
+    await untilPublished();
+    const count = renewed.length;
+    const neededBefore = recordsNeeded;
+    while (recordsNeeded < neededBefore + 2) await sleep(5);
+    expect(renewed.length).toEqual(count);
+    task.recordsRead(readClocks());
+    while (renewed.length === count) await sleep(5);
+  });
+
+  it('prolongs nothing while the store is away', async () => {
+    task.recordsRead(readClocks());
+    store.isCut = true;
+    // A renewal may have been answered just before.
+    await sleep(50);
+    const count = renewed.length;
+    await sleep(RENEWALS_MS);
+    expect(renewed.length).toEqual(count);
+  });
+
+  it('leaves no trace when it stops in good order', async () => {
+    const lease = publishedLease();
+    await task.stop(0);
+    expect(state.items.has(KNOWN_PREFIX + SELF)).toEqual(false);
+    expect(state.leases.has(lease)).toEqual(false);
+  });
+});
--- /dev/null
+++ b/packages/gateway/test/view-withdrawal.test.ts
@@ -0,0 +1,177 @@
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {PrimaryPhase} from '@sapphireglade/decisions';
+import {createSilentLogger} from '@sapphireglade/runtime';
+import {expect} from 'earl';
+import type {ChangeContext, KnownRecord} from '../src/index.js';
+import {
+  KNOWN_PREFIX,
+  KnownProxies,
+  MEMBER_PREFIX,
+  Members,
+  RELEASE_PREFIX,
+  Releases,
+  steadyNow,
+  StoreFollower,
+  VIEW_VALIDITY_MS,
+  ViewWithdrawal,
+} from '../src/index.js';
+import {MemoryStore, MemoryStoreState} from './support/memory-store.js';
+
+const GROUP = 'ledger';
+const SELF = 'proxy-0';
+const OTHER = 'proxy-1';
+
+/** How long something expected may take, in milliseconds. */
+const EXPECTED_TIMEOUT_MS = 20_000;
+
+/** Longer than views count and silent proxies are waited for, in milliseconds. */
+const LONG_MS = VIEW_VALIDITY_MS + 500;
+
+describe('ViewWithdrawal', () => {
+  let state: MemoryStoreState;
+  let store: MemoryStore;
+  let follower: StoreFollower;
+  let context: ChangeContext;
+  let withdrawal: ViewWithdrawal | undefined;
+  let followedRevision: () => number;
+
+  beforeEach(async () => {
+    state = new MemoryStoreState();
+    store = new MemoryStore(state);
+    const log = createSilentLogger();
+    const knownProxies = new KnownProxies();
+    const members = new Members(log);
+    const releases = new Releases(SELF, store, undefined as never, log);
+    follower = new StoreFollower({
+      store,
+      sections: [knownProxies, members, releases],
+      watchedPrefix: 'sapphireglade/',
+      watchWaitMs: () => 500,
+      minimumIntervalMs: 0,
+      log,
+      onConfirmed: () => undefined,
+    });
+    await follower.start();
+    followedRevision = () => follower.revision;
+    context = {
+      self: SELF,
+      store,
+      knownProxies,
+      members,
+      releases,
+      log,
+      followedRevision: () => followedRevision(),
+    } as Partial<ChangeContext> as ChangeContext;
+  });
+
+  afterEach(async () => {
+    withdrawal?.stop();
+    await follower.stop(0);
+    state.close();
+  });
+
+  /** Publishes the other proxy. */
+  function publishOther(isLive: boolean): number {
+    const lease = state.grant(60_000);
+    state.put(KNOWN_PREFIX + OTHER, String(lease));
+    const member = {name: OTHER, incarnation: 'x', suspects: []};
+    if (isLive) state.put(MEMBER_PREFIX + OTHER, JSON.stringify(member), lease);
+    return lease;
+  }
+
+  /** Writes the record that takes the primary out of use. */
+  function announce(): KnownRecord {
+    const record = {term: 1, primary: 'a', phase: PrimaryPhase.Changing};
+    state.put('sapphireglade/primary/ledger', JSON.stringify(record));
+    return {record, revision: state.revision};
+  }
+
+  function begin(known: KnownRecord): ViewWithdrawal {
+    withdrawal = new ViewWithdrawal(context, GROUP, known);
+    return withdrawal;
+  }
+
+  /** Lets the other proxy say that it has taken a record in. */
+  function release({revision}: KnownRecord): void {
+    state.put(`${RELEASE_PREFIX}${GROUP}/${OTHER}`, String(revision));
+  }
+
+  /** Waits for something that has to happen. */
+  async function eventually(condition: () => boolean): Promise<void> {
+    const limitMs = steadyNow() + EXPECTED_TIMEOUT_MS;
+    while (!condition()) {
+      if (steadyNow() > limitMs) throw new Error('It did not happen.');
+      await sleep(5);
+    }
+  }
+
+  /** The follower has taken in what the store holds. */
+  function awaitNews(): Promise<void> {
+    return eventually(() => follower.revision >= state.revision);
+  }
+
+  it('is complete at once if nobody else runs', async () => {
+    const begun = begin(announce());
+    await awaitNews();
+    expect(begun.isComplete(steadyNow(), false)).toEqual(true);
+  });
+
+  it('is complete once the only other proxy has let go, whose lease stays', async () => {
+    const lease = publishOther(true);
+    const known = announce();
+    await awaitNews();
+    const begun = begin(known);
+    expect(begun.isComplete(-Infinity, false)).toEqual(false);
+    release(known);
+    await awaitNews();
+    expect(begun.isComplete(steadyNow(), false)).toEqual(true);
+    expect(state.leases.has(lease)).toEqual(true);
+  });
+
+  it('ends the lease of a silent proxy, and then waits for its views', async () => {
+    const lease = publishOther(true);
+    const beganAtMs = steadyNow();
+    const begun = begin(announce());
+    await eventually(() => begun.isComplete(-Infinity, false));
+    expect(steadyNow() - beganAtMs >= VIEW_VALIDITY_MS).toEqual(true);
+    expect(state.leases.has(lease)).toEqual(false);
+  });
+
+  it('waits from the last hold, by which a proxy without the store is stopped', async () => {
+    publishOther(false);
+    const begun = begin(announce());
+    await eventually(() => begun.isComplete(-Infinity, false));
+    expect(begun.isComplete(steadyNow(), false)).toEqual(false);
+  });
+
+  it('ends the lease of a proxy that is not listed', async () => {
+    const lease = publishOther(false);
+    begin(announce());
+    await eventually(() => !state.leases.has(lease));
+  });
+
+  it('waits although everybody has let go if another instance was ordered to lead', async () => {
+    const begun = begin(announce());
+    await awaitNews();
+    expect(begun.isComplete(steadyNow(), true)).toEqual(false);
+  });
+
+  it('is not complete before it knows who was published before the record', async () => {
+    const known = announce();
+    followedRevision = () => known.revision - 1;
+    const begun = begin(known);
+    await sleep(LONG_MS);
+    expect(begun.isComplete(-Infinity, false)).toEqual(false);
+  });
+
+  it('is not complete while the lease of a silent proxy cannot be ended', async () => {
+    publishOther(true);
+    const known = announce();
+    await awaitNews();
+    store.isCut = true;
+    const begun = begin(known);
+    await sleep(LONG_MS);
+    expect(begun.isComplete(-Infinity, false)).toEqual(false);
+  });
+});
