Serve reads from replicas while no primary can be asked, and wait by how far a change is

Cause: a bounded read or one of a session's own writes was refused as soon as the primary had not been asked for longer than the allowed age, for as long as nobody led. Change: all replicas are asked for their positions; an acknowledged commit lies on two instances, so the highest position among all but one of them holds every commit (property test with a variant that misses some). The survey is not trusted in the first ten seconds of a process, nor within a minute of the departure of another instance. Test: go on with reads from replicas while nobody can lead (fails without the survey, run once with it taken out).

Change: the expectation follows the steps of the change.

A proxy without the store asks all instances at once after a proof that failed, so a dead primary does not delay the news of another leader.

Failed requests name their database, consistency and whether a transaction was open.

--- a/packages/decisions/src/core/instance-choice/observed-positions.ts
+++ b/packages/decisions/src/core/instance-choice/observed-positions.ts
@@ -5,6 +5,9 @@
 /** Least distance between two kept observations, in milliseconds. */
 const RESOLUTION_MS = 20;
 
+/** Most bounds that are kept; one is enough for the reads of its time. */
+const MAXIMUM_BOUNDS = 8;
+
 /** Most observations that are kept; at the resolution this is five seconds. */
 const MAXIMUM_OBSERVATIONS = 256;
 
@@ -17,6 +20,8 @@
  */
 export class ObservedPositions {
   private observations: ObservedPosition[] = [];
+  /** What all replicas together showed, where the primary could not be asked. */
+  private bounds: ObservedPosition[] = [];
   private highest: LogPosition | undefined;
 
   /** The highest position that any instance has shown. */
@@ -59,20 +64,30 @@
     }
   }
 
-  /** Forgets the observations, because another instance leads. */
-  forgetObservations(): void {
-    this.observations = [];
+  /**
+   * Takes a position in that holds every commit acknowledged before a time,
+   * but may never be shown by a primary.
+   *
+   * @param askedAtMs - The time, in milliseconds.
+   * @param position - The position.
+   */
+  bound(askedAtMs: number, position: LogPosition): void {
+    this.bounds.push({sentAtMs: askedAtMs, position});
+    this.bounds = this.bounds.slice(-MAXIMUM_BOUNDS);
   }
 
   /**
    * Finds the position that makes a replica fresh enough.
    *
    * @param notBeforeMs - Commits acknowledged before this time must be held.
-   * @returns The oldest position that is new enough, or nothing if the
-   *   primary has not been asked since.
+   * @returns The oldest position that is new enough, or nothing if neither
+   *   the primary nor all replicas have been asked since.
    */
   positionFor(notBeforeMs: number): LogPosition | undefined {
-    return this.observations.find(({sentAtMs}) => sentAtMs >= notBeforeMs)
-      ?.position;
+    const isNewEnough = ({sentAtMs}: ObservedPosition): boolean =>
+      sentAtMs >= notBeforeMs;
+    const found =
+      this.observations.find(isNewEnough) ?? this.bounds.find(isNewEnough);
+    return found?.position;
   }
 }
--- a/packages/gateway/src/core/groups/database-group.ts
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -14,7 +14,7 @@
 import type {RegisteredInstance} from '../directory/index.js';
 import type {InstancePool, ShownPosition} from '../pool/index.js';
 import {readClocks, steadyNow} from '../time/index.js';
-import type {KnownRecord} from './types.js';
+import type {ChangeProgress, KnownRecord} from './types.js';
 
 /**
  * How long a view of the primary may be acted on, in milliseconds. A change of
@@ -23,6 +23,12 @@
  */
 export const VIEW_VALIDITY_MS = 1_000;
 
+/** How long after an instance has left the others may lack what only it and the primary held, in milliseconds; replicas lag for ten seconds at times. */
+const CATCH_UP_MS = 60_000;
+
+/** How long a process must have known a group to be sure of who has left lately, in milliseconds; the directory drops silent instances within four. */
+const SETTLED_MS = 10_000;
+
 /** Why the primary cannot be used at the moment. */
 export const PrimaryProblem = {
   /** No primary is recorded yet. */
@@ -52,9 +58,16 @@
   /** Confirms that the record is the newest one. */
   readonly confirmation: ViewConfirmation = new Confirmation(VIEW_VALIDITY_MS);
   private readonly memberTable = new Map<string, GroupMember>();
+  /** Instances that were removed lately, and when by the steady clock. */
+  private removed: {readonly id: string; readonly atMs: number}[] = [];
+  private readonly beganAtMs = steadyNow();
   private readonly recordChanges = new Subject<KnownRecord>();
   private known: KnownRecord | undefined;
-  private recordAtMs = 0;
+  private changeProgress: ChangeProgress = {
+    beganAtMs: 0,
+    isPlanned: false,
+    targetAtMs: undefined,
+  };
 
   /** @param name - Name of the group. */
   constructor(readonly name: string) {}
@@ -101,21 +114,20 @@
     this.recordChanges.next(this.known);
   }
 
-  /** Since when the group is without a primary, in milliseconds. */
-  get changingSinceMs(): number {
-    return this.recordAtMs;
-  }
-
-  /** Whether the change that is under way began with a primary that works. */
-  get isChangePlanned(): boolean {
-    return this.known?.record.isPlanned === true;
+  /** How far the change of primary is that the record speaks of. */
+  get change(): ChangeProgress {
+    return this.changeProgress;
   }
 
   /** A record that only names the target goes on with the same change. */
   private noteChange({record}: KnownRecord): void {
-    const goesOn =
+    const nowMs = steadyNow();
+    const isPlanned = record.isPlanned === true;
+    const hasTarget =
       record.phase === PrimaryPhase.Changing && record.target !== undefined;
-    if (!goesOn) this.recordAtMs = steadyNow();
+    this.changeProgress = hasTarget
+      ? {...this.changeProgress, targetAtMs: nowMs}
+      : {beganAtMs: nowMs, isPlanned, targetAtMs: undefined};
   }
 
   /** Takes in that an answer proved the record to be the newest. */
@@ -148,9 +160,34 @@
     const member = this.memberTable.get(id);
     if (member === undefined) return;
     this.memberTable.delete(id);
+    this.removed.push({id, atMs: steadyNow()});
     member.pool.end(reason);
   }
 
+  /**
+   * The instances that may hold acknowledged commits, but the primary.
+   *
+   * @param nowMs - The time, in milliseconds of the steady clock.
+   * @returns Those that can be asked, and how many others there may be. A
+   *   process that has just started may not know who has left.
+   */
+  possibleHolders(nowMs: number): {
+    readonly replicas: readonly GroupMember[];
+    readonly absent: number;
+  } {
+    this.removed = this.removed.filter(({atMs}) => nowMs - atMs < CATCH_UP_MS);
+    const primary = this.known?.record.primary;
+    const left = this.removed.filter(({id}) => id !== primary);
+    const replicas = [...this.memberTable.values()].filter(
+      ({instance}) => instance.id !== primary,
+    );
+    const isNew = nowMs - this.beganAtMs < SETTLED_MS;
+    return {
+      replicas,
+      absent: 1 + left.length + Number(isNew),
+    };
+  }
+
   /** The member that leads, or why it cannot be used. */
   usablePrimary(): GroupMember | PrimaryProblem {
     if (this.known === undefined) return PrimaryProblem.Unknown;
--- a/packages/gateway/src/core/groups/index.ts
+++ b/packages/gateway/src/core/groups/index.ts
@@ -1,4 +1,6 @@
 /** What this proxy knows of each group of instances. */
+export * from './ask-report.js';
+export * from './commit-surveys.js';
 export * from './database-group.js';
 export * from './group-registry.js';
 export * from './primary-records.js';
--- a/packages/gateway/src/core/primary-watch/view-proof-task.ts
+++ b/packages/gateway/src/core/primary-watch/view-proof-task.ts
@@ -1,5 +1,5 @@
-import type {ReplicationReport} from '@sapphireglade/decisions';
-import {PrimaryPhase, SapphiregladeError} from '@sapphireglade/decisions';
+import type {ClockReading, ReplicationReport} from '@sapphireglade/decisions';
+import {PrimaryPhase} from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
 import {TaskLifecycle} from '@sapphireglade/runtime';
 import type {
@@ -8,9 +8,8 @@
   GroupRegistry,
   KnownRecord,
 } from '../groups/index.js';
-import type {InstancePool, PooledConnection} from '../pool/index.js';
-import {readClocks, steadyNow, TIMED_OUT, within} from '../time/index.js';
-import {CommandKind} from '../upstream/index.js';
+import {askReport} from '../groups/index.js';
+import {readClocks, steadyNow} from '../time/index.js';
 
 /** How often the age of the views is looked at, in milliseconds. */
 const CHECK_INTERVAL_MS = 100;
@@ -21,12 +20,6 @@
 /** For how long no replica must have been asked before the store counts as back, in milliseconds; twice the time after which they are asked. */
 const STORE_BACK_MS = 1_200;
 
-/** Goes before every caller's request. */
-const CONTROL_PRIORITY = -1;
-
-/** How long a replica may take to answer, in milliseconds. */
-const ANSWER_TIMEOUT_MS = 400;
-
 /**
  * Proves views of primaries by asking replicas while the store is away.
  *
@@ -43,6 +36,8 @@
 export class ViewProofTask extends TaskLifecycle {
   private timer: NodeJS.Timeout | undefined;
   private readonly asking = new Set<DatabaseGroup>();
+  /** Groups of which the last answers proved nothing. */
+  private readonly unproven = new Set<DatabaseGroup>();
   private isReported = false;
   private lastAskedAtMs = -Infinity;
 
@@ -88,60 +83,64 @@
   }
 
   private async prove(group: DatabaseGroup): Promise<void> {
+    const known = group.record;
+    if (known === undefined) return;
     this.asking.add(group);
     try {
       const sentAt = readClocks();
-      const known = group.record;
-      if (known === undefined) return;
-      const isProven =
-        (await this.primaryLeads(group, known)) &&
-        (await this.isAnyReplicaFree(group, known));
-      if (!isProven) await this.findLeader(group);
-      else if (group.record === known) group.prolong(sentAt);
+      const isWhole = this.unproven.has(group);
+      const reports: ReplicationReport[] = [];
+      const ask = async ({pool}: GroupMember): Promise<void> => {
+        const report = await askReport(pool);
+        if (report === undefined) return;
+        reports.push(report);
+        // A dead primary must not delay the news that another instance leads.
+        if (isWhole) this.adoptLeader(group, reports, sentAt);
+      };
+      await Promise.all(this.witnesses(group, known, isWhole).map(ask));
+      this.conclude(group, known, reports, sentAt);
     } finally {
       this.asking.delete(group);
     }
   }
 
-  /** Whether the recorded primary says itself that it leads. */
-  private async primaryLeads(
+  /** The recorded primary and a replica; all instances if they proved nothing. */
+  private witnesses(
     group: DatabaseGroup,
     {record}: KnownRecord,
-  ): Promise<boolean> {
-    const primary = group.members.get(record.primary);
-    if (record.phase !== PrimaryPhase.Steady || primary === undefined) {
-      return false;
-    }
-    const report = await this.askMember(primary);
-    return report?.isPrimary === true && report.term === record.term;
+    isWhole: boolean,
+  ): GroupMember[] {
+    const members = this.membersOf(group);
+    if (isWhole) return members;
+    const replica = members.find(each => each.instance.id !== record.primary);
+    const primary = members.find(each => each.instance.id === record.primary);
+    return [primary, replica].filter(each => each !== undefined);
   }
 
-  /** Whether a replica is not held at a higher term, and was not before. */
-  private async isAnyReplicaFree(
+  private conclude(
     group: DatabaseGroup,
-    {record}: KnownRecord,
-  ): Promise<boolean> {
-    for (const member of this.membersOf(group)) {
-      if (member.instance.id === record.primary) continue;
-      const report = await this.askMember(member);
-      if (followsTerm(report, record.term)) return true;
+    known: KnownRecord,
+    reports: readonly ReplicationReport[],
+    sentAt: ClockReading,
+  ): void {
+    if (!isProven(known, reports)) {
+      this.unproven.add(group);
+      return;
     }
-    return false;
+    this.unproven.delete(group);
+    if (group.record === known) group.prolong(sentAt);
   }
 
-  /** Looks for an instance that leads a higher term and is followed in it. */
-  private async findLeader(group: DatabaseGroup): Promise<void> {
-    const sentAt = readClocks();
+  /** Takes an instance as the primary that leads a higher term and is followed in it. */
+  private adoptLeader(
+    group: DatabaseGroup,
+    reports: readonly ReplicationReport[],
+    sentAt: ClockReading,
+  ): void {
     const term = group.record?.record.term ?? Infinity;
-    const reports = await Promise.all(
-      this.membersOf(group).map(member => this.askMember(member)),
-    );
-    const leader = reports.find(
-      report => report?.isPrimary === true && report.term > term,
-    );
+    const leader = reports.find(each => each.isPrimary && each.term > term);
     if (leader === undefined) return;
-    const isFollowed = reports.some(report => followsTerm(report, leader.term));
-    if (!isFollowed) return;
+    if (!reports.some(each => followsTerm(each, leader.term))) return;
     this.log.info('An instance leads a higher term than is recorded.', {
       group: group.name,
       primary: leader.id,
@@ -158,47 +157,25 @@
       (left, right) => isFar(left) - isFar(right),
     );
   }
+}
 
-  /** Takes a connection, if one is free or can be opened quickly. */
-  private async connectionOf(
-    pool: InstancePool,
-  ): Promise<PooledConnection | undefined> {
-    try {
-      return await pool.acquire({
-        priority: CONTROL_PRIORITY,
-        deadlineMs: steadyNow() + ANSWER_TIMEOUT_MS,
-        values: new Map(),
-      });
-    } catch (error) {
-      if (!(error instanceof SapphiregladeError)) throw error;
-      // The next instance is asked instead.
-      return undefined;
-    }
-  }
-
-  private async askMember({
-    pool,
-  }: GroupMember): Promise<ReplicationReport | undefined> {
-    const connection = await this.connectionOf(pool);
-    if (connection === undefined) return undefined;
-    const reply = await within(
-      connection.run({kind: CommandKind.Status}),
-      ANSWER_TIMEOUT_MS,
-    ).catch((error: Error) => error);
-    if (reply === TIMED_OUT || reply instanceof Error) {
-      pool.discard(connection, 'it did not answer');
-      return undefined;
-    }
-    pool.release(connection);
-    return reply.report;
-  }
+/**
+ * Says whether the recorded primary leads by its own word, and a replica that
+ * is not held at a higher term follows it.
+ */
+function isProven(
+  {record}: KnownRecord,
+  reports: readonly ReplicationReport[],
+): boolean {
+  if (record.phase !== PrimaryPhase.Steady) return false;
+  const leads = reports.some(
+    ({id, isPrimary, term}) =>
+      id === record.primary && isPrimary && term === record.term,
+  );
+  return leads && reports.some(each => followsTerm(each, record.term));
 }
 
 /** Says whether a replica follows a term and is held at no higher one. */
-function followsTerm(
-  report: ReplicationReport | undefined,
-  term: number,
-): boolean {
-  if (report === undefined || report.isPrimary) return false;
-  return report.term === term && report.heldTerm <= term;
+function followsTerm(report: ReplicationReport, term: number): boolean {
+  return !report.isPrimary && report.term === term && report.heldTerm <= term;
 }
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -10,7 +10,7 @@
   CoordinatorTask,
 } from '../coordinator/index.js';
 import {InstanceDirectory} from '../directory/index.js';
-import {GroupRegistry, PrimaryRecords} from '../groups/index.js';
+import {CommitSurveys, GroupRegistry, PrimaryRecords} from '../groups/index.js';
 import {GatewayMetrics, setGatewayGauges} from '../metrics/index.js';
 import {
   KnownProxies,
@@ -233,6 +233,10 @@
     const context: SessionContext = {
       configuration: this.configuration,
       groups: this.groups,
+      surveys: new CommitSurveys(
+        this.configuration,
+        this.loggers(LogPart.Routing),
+      ),
       region,
       regionOf,
       metrics: this.metrics,
--- a/packages/gateway/src/core/sessions/caller-session.ts
+++ b/packages/gateway/src/core/sessions/caller-session.ts
@@ -316,6 +316,9 @@
     write('A request failed.', {
       request: request.requestId,
       statement: request.statement?.kind,
+      database: this.database,
+      consistency: this.findRoute()?.consistency,
+      transaction: isOpen,
       kind: known.kind,
       outcome: known.outcome,
       reason: known.message,
--- a/packages/gateway/src/core/sessions/instance-selection.ts
+++ b/packages/gateway/src/core/sessions/instance-selection.ts
@@ -8,6 +8,7 @@
 import type {DatabaseGroup, GroupMember} from '../groups/index.js';
 import {toOption} from '../groups/index.js';
 import {steadyNow} from '../time/index.js';
+import type {ExecutionRequest} from './runnable-statement.js';
 import type {SessionContext} from './session-context.js';
 
 /** Taken off the allowed age, for timers that fire late, in milliseconds. */
@@ -56,6 +57,18 @@
   });
 }
 
+/**
+ * Says whether replicas are left out only because it is not known which
+ * position would make them fresh enough.
+ */
+export function isFreshnessUnknown(
+  group: DatabaseGroup,
+  {route, startedAtMs, ownCommit}: ExecutionRequest,
+): boolean {
+  if (route.consistency === ReadConsistency.Primary) return false;
+  return requiredPosition(group, route, startedAtMs, ownCommit) === undefined;
+}
+
 /** The position that makes a replica fresh enough, if it is known. */
 function requiredPosition(
   group: DatabaseGroup,
--- a/packages/gateway/src/core/sessions/primary-wait.ts
+++ b/packages/gateway/src/core/sessions/primary-wait.ts
@@ -10,11 +10,14 @@
 /** Longest wait for a confirmation of the view, in milliseconds; one answer of a store that works. */
 const UNCONFIRMED_WAIT_MS = 100;
 
-/** Expected length of a change after a failure, in milliseconds; promotions take some hundred, and the failed primary's users are waited for. */
-const EXPECTED_CHANGE_MS = 1_200;
+/** Expected times from the choice of a target to its lead, in milliseconds; the users' deployments take 600 and 1,000. The next one counts when one has passed. */
+const EXPECTED_PROMOTION_MS = [700, 1_400] as const;
 
-/** Expected length of a planned change, in milliseconds; a planned one took 782 in a run of the users' bench. */
-const EXPECTED_PLANNED_CHANGE_MS = 800;
+/** Expected times from the start of a planned change to the choice of a target, in milliseconds; proxies let transactions end for up to 250. */
+const EXPECTED_PLANNED_CHOICE_MS = [200, 500] as const;
+
+/** The same after a failure, in milliseconds; views of proxies that are gone as well run out within 1,100. */
+const EXPECTED_CHOICE_MS = [300, 1_100] as const;
 
 /**
  * Waits until a group has a primary that may be used.
@@ -37,8 +40,9 @@
     const isUsable =
       typeof primary === 'object' && primary.instance.id !== unsuitable;
     if (isUsable) return primary;
+    // An instance that leads no more is replaced, but the news is not here yet.
     const problem =
-      typeof primary === 'string' ? primary : PrimaryProblem.Changing;
+      typeof primary === 'string' ? primary : PrimaryProblem.Unconfirmed;
     const nowMs = steadyNow();
     const endsAtMs = expectedEnd(group, problem, beganAtMs);
     if (nowMs > endsAtMs || endsAtMs > deadlineMs) {
@@ -61,8 +65,19 @@
   if (problem !== PrimaryProblem.Changing) {
     return beganAtMs + UNCONFIRMED_WAIT_MS;
   }
-  const lengthMs = group.isChangePlanned
-    ? EXPECTED_PLANNED_CHANGE_MS
-    : EXPECTED_CHANGE_MS;
-  return group.changingSinceMs + lengthMs;
+  const {change} = group;
+  if (change.targetAtMs !== undefined) {
+    return nextOf(change.targetAtMs, EXPECTED_PROMOTION_MS);
+  }
+  const choices = change.isPlanned
+    ? EXPECTED_PLANNED_CHOICE_MS
+    : EXPECTED_CHOICE_MS;
+  return nextOf(change.beganAtMs, choices) + EXPECTED_PROMOTION_MS[0];
+}
+
+/** The first of some expected times that has not passed, else the last. */
+function nextOf(sinceMs: number, expectedMs: readonly number[]): number {
+  const nowMs = steadyNow();
+  const ends = expectedMs.map(lengthMs => sinceMs + lengthMs);
+  return ends.find(endMs => endMs >= nowMs) ?? ends.at(-1) ?? nowMs;
 }
--- a/packages/gateway/src/core/sessions/session-context.ts
+++ b/packages/gateway/src/core/sessions/session-context.ts
@@ -1,12 +1,13 @@
 import type {Logger} from '@sapphireglade/runtime';
 import type {ConfigurationHolder} from '../configuration/index.js';
 import type {GatewayMetrics} from '../metrics/index.js';
-import type {GroupRegistry} from '../groups/index.js';
+import type {CommitSurveys, GroupRegistry} from '../groups/index.js';
 
 /** What every session of a process shares. */
 export interface SessionContext {
   readonly configuration: ConfigurationHolder;
   readonly groups: GroupRegistry;
+  readonly surveys: CommitSurveys;
   /** Region of this VM. */
   readonly region: string;
   /** Finds the region of an availability zone. */
--- a/packages/gateway/src/core/sessions/statement-executor.ts
+++ b/packages/gateway/src/core/sessions/statement-executor.ts
@@ -13,7 +13,7 @@
 import {attempt, synchronize} from './attempt.js';
 import {brokenOff, refused} from './attempt-errors.js';
 import type {ReadTarget} from './instance-selection.js';
-import {selectReadTargets} from './instance-selection.js';
+import {isFreshnessUnknown, selectReadTargets} from './instance-selection.js';
 import {awaitPrimary} from './primary-wait.js';
 import type {ExecutionRequest} from './runnable-statement.js';
 import {toCommand} from './runnable-statement.js';
@@ -226,15 +226,13 @@
   private async nextTarget(progress: Progress): Promise<ReadTarget> {
     const {group, request, work, tried, unsuitable} = progress;
     if (work.allowsReplica) {
-      const targets = selectReadTargets(
-        this.context,
-        group,
-        request.route,
-        request.startedAtMs,
-        request.ownCommit,
-      );
-      const next = targets.find(({member}) => !tried.has(member.instance.id));
+      const next = this.nextReadTarget(progress);
       if (next !== undefined) return next;
+      if (isFreshnessUnknown(group, request)) {
+        await this.context.surveys.refresh(group);
+        const found = this.nextReadTarget(progress);
+        if (found !== undefined) return found;
+      }
       // All have been asked; a second round may find one that has caught up.
       tried.clear();
     }
@@ -245,6 +243,21 @@
     return {member, isPrimary: true, atLeast};
   }
 
+  /** The best instance for a read that was not asked yet. */
+  private nextReadTarget({
+    group,
+    request,
+    tried,
+  }: Progress): ReadTarget | undefined {
+    return selectReadTargets(
+      this.context,
+      group,
+      request.route,
+      request.startedAtMs,
+      request.ownCommit,
+    ).find(({member}) => !tried.has(member.instance.id));
+  }
+
   private logFailure(
     {request}: Progress,
     target: ReadTarget,
