--- /dev/null
+++ b/packages/gateway/test/taken-over-change.test.ts
@@ -0,0 +1,161 @@
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {PrimaryPhase} from '@sapphireglade/decisions';
+import type {PrimaryRecord} from '@sapphireglade/decisions';
+import {createSilentLogger} from '@sapphireglade/runtime';
+import {expect} from 'earl';
+import {
+  ChangeReason,
+  PrimaryChange,
+} from '../src/core/coordinator/primary-change.js';
+import type {ChangeContext, Promotion} from '../src/index.js';
+import {
+  ConfigurationHolder,
+  ControlConnections,
+  COORDINATOR_KEY,
+  DatabaseGroup,
+  GatewayMetrics,
+  InstanceDirectory,
+  KnownProxies,
+  Members,
+  PromotionAnswer,
+  PromotionService,
+  recordKey,
+  Releases,
+} from '../src/index.js';
+import {MemoryConnector} from './support/memory-connector.js';
+import {MemoryGroup} from './support/memory-group.js';
+import {MemoryStore, MemoryStoreState} from './support/memory-store.js';
+
+const GROUP = 'ledger';
+const SELF = 'proxy-1';
+
+/** Keeps the orders, and carries them out. */
+class RecordedPromotions extends PromotionService {
+  readonly orders: Promotion[] = [];
+  /** Terms at which each replica was held when the order came. */
+  heldTerms: readonly number[] = [];
+
+  constructor(private readonly group: MemoryGroup) {
+    super();
+  }
+
+  override promote(promotion: Promotion): Promise<PromotionAnswer> {
+    this.orders.push(promotion);
+    this.heldTerms = this.group.instances
+      .slice(1)
+      .map(({heldTerm}) => heldTerm);
+    this.group.promote(promotion.instance, promotion.fencingToken);
+    return Promise.resolve(PromotionAnswer.Accepted);
+  }
+}
+
+describe('PrimaryChange that another coordinator began', () => {
+  let state: MemoryStoreState;
+  let group: MemoryGroup;
+  let view: DatabaseGroup;
+  let promotions: RecordedPromotions;
+  let context: ChangeContext;
+
+  beforeEach(() => {
+    state = new MemoryStoreState();
+    group = new MemoryGroup(GROUP, 3);
+    view = new DatabaseGroup(GROUP);
+    promotions = new RecordedPromotions(group);
+    const log = createSilentLogger();
+    const store = new MemoryStore(state);
+    const directory = new InstanceDirectory(log);
+    for (const {id} of group.instances) {
+      directory.register({
+        id,
+        group: GROUP,
+        host: 'memory',
+        port: 1,
+        availabilityZone: 'zone-0',
+        isLeaving: false,
+        claimsPrimary: false,
+        slots: 3,
+        bornAtMs: 1,
+      });
+    }
+    state.put(COORDINATOR_KEY, SELF);
+    const coordinatorRevision = state.revision;
+    const connector = new MemoryConnector(SELF, new Map([[GROUP, group]]));
+    context = {
+      self: SELF,
+      store,
+      directory,
+      promotions,
+      configuration: new ConfigurationHolder(log),
+      members: new Members(log),
+      knownProxies: new KnownProxies(),
+      releases: new Releases(SELF, store, undefined as never, log),
+      control: new ControlConnections(connector, log),
+      coordinatorRevision: () => coordinatorRevision,
+      followedRevision: () => state.revision,
+      metrics: new GatewayMetrics(),
+      log,
+    } as Partial<ChangeContext> as ChangeContext;
+  });
+
+  afterEach(() => {
+    context.control.closeAll();
+    group.close();
+    state.close();
+  });
+
+  /** Lets the record be what the earlier coordinator has left behind. */
+  function leave(record: PrimaryRecord): number {
+    state.put(recordKey(GROUP), JSON.stringify(record));
+    view.learnRecord({record, revision: state.revision});
+    return state.revision;
+  }
+
+  function goOn(): Promise<void> {
+    return new PrimaryChange(context, view, ChangeReason.Unfinished).run();
+  }
+
+  const announced: PrimaryRecord = {
+    term: 1,
+    primary: `${GROUP}-0`,
+    phase: PrimaryPhase.Changing,
+  };
+
+  it('goes on with a change in which nothing was ordered', async () => {
+    const left = leave(announced);
+    await goOn();
+    expect(promotions.orders.length).toEqual(1);
+    expect(promotions.heldTerms).toEqual([2, 2]);
+    expect(view.record?.record.phase).toEqual(PrimaryPhase.Steady);
+    expect((promotions.orders[0]?.fencingToken ?? 0) > left).toEqual(true);
+  });
+
+  it('adopts the instance that the earlier order has made the primary', async () => {
+    leave({...announced, orders: 1, target: `${GROUP}-1`});
+    group.instances[0]!.isPrimary = false;
+    group.instances[1]!.isPrimary = true;
+    group.instances[1]!.term = 2;
+    await goOn();
+    expect(promotions.orders).toEqual([]);
+    expect(view.record?.record.primary).toEqual(`${GROUP}-1`);
+  });
+
+  it('passes over the term that the earlier order may have begun', async () => {
+    leave({...announced, orders: 1, target: `${GROUP}-1`});
+    await goOn();
+    expect(promotions.orders.length).toEqual(1);
+    expect(promotions.heldTerms).toEqual([3, 3]);
+  });
+
+  it('announces the change anew, so that proxies let go of what that order began', async () => {
+    const left = leave({...announced, orders: 1, target: `${GROUP}-1`});
+    const seen: PrimaryRecord[] = [];
+    view.records$.subscribe(({record, revision}) => {
+      if (revision > left) seen.push(record);
+    });
+    await goOn();
+    expect(seen[0]?.phase).toEqual(PrimaryPhase.Changing);
+    expect(seen[0]?.target).toEqual(undefined);
+    expect(seen[0]?.orders).toEqual(1);
+    expect(seen[1]?.orders).toEqual(2);
+  });
+});
