--- a/packages/gateway/src/core/pool/instance-pool.ts
+++ b/packages/gateway/src/core/pool/instance-pool.ts
@@ -23,12 +23,15 @@
 import {OpeningPace} from './opening-pace.js';
 import {cameTooLate, notConnected, queueIsFull} from './pool-errors.js';
 import {PooledConnection} from './pooled-connection.js';
+import {RoundTrip} from './round-trip.js';
 import type {
   ConnectionRequest,
   ShownPosition,
   WaitingConnectionRequest,
 } from './types.js';
 
+const OVER_LIMIT_MESSAGE = 'An instance refused a connection over its limit.';
+
 /** How long opening a connection may take, in milliseconds. */
 const OPEN_TIMEOUT_MS = 1_000;
 
@@ -38,18 +41,12 @@
 /** How long a connection past the warm ones may be unused, in milliseconds; at a loss of power instances go on counting what was open for three seconds. */
 const UNUSED_LIMIT_MS = 400;
 
-/** Weight of a slower answer in the estimated round trip; a faster one replaces it. */
-const ROUND_TRIP_WEIGHT = 0.02;
-
 /** How long an instance may owe every answer before requests no longer wait for it, in milliseconds; longer than a full queue of it takes. */
 const SILENT_LIMIT_MS = 500;
 
 /** How long an instance may owe every answer before a new connection tries it, in milliseconds; one answer may be lost alone. */
 const PROBE_AFTER_MS = 200;
 
-/** Round trip that is assumed before the first answer, in milliseconds. */
-const INITIAL_ROUND_TRIP_MS = 20;
-
 /**
  * The connections of this proxy to one instance.
  *
@@ -72,7 +69,7 @@
   private opening = 0;
   private share = 0;
   private lastCommitMs = -Infinity;
-  private roundTrip = INITIAL_ROUND_TRIP_MS;
+  private readonly roundTrip = new RoundTrip();
   private unreachable: number | undefined;
   private readonly pace = new OpeningPace();
   private isEnded = false;
@@ -115,7 +112,7 @@
 
   /** Smoothed round trip to the instance, in milliseconds. */
   get roundTripMs(): number {
-    return this.roundTrip;
+    return this.roundTrip.ms;
   }
 
   /** Since when no connection could be opened, if that is so. */
@@ -343,7 +340,9 @@
     const wasOverLimit = this.pace.isOverLimit;
     this.pace.failed(error, nowMs);
     if (this.pace.isOverLimit) {
-      if (!wasOverLimit) this.logOverLimit();
+      const {fields, share} = this;
+      const detail = {...fields, open: this.open.size, share};
+      if (!wasOverLimit) this.log.info(OVER_LIMIT_MESSAGE, detail);
       return;
     }
     this.lastFailedAtMs = nowMs;
@@ -355,15 +354,6 @@
     });
   }
 
-  private logOverLimit(): void {
-    this.log.info('An instance refused a connection over its limit.', {
-      ...this.fields,
-      open: this.open.size,
-      share: this.share,
-      queued: this.queue.length,
-    });
-  }
-
   private refuseAll(reason: string): void {
     for (const waiting of this.queue.removeAll()) {
       waiting.reject(this.noConnection(reason));
@@ -380,9 +370,7 @@
   }
 
   private learn(reply: InstanceReply, sentAtMs: number): void {
-    const tookMs = steadyNow() - sentAtMs;
-    if (tookMs < this.roundTrip) this.roundTrip = tookMs;
-    else this.roundTrip += ROUND_TRIP_WEIGHT * (tookMs - this.roundTrip);
+    this.roundTrip.observe(steadyNow() - sentAtMs);
     if (reply.position === undefined) return;
     this.shown.next({sentAtMs, position: reply.position});
   }
--- /dev/null
+++ b/packages/gateway/src/core/pool/round-trip.ts
@@ -0,0 +1,21 @@
+/** Weight of a slower answer in the estimate; a faster one replaces it. */
+const SLOWER_WEIGHT = 0.02;
+
+/** Round trip that is assumed before the first answer, in milliseconds. */
+const INITIAL_MS = 20;
+
+/** Estimates the round trip to an instance from the fastest answers. */
+export class RoundTrip {
+  private estimateMs = INITIAL_MS;
+
+  /** The estimate, in milliseconds. */
+  get ms(): number {
+    return this.estimateMs;
+  }
+
+  /** Takes in how long an answer took, in milliseconds. */
+  observe(tookMs: number): void {
+    if (tookMs < this.estimateMs) this.estimateMs = tookMs;
+    else this.estimateMs += SLOWER_WEIGHT * (tookMs - this.estimateMs);
+  }
+}
