--- /dev/null
+++ b/packages/decisions/src/core/ownership/index.ts
@@ -0,0 +1,5 @@
+/** Which proxies hold connections to a group, and which of them is asked. */
+export * from './carrying-capacity.js';
+export * from './choose-owner.js';
+export * from './plan-owners.js';
+export * from './types.js';
--- a/packages/decisions/src/core/placement/rendezvous.ts
+++ b/packages/decisions/src/core/placement/rendezvous.ts
@@ -1,5 +1,8 @@
 import {createHash} from 'node:crypto';
 
+/** How many values a hash can take. */
+const HASH_RANGE = 2 ** 48;
+
 /**
  * Ranks nodes for a key by rendezvous hashing.
  *
@@ -25,3 +28,13 @@
   const digest = createHash('sha256').update(`${key}\0${node}`).digest();
   return digest.readUIntBE(0, 6);
 }
+
+/**
+ * Hashes key and node to a number between 0 and 1, both excluded.
+ *
+ * @param key - What is placed.
+ * @param node - Name of a candidate.
+ */
+export function hashUnit(key: string, node: string): number {
+  return (weightOf(key, node) + 1) / (HASH_RANGE + 2);
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -14,6 +14,7 @@
 export * from './core/primary-change/index.js';
 export * from './core/groups/index.js';
 export * from './core/membership/index.js';
+export * from './core/ownership/index.js';
 export * from './core/placement/index.js';
 export * from './core/resources/index.js';
 export * from './core/retry/index.js';
--- /dev/null
+++ b/packages/decisions/test/ownership/plan-owners.test.ts
@@ -0,0 +1,135 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import type {OwnerCandidate, OwnershipRequest} from '../../src/index.js';
+import {carryingCapacity, planOwners} from '../../src/index.js';
+
+const REGIONS: Readonly<Record<string, string>> = {
+  a: 'east',
+  b: 'east',
+  c: 'west',
+  d: 'west',
+};
+
+/** Proxies spread over the zones, one in ten on a large VM. */
+function fleetOf(size: number, zones = ['a', 'b', 'c', 'd']): OwnerCandidate[] {
+  return Array.from({length: size}, (_, index) => {
+    const availabilityZone = zones[index % zones.length]!;
+    return {
+      name: `proxy-${index}`,
+      availabilityZone,
+      region: REGIONS[availabilityZone]!,
+      capacity: Math.floor(index / zones.length) % 10 === 0 ? 2 : 0.2,
+    };
+  });
+}
+
+function requestOf(
+  candidates: readonly OwnerCandidate[],
+  changes: Partial<OwnershipRequest> = {},
+): OwnershipRequest {
+  return {
+    group: 'ledger-1',
+    zones: ['a', 'b', 'c'],
+    connectionLimit: 41,
+    candidates,
+    regionOf: zone => REGIONS[zone]!,
+    ...changes,
+  };
+}
+
+describe('planOwners', () => {
+  describe('before few connections', () => {
+    for (const size of [8, 65, 195, 640]) {
+      it(`gives a group few owners among ${size} proxies, two in each zone`, () => {
+        const fleet = fleetOf(size);
+        const owners = planOwners(requestOf(fleet));
+        const zones = owners.map(
+          name =>
+            fleet.find(each => each.name === name)?.availabilityZone ?? '',
+        );
+        expect(zones.sort()).toEqual(['a', 'a', 'b', 'b', 'c', 'c']);
+      });
+    }
+
+    it('chooses one owner a zone where the connections allow no two each', () => {
+      const owners = planOwners(requestOf(fleetOf(65), {connectionLimit: 9}));
+      expect(owners.length).toEqual(3);
+    });
+
+    it('puts most groups on large VMs', () => {
+      const fleet = fleetOf(80);
+      const groups = Array.from({length: 50}, (_, index) => `group-${index}`);
+      const owners = groups.flatMap(group =>
+        planOwners(requestOf(fleet, {group})),
+      );
+      const large = new Set(
+        fleet.filter(({capacity}) => capacity > 1).map(({name}) => name),
+      );
+      const onLarge = owners.filter(name => large.has(name)).length;
+      expect(onLarge / owners.length > 0.8).toEqual(true);
+    });
+  });
+
+  describe('when proxies come and go', () => {
+    it('makes the same plan whatever order the members are listed in', () => {
+      fc.assert(
+        fc.property(
+          fc.shuffledSubarray(fleetOf(40), {minLength: 40, maxLength: 40}),
+          shuffled => {
+            const plan = planOwners(requestOf(shuffled));
+            expect(plan).toEqual(planOwners(requestOf(fleetOf(40))));
+          },
+        ),
+        {seed: 11, numRuns: 50},
+      );
+    });
+
+    it('keeps the other owners when one proxy leaves', () => {
+      const fleet = fleetOf(40);
+      const before = planOwners(requestOf(fleet));
+      for (const gone of before) {
+        const rest = fleet.filter(({name}) => name !== gone);
+        const after = planOwners(requestOf(rest));
+        const kept = before.filter(name => after.includes(name));
+        expect(kept.length).toEqual(before.length - 1);
+      }
+    });
+
+    it('finds owners in the region of a zone without proxies, else anywhere', () => {
+      const fleet = fleetOf(40);
+      const without = (zones: string[]): OwnerCandidate[] =>
+        fleet.filter(each => !zones.includes(each.availabilityZone));
+      const inRegion = planOwners(requestOf(without(['a']), {zones: ['a']}));
+      expect(inRegion.every(name => zoneOf(fleet, name) === 'b')).toEqual(true);
+      const anywhere = planOwners(
+        requestOf(without(['a', 'b']), {zones: ['a']}),
+      );
+      expect(anywhere.length).toEqual(2);
+      expect(planOwners(requestOf([]))).toEqual([]);
+    });
+  });
+});
+
+describe('carryingCapacity', () => {
+  const vm = {
+    processorShare: 0.5,
+    processorCores: 2,
+    linkMbps: 200,
+    memoryMb: 600,
+  };
+
+  it('grows with every resource alike', () => {
+    expect(carryingCapacity(vm)).toEqual(2);
+  });
+
+  it('is bound by the scarcest resource', () => {
+    expect(carryingCapacity({...vm, linkMbps: 10})).toEqual(0.1);
+    expect(carryingCapacity({...vm, processorCores: 1})).toEqual(1);
+    expect(carryingCapacity({...vm, memoryMb: 150})).toEqual(0.5);
+  });
+});
+
+function zoneOf(fleet: readonly OwnerCandidate[], name: string): string {
+  return fleet.find(each => each.name === name)?.availabilityZone ?? '';
+}
--- a/packages/gateway/src/core/coordinator/change-context.ts
+++ b/packages/gateway/src/core/coordinator/change-context.ts
@@ -18,6 +18,8 @@
   readonly configuration: ConfigurationHolder;
   readonly members: Members;
   readonly knownProxies: KnownProxies;
+  /** Names of the proxies that hold connections to a group. */
+  readonly ownersOf: (group: string) => readonly string[];
   readonly releases: Releases;
   readonly control: ControlConnections;
   readonly promotions: PromotionService;
--- a/packages/gateway/src/core/coordinator/coordinator-task.ts
+++ b/packages/gateway/src/core/coordinator/coordinator-task.ts
@@ -93,7 +93,10 @@
       this.considerClaim();
       return;
     }
-    for (const group of this.options.context.groups.all) this.inspect(group);
+    const {groups, configuration} = this.options.context;
+    for (const name of configuration.current?.groups.keys() ?? []) {
+      this.inspect(groups.ensure(name));
+    }
     this.forgetDeparted();
   }
 
@@ -131,7 +134,10 @@
       return;
     }
     this.vacantSinceMs ??= steadyNow();
-    const names = context.members.records.map(({name}) => name);
+    // Only owners hold the lease under which the key lives.
+    const names = context.members.names.filter(name =>
+      context.knownProxies.has(name),
+    );
     const rank = rankNodes(COORDINATOR_KEY, names).indexOf(context.self);
     const isTurn = steadyNow() - this.vacantSinceMs >= rank * RANK_DELAY_MS;
     if (rank >= 0 && isTurn && !this.isClaiming) void this.claim();
@@ -201,7 +207,10 @@
   }
 
   private isGivenUp(group: DatabaseGroup, primary: string): boolean {
-    const records = this.context.members.records;
+    const owners = this.context.ownersOf(group.name);
+    const records = owners.flatMap(
+      name => this.context.members.find(name) ?? [],
+    );
     return isPrimaryGivenUp({
       members: records.length,
       suspecting: records.filter(({suspects}) => suspects.includes(group.name))
--- /dev/null
+++ b/packages/gateway/src/core/forwarding/forwarding-runner.ts
@@ -0,0 +1,167 @@
+import {ErrorKind, Outcome, SapphiregladeError} from '@sapphireglade/decisions';
+import type {Logger} from '@sapphireglade/runtime';
+import type {ExecutionRequest, PlacedTransaction} from '../sessions/index.js';
+import {StatementRunner} from '../sessions/index.js';
+import {steadyNow} from '../time/index.js';
+import type {InstanceReply} from '../upstream/index.js';
+import type {Forwarded} from './messages.js';
+import {decodeAnswer, encodeExecution, ForwardedKind} from './messages.js';
+import type {OwnerLinks} from './owner-links.js';
+import type {OwnerPeer, PeerResult} from './owner-peer.js';
+import {RemoteTransaction} from './remote-transaction.js';
+
+/** Most owners that one statement is sent to. */
+const MAXIMUM_OWNERS_ASKED = 4;
+
+/** When a caller comes back if no owner could be asked, in milliseconds. */
+const RETRY_AFTER_MS = 100;
+
+/** Errors of an owner after which another owner may do better. */
+const ELSEWHERE: ReadonlySet<ErrorKind> = new Set<ErrorKind>([
+  ErrorKind.NoOwner,
+  ErrorKind.ShuttingDown,
+  ErrorKind.NotReady,
+  ErrorKind.NoConnection,
+  ErrorKind.NoPrimary,
+  ErrorKind.Overloaded,
+]);
+
+/** A request of which it is known whether another owner may get it as well. */
+export interface ForwardedWork {
+  readonly request: ExecutionRequest;
+  /** Makes what crosses the link, just before it is sent. */
+  readonly encode: () => Forwarded;
+  /** Whether it may be sent again although it may have run. */
+  readonly isRepeatable: boolean;
+}
+
+/** An answer, and over which link it came. */
+export interface ForwardedResult {
+  readonly reply: InstanceReply;
+  readonly peer: OwnerPeer;
+  readonly link: Extract<PeerResult, {kind: 'answered'}>['link'];
+}
+
+/** Runs statements at an owner of their group. */
+export class ForwardingRunner extends StatementRunner {
+  private lastTransaction = 0;
+
+  constructor(
+    private readonly links: OwnerLinks,
+    private readonly log: Logger,
+  ) {
+    super();
+  }
+
+  override async run(request: ExecutionRequest): Promise<InstanceReply> {
+    const {reply} = await this.ask({
+      request,
+      encode: () => ({
+        kind: ForwardedKind.Statement,
+        execution: encodeExecution(request),
+      }),
+      isRepeatable: request.statement.isRead,
+    });
+    return reply;
+  }
+
+  /** The transaction begins at an owner together with its first statement. */
+  override begin(
+    request: ExecutionRequest,
+    isReadOnly: boolean,
+  ): Promise<PlacedTransaction> {
+    this.lastTransaction += 1;
+    const {startedAtMs} = request;
+    const id = this.lastTransaction;
+    return Promise.resolve(
+      new RemoteTransaction(this, {id, isReadOnly, startedAtMs}),
+    );
+  }
+
+  /**
+   * Sends a request to one owner after another, until one has run it.
+   *
+   * @throws SapphiregladeError whose outcome says whether it may have run.
+   */
+  async ask(work: ForwardedWork): Promise<ForwardedResult> {
+    const {request, isRepeatable} = work;
+    const {group} = request.route;
+    const tried = new Set<string>();
+    let last = noOwner(group);
+    while (
+      tried.size < MAXIMUM_OWNERS_ASKED &&
+      steadyNow() < request.deadlineMs
+    ) {
+      const peer = this.links.choose(group, tried);
+      if (peer === undefined) break;
+      tried.add(peer.name);
+      const result = await peer.ask(work.encode, request.deadlineMs);
+      const outcome = readResult(result, isRepeatable);
+      if (!(outcome instanceof SapphiregladeError)) {
+        return {...outcome, peer};
+      }
+      this.logFailure(work, peer, outcome);
+      last = outcome;
+      const mayHaveRun = outcome.outcome !== Outcome.NotRun;
+      if (mayHaveRun ? !isRepeatable : !ELSEWHERE.has(outcome.kind)) break;
+      const wasRun =
+        outcome.kind === ErrorKind.RunFailed ||
+        (outcome.kind === ErrorKind.RunTimedOut && result.kind === 'answered');
+      if (wasRun) break;
+    }
+    throw last;
+  }
+
+  private logFailure(
+    {request}: ForwardedWork,
+    peer: OwnerPeer,
+    error: SapphiregladeError,
+  ): void {
+    this.log.info('An owner did not serve a statement.', {
+      request: request.statement.requestId,
+      group: request.route.group,
+      owner: peer.name,
+      remainingMs: Math.round(request.deadlineMs - steadyNow()),
+      kind: error.kind,
+      outcome: error.outcome,
+      reason: error.message,
+    });
+  }
+}
+
+/** The answer, or the error that the caller may be told. */
+function readResult(
+  result: PeerResult,
+  isRepeatable: boolean,
+): Omit<ForwardedResult, 'peer'> | SapphiregladeError {
+  if (result.kind === 'failed') return linkError(result, isRepeatable);
+  const answer = decodeAnswer(result.body);
+  if (answer instanceof SapphiregladeError) return answer;
+  if (answer !== undefined) return {reply: answer, link: result.link};
+  return linkError(
+    {wasSent: true, reason: 'The answer of the owner cannot be read.'},
+    isRepeatable,
+  );
+}
+
+/** What a lost link means for a request. */
+export function linkError(
+  {wasSent, reason}: {wasSent: boolean; reason: string},
+  isRepeatable: boolean,
+): SapphiregladeError {
+  if (!wasSent) {
+    return new SapphiregladeError(ErrorKind.NoOwner, reason, {
+      retryAfterMs: RETRY_AFTER_MS,
+    });
+  }
+  const kind = isRepeatable ? ErrorKind.RunTimedOut : ErrorKind.OutcomeUnknown;
+  return new SapphiregladeError(kind, reason);
+}
+
+function noOwner(group: string): SapphiregladeError {
+  return new SapphiregladeError(
+    ErrorKind.NoOwner,
+    `No proxy that holds connections to group ${group} can be reached.`,
+    {retryAfterMs: RETRY_AFTER_MS},
+  );
+}
--- /dev/null
+++ b/packages/gateway/src/core/forwarding/messages.ts
@@ -0,0 +1,199 @@
+import {
+  ErrorKind,
+  Outcome,
+  PreparedKind,
+  ReadConsistency,
+  SapphiregladeError,
+  SessionValues,
+  TransactionState,
+} from '@sapphireglade/decisions';
+import * as z from 'zod';
+import type {ExecutionRequest} from '../sessions/index.js';
+import {steadyNow} from '../time/index.js';
+import type {InstanceReply} from '../upstream/index.js';
+
+/** Kinds of request that an entry proxy sends to an owner. */
+export const ForwardedKind = {
+  /** One statement outside of a transaction. */
+  Statement: 'statement',
+  /** A statement of a transaction, the first one included. */
+  InTransaction: 'in-transaction',
+  /** The end of a transaction of which nothing is kept. */
+  RollBack: 'roll-back',
+} as const;
+
+const positionSchema = z.object({term: z.number(), position: z.number()});
+
+/** What an owner needs to run a statement; times are spans, clocks differ. */
+const executionSchema = z.object({
+  requestId: z.string(),
+  isRead: z.boolean(),
+  awaitsReplica: z.boolean(),
+  text: z.string().optional(),
+  prepared: z
+    .object({kind: z.enum(PreparedKind), shape: z.string()})
+    .optional(),
+  parameters: z.string(),
+  values: z.array(z.tuple([z.string(), z.string()])),
+  database: z.string(),
+  group: z.string(),
+  consistency: z.enum(ReadConsistency),
+  maximumStalenessMs: z.number(),
+  statementTimeoutMs: z.number(),
+  targetLatencyMs: z.number(),
+  priority: z.number(),
+  /** Since the statement or its transaction began, in milliseconds. */
+  ageMs: z.number(),
+  /** For which it is still worth running, in milliseconds. */
+  remainingMs: z.number(),
+  /** For which it may wait for a connection, in milliseconds. */
+  queueRemainingMs: z.number(),
+  ownCommit: positionSchema.optional(),
+});
+
+/** Checks what an entry proxy asks. */
+export const forwardedSchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal(ForwardedKind.Statement),
+    execution: executionSchema,
+  }),
+  z.object({
+    kind: z.literal(ForwardedKind.InTransaction),
+    /** Unique on the link. */
+    transaction: z.number(),
+    /** Whether it begins with this statement. */
+    isFirst: z.boolean(),
+    isReadOnly: z.boolean(),
+    /** Whether the statement is the commit. */
+    isCommit: z.boolean(),
+    execution: executionSchema,
+  }),
+  z.object({
+    kind: z.literal(ForwardedKind.RollBack),
+    transaction: z.number(),
+  }),
+]);
+
+/** One of the requests. */
+export type Forwarded = z.infer<typeof forwardedSchema>;
+
+/** The execution part of a request. */
+type ForwardedExecution = z.infer<typeof executionSchema>;
+
+/** Checks what an owner answers. */
+const answerSchema = z.union([
+  z.object({
+    rows: z.array(z.string()),
+    signature: z.string().optional(),
+    state: z.enum(TransactionState),
+    position: positionSchema.optional(),
+  }),
+  z.object({
+    error: z.enum(ErrorKind),
+    message: z.string(),
+    outcome: z.enum(Outcome),
+    retryAfterMs: z.number().optional(),
+  }),
+]);
+
+/** What an owner answers. */
+export type ForwardedAnswer = z.infer<typeof answerSchema>;
+
+/** Turns a request into what crosses the link. */
+export function encodeExecution(request: ExecutionRequest): ForwardedExecution {
+  const {statement, route, values, ownCommit} = request;
+  const nowMs = steadyNow();
+  return {
+    requestId: statement.requestId,
+    isRead: statement.isRead,
+    awaitsReplica: statement.awaitsReplica,
+    text: statement.text,
+    prepared: statement.prepared,
+    parameters: statement.parameters,
+    values: [...values.values],
+    ...route,
+    ageMs: nowMs - request.startedAtMs,
+    remainingMs: request.deadlineMs - nowMs,
+    queueRemainingMs: request.queueDeadlineMs - nowMs,
+    ownCommit,
+  };
+}
+
+/** Turns what crossed the link into a request of this process. */
+export function decodeExecution(
+  execution: ForwardedExecution,
+): ExecutionRequest {
+  const nowMs = steadyNow();
+  const values = new SessionValues();
+  for (const [name, value] of execution.values) values.set(name, value);
+  const {requestId, isRead, awaitsReplica, parameters} = execution;
+  return {
+    statement: {
+      requestId,
+      isRead,
+      awaitsReplica,
+      text: execution.text,
+      prepared: execution.prepared,
+      parameters,
+    },
+    route: {
+      database: execution.database,
+      group: execution.group,
+      consistency: execution.consistency,
+      maximumStalenessMs: execution.maximumStalenessMs,
+      statementTimeoutMs: execution.statementTimeoutMs,
+      targetLatencyMs: execution.targetLatencyMs,
+      priority: execution.priority,
+    },
+    values,
+    // The way over the link makes the beginning seem later, and the read fresher.
+    startedAtMs: nowMs - execution.ageMs,
+    deadlineMs: nowMs + execution.remainingMs,
+    queueDeadlineMs: nowMs + execution.queueRemainingMs,
+    ownCommit: execution.ownCommit,
+  };
+}
+
+/** Turns an answer into what crosses the link. */
+export function encodeReply(reply: InstanceReply): ForwardedAnswer {
+  const {rows, signature, state, position} = reply;
+  return {rows: [...rows], signature, state, position};
+}
+
+/** Turns an error into what crosses the link. */
+export function encodeError(error: unknown): ForwardedAnswer {
+  const known =
+    error instanceof SapphiregladeError
+      ? error
+      : new SapphiregladeError(ErrorKind.Internal, String(error));
+  const {kind, message, outcome, retryAfterMs} = known;
+  return {error: kind, message, outcome, retryAfterMs};
+}
+
+/**
+ * Turns what crossed the link into an answer.
+ *
+ * @returns The answer or the owner's error; nothing if it is neither.
+ */
+export function decodeAnswer(
+  body: unknown,
+): InstanceReply | SapphiregladeError | undefined {
+  const result = answerSchema.safeParse(body);
+  if (!result.success) return undefined;
+  const answer = result.data;
+  if ('error' in answer) {
+    const {error, message, outcome, retryAfterMs} = answer;
+    const details =
+      retryAfterMs === undefined ? {outcome} : {outcome, retryAfterMs};
+    return new SapphiregladeError(error, message, details);
+  }
+  const {rows, signature, state, position} = answer;
+  return {
+    rows,
+    signature,
+    refusal: undefined,
+    state,
+    position,
+    report: undefined,
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/core/forwarding/owner-desk.ts
@@ -0,0 +1,226 @@
+import {ErrorKind, SapphiregladeError} from '@sapphireglade/decisions';
+import type {Link, LinkHandlers} from '@sapphireglade/protocol';
+import type {Logger} from '@sapphireglade/runtime';
+import type {ConfigurationHolder} from '../configuration/index.js';
+import type {ExecutionRequest, StatementRunner} from '../sessions/index.js';
+import {SessionTransaction} from '../sessions/index.js';
+import type {InstanceReply} from '../upstream/index.js';
+import type {Forwarded, ForwardedAnswer} from './messages.js';
+import {
+  decodeExecution,
+  encodeError,
+  encodeReply,
+  ForwardedKind,
+  forwardedSchema,
+} from './messages.js';
+
+/** How much longer than the entry proxy the owner lets a transaction idle, in milliseconds, so that the entry proxy's word comes first. */
+const IDLE_SLACK_MS = 1_000;
+
+/** What the desk serves with. */
+export interface OwnerDeskOptions {
+  /** Runs statements on connections of this proxy. */
+  readonly runner: StatementRunner;
+  readonly isOwned: (group: string) => boolean;
+  readonly configuration: ConfigurationHolder;
+  readonly log: Logger;
+}
+
+/** A transaction of another proxy's caller. */
+interface GuestTransaction {
+  readonly transaction: SessionTransaction;
+  isBusy: boolean;
+  idleTimer: NodeJS.Timeout | undefined;
+}
+
+type InTransaction = Extract<
+  Forwarded,
+  {kind: typeof ForwardedKind.InTransaction}
+>;
+
+/** Serves what entry proxies send to this proxy as an owner. */
+export class OwnerDesk implements LinkHandlers {
+  private readonly guests = new Map<Link, Map<number, GuestTransaction>>();
+  private isClosing = false;
+
+  constructor(private readonly options: OwnerDeskOptions) {}
+
+  /** Transactions that are open. */
+  get openTransactions(): number {
+    let count = 0;
+    for (const table of this.guests.values()) count += table.size;
+    return count;
+  }
+
+  /** Takes no new statements and transactions; open ones may go on. */
+  drain(): void {
+    this.isClosing = true;
+  }
+
+  /** Ends the transactions in which no statement runs. */
+  endOpenTransactions(): void {
+    for (const table of this.guests.values()) {
+      for (const [id, guest] of table) {
+        if (!guest.isBusy) end(table, id);
+      }
+    }
+  }
+
+  async onRequest(
+    body: unknown,
+    _peer: unknown,
+    _deadlineMs: number,
+    link: Link,
+  ): Promise<ForwardedAnswer> {
+    const parsed = forwardedSchema.safeParse(body);
+    if (!parsed.success) {
+      this.options.log.warn('Another proxy sent a malformed request.', {
+        peer: link.peer?.process,
+        problem: parsed.error.issues[0]?.message,
+      });
+      return encodeError(
+        new SapphiregladeError(ErrorKind.InvalidInput, 'It is malformed.'),
+      );
+    }
+    try {
+      const reply = await this.serve(parsed.data, link);
+      return encodeReply(reply);
+    } catch (error) {
+      // What is not the product's own error is a fault, and told as one.
+      if (!(error instanceof SapphiregladeError)) {
+        this.options.log.error('A forwarded request met a fault.', {
+          error: String(error),
+        });
+      }
+      return encodeError(error);
+    }
+  }
+
+  onNotice(): void {
+    this.options.log.debug('A notice arrived that nothing here listens to.');
+  }
+
+  private serve(request: Forwarded, link: Link): Promise<InstanceReply> {
+    switch (request.kind) {
+      case ForwardedKind.Statement:
+        this.checkOwned(request.execution.group);
+        return this.options.runner.run(decodeExecution(request.execution));
+      case ForwardedKind.RollBack:
+        end(this.tableOf(link), request.transaction);
+        return Promise.resolve(NOTHING);
+      case ForwardedKind.InTransaction:
+        return this.serveTransaction(request, link);
+    }
+  }
+
+  private async serveTransaction(
+    request: InTransaction,
+    link: Link,
+  ): Promise<InstanceReply> {
+    const execution = decodeExecution(request.execution);
+    const table = this.tableOf(link);
+    const guest = request.isFirst
+      ? this.open(request, execution, table)
+      : table.get(request.transaction);
+    if (guest === undefined) throw unknownTransaction();
+    clearTimeout(guest.idleTimer);
+    guest.isBusy = true;
+    try {
+      const {transaction} = guest;
+      if (!request.isCommit) return await transaction.run(execution);
+      const reply = await transaction.commit(execution);
+      table.delete(request.transaction);
+      return reply;
+    } catch (error) {
+      end(table, request.transaction);
+      throw error;
+    } finally {
+      guest.isBusy = false;
+      // The link may have closed meanwhile; nobody would end it later.
+      if (!link.isOpen) guest.transaction.rollBack();
+      else if (table.has(request.transaction)) {
+        this.watchIdle(table, request.transaction, guest);
+      }
+    }
+  }
+
+  private open(
+    request: InTransaction,
+    {route, startedAtMs}: ExecutionRequest,
+    table: Map<number, GuestTransaction>,
+  ): GuestTransaction {
+    this.checkOwned(route.group);
+    const transaction = new SessionTransaction(
+      request.isReadOnly,
+      route,
+      this.options.runner,
+      startedAtMs,
+    );
+    const guest = {transaction, isBusy: true, idleTimer: undefined};
+    table.set(request.transaction, guest);
+    return guest;
+  }
+
+  /** An entry proxy that is gone without a word must not hold a connection. */
+  private watchIdle(
+    table: Map<number, GuestTransaction>,
+    id: number,
+    guest: GuestTransaction,
+  ): void {
+    const limitMs = this.options.configuration.current?.transactionIdleMs;
+    if (limitMs === undefined) return;
+    guest.idleTimer = setTimeout(() => end(table, id), limitMs + IDLE_SLACK_MS);
+    guest.idleTimer.unref();
+  }
+
+  private checkOwned(group: string): void {
+    if (this.isClosing) {
+      throw new SapphiregladeError(
+        ErrorKind.ShuttingDown,
+        'The owner is stopping.',
+      );
+    }
+    if (this.options.isOwned(group)) return;
+    throw new SapphiregladeError(
+      ErrorKind.NoOwner,
+      `This proxy does not own group ${group}.`,
+    );
+  }
+
+  private tableOf(link: Link): Map<number, GuestTransaction> {
+    const known = this.guests.get(link);
+    if (known !== undefined) return known;
+    const table = new Map<number, GuestTransaction>();
+    this.guests.set(link, table);
+    link.closed$.subscribe(() => {
+      this.guests.delete(link);
+      for (const id of [...table.keys()]) end(table, id);
+    });
+    return table;
+  }
+}
+
+/** The answer to a rollback. */
+const NOTHING: InstanceReply = {
+  rows: [],
+  signature: undefined,
+  refusal: undefined,
+  state: 'idle',
+  position: undefined,
+  report: undefined,
+};
+
+function end(table: Map<number, GuestTransaction>, id: number): void {
+  const guest = table.get(id);
+  table.delete(id);
+  if (guest === undefined) return;
+  clearTimeout(guest.idleTimer);
+  guest.transaction.rollBack();
+}
+
+function unknownTransaction(): SapphiregladeError {
+  return new SapphiregladeError(
+    ErrorKind.TransactionLost,
+    'The transaction has ended at its owner; nothing of it is kept.',
+  );
+}
--- /dev/null
+++ b/packages/gateway/src/core/forwarding/owner-links.ts
@@ -0,0 +1,102 @@
+import type {EntryPlace, OwnerOption} from '@sapphireglade/decisions';
+import {chooseOwner} from '@sapphireglade/decisions';
+import type {LinkContext} from '@sapphireglade/protocol';
+import {LinkDialer} from '@sapphireglade/protocol';
+import type {MemberRecord, Members} from '../membership/index.js';
+import {steadyNow} from '../time/index.js';
+import {OwnerPeer} from './owner-peer.js';
+
+/** What the links are made from. */
+export interface OwnerLinksOptions {
+  readonly self: string;
+  readonly place: EntryPlace;
+  readonly members: Members;
+  readonly regionOf: (zone: string) => string;
+  readonly context: LinkContext;
+  /** Names of the proxies that own a group. */
+  readonly ownersOf: (group: string) => readonly string[];
+}
+
+/** The links of this proxy to the owners of groups, opened when needed. */
+export class OwnerLinks {
+  private readonly peers = new Map<string, OwnerPeer>();
+
+  constructor(private readonly options: OwnerLinksOptions) {
+    options.members.changes$.subscribe(() => this.dropDeparted());
+  }
+
+  /** Links that are open. */
+  get open(): number {
+    return [...this.peers.values()].filter(({isOpen}) => isOpen).length;
+  }
+
+  /** Whether any other proxy owns a group. */
+  hasOwner(group: string): boolean {
+    return this.others(group).length > 0;
+  }
+
+  /**
+   * Chooses an owner of a group.
+   *
+   * @param group - The group.
+   * @param tried - Owners that are not asked again.
+   */
+  choose(group: string, tried: ReadonlySet<string>): OwnerPeer | undefined {
+    const peers = this.others(group)
+      .filter(name => !tried.has(name))
+      .flatMap(name => this.peer(name) ?? []);
+    const options = peers.map(peer => this.describe(peer));
+    const {place} = this.options;
+    const chosen = chooseOwner(options, place, steadyNow(), Math.random);
+    return peers.find(({name}) => name === chosen?.name);
+  }
+
+  /** Closes every link. */
+  close(): void {
+    for (const peer of this.peers.values()) peer.stop();
+    this.peers.clear();
+  }
+
+  private others(group: string): readonly string[] {
+    const {self, ownersOf} = this.options;
+    return ownersOf(group).filter(name => name !== self);
+  }
+
+  private describe({name, record, load}: OwnerPeer): OwnerOption {
+    const {availabilityZone} = record;
+    const region = this.options.regionOf(availabilityZone);
+    return {name, availabilityZone, region, ...load};
+  }
+
+  private peer(name: string): OwnerPeer | undefined {
+    const known = this.peers.get(name);
+    if (known !== undefined) return known;
+    const record = this.options.members.find(name);
+    if (record === undefined) return undefined;
+    const peer = new OwnerPeer(record, dialerTo(record, this.options.context));
+    this.peers.set(name, peer);
+    return peer;
+  }
+
+  /** A proxy that started again may listen elsewhere. */
+  private dropDeparted(): void {
+    for (const [name, peer] of this.peers) {
+      const record = this.options.members.find(name);
+      if (record?.incarnation === peer.record.incarnation) continue;
+      this.peers.delete(name);
+      peer.retire();
+    }
+  }
+}
+
+function dialerTo(
+  {peerAddress}: MemberRecord,
+  context: LinkContext,
+): LinkDialer {
+  const colon = peerAddress.lastIndexOf(':');
+  const address = peerAddress.slice(0, colon);
+  return new LinkDialer(
+    {address, port: Number(peerAddress.slice(colon + 1))},
+    context,
+  );
+}
--- /dev/null
+++ b/packages/gateway/src/core/forwarding/remote-transaction.ts
@@ -0,0 +1,124 @@
+import {ErrorKind, SapphiregladeError} from '@sapphireglade/decisions';
+import type {Link} from '@sapphireglade/protocol';
+import type {ExecutionRequest} from '../sessions/index.js';
+import {PlacedTransaction} from '../sessions/index.js';
+import type {InstanceReply} from '../upstream/index.js';
+import type {ForwardingRunner} from './forwarding-runner.js';
+import {linkError} from './forwarding-runner.js';
+import type {Forwarded} from './messages.js';
+import {decodeAnswer, encodeExecution, ForwardedKind} from './messages.js';
+import type {OwnerPeer} from './owner-peer.js';
+
+/** How long an owner has for a rollback, in milliseconds; the end of the link has the same effect. */
+const ROLLBACK_DEADLINE_MS = 1_000;
+
+/** What a transaction is from its beginning. */
+export interface RemoteTransactionOptions {
+  /** Unique in this process. */
+  readonly id: number;
+  readonly isReadOnly: boolean;
+  /** When it began, in milliseconds of the steady clock. */
+  readonly startedAtMs: number;
+}
+
+/** A transaction at an owner. It keeps to one link, whose end rolls it back. */
+export class RemoteTransaction extends PlacedTransaction {
+  private place: {readonly peer: OwnerPeer; readonly link: Link} | undefined;
+  private hasEnded = false;
+
+  constructor(
+    private readonly runner: ForwardingRunner,
+    private readonly options: RemoteTransactionOptions,
+  ) {
+    super();
+  }
+
+  override run(request: ExecutionRequest): Promise<InstanceReply> {
+    return this.send(request, false, false);
+  }
+
+  override async commit(
+    request: ExecutionRequest,
+    hasWritten: boolean,
+  ): Promise<InstanceReply> {
+    const reply = await this.send(request, true, hasWritten);
+    this.hasEnded = true;
+    return reply;
+  }
+
+  override rollBack(): void {
+    const {place, options} = this;
+    if (place === undefined || this.hasEnded) return;
+    this.hasEnded = true;
+    if (!place.link.isOpen) return;
+    place.link
+      .request(
+        {kind: ForwardedKind.RollBack, transaction: options.id},
+        ROLLBACK_DEADLINE_MS,
+      )
+      // The link failed or the owner is slow; either ends the transaction there.
+      .catch(() => undefined);
+  }
+
+  private async send(
+    request: ExecutionRequest,
+    isCommit: boolean,
+    mayBeKept: boolean,
+  ): Promise<InstanceReply> {
+    if (this.hasEnded) throw lost('it has ended');
+    if (this.place === undefined) return this.begin(request, isCommit);
+    const {peer, link} = this.place;
+    const body = this.encode(request, isCommit, false);
+    const result = await peer.askOver(link, body, request.deadlineMs);
+    const answer =
+      result.kind === 'answered' ? decodeAnswer(result.body) : undefined;
+    if (answer instanceof SapphiregladeError) throw answer;
+    if (answer !== undefined) return answer;
+    // Whatever still runs there ends with the link.
+    link.close();
+    this.hasEnded = true;
+    const reason =
+      result.kind === 'failed' ? result.reason : 'its answer cannot be read';
+    const wasSent = result.kind === 'answered' || result.wasSent;
+    throw mayBeKept && wasSent
+      ? linkError({wasSent, reason}, false)
+      : lost(reason);
+  }
+
+  /** Nothing is kept before the commit, so any owner may be asked. */
+  private async begin(
+    request: ExecutionRequest,
+    isCommit: boolean,
+  ): Promise<InstanceReply> {
+    const {reply, peer, link} = await this.runner.ask({
+      request,
+      encode: () => this.encode(request, isCommit, true),
+      isRepeatable: true,
+    });
+    this.place = {peer, link};
+    return reply;
+  }
+
+  private encode(
+    request: ExecutionRequest,
+    isCommit: boolean,
+    isFirst: boolean,
+  ): Forwarded {
+    const {id, isReadOnly, startedAtMs} = this.options;
+    return {
+      kind: ForwardedKind.InTransaction,
+      transaction: id,
+      isFirst,
+      isReadOnly,
+      isCommit,
+      execution: encodeExecution({...request, startedAtMs}),
+    };
+  }
+}
+
+function lost(reason: string): SapphiregladeError {
+  return new SapphiregladeError(
+    ErrorKind.TransactionLost,
+    `Nothing of the transaction is kept: ${reason}`,
+  );
+}
--- a/packages/gateway/src/core/groups/database-group.ts
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -60,7 +60,7 @@
   private readonly memberTable = new Map<string, GroupMember>();
   /** Instances that were removed lately, and when by the steady clock. */
   private removed: {readonly id: string; readonly atMs: number}[] = [];
-  private readonly beganAtMs = steadyNow();
+  private beganAtMs = steadyNow();
   private readonly recordChanges = new Subject<KnownRecord>();
   private known: KnownRecord | undefined;
   private changeProgress: ChangeProgress = {
@@ -155,6 +155,12 @@
     this.memberTable.set(instance.id, {instance, pool: member.pool});
   }
 
+  /** Connections to the instances are held from now on; what left before is not known. */
+  ownershipBegan(): void {
+    this.removed = [];
+    this.beganAtMs = steadyNow();
+  }
+
   /** Removes an instance and closes its connections. */
   removeMember(id: string, reason: string): void {
     const member = this.memberTable.get(id);
--- a/packages/gateway/src/core/groups/group-registry.ts
+++ b/packages/gateway/src/core/groups/group-registry.ts
@@ -2,6 +2,7 @@
 import {
   connectionShare,
   rankNodes,
+  RESERVED_CONNECTIONS,
   ShareHolders,
 } from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
@@ -10,13 +11,14 @@
   InstanceDirectory,
   RegisteredInstance,
 } from '../directory/index.js';
+import type {GroupOwnership} from '../ownership/index.js';
 import {InstancePool} from '../pool/index.js';
 import type {InstanceConnector} from '../upstream/index.js';
 import {steadyNow} from '../time/index.js';
 import {DatabaseGroup} from './database-group.js';
 
-/** Connections of each instance that the coordinator may use. */
-const RESERVED_CONNECTIONS = 1;
+/** Stands for an owner that takes over before the one before it has let go. */
+const SPARE_HOLDER = '?spare';
 
 /** What the registry is made from. */
 export interface GroupRegistryOptions {
@@ -24,8 +26,7 @@
   readonly configuration: ConfigurationHolder;
   readonly directory: InstanceDirectory;
   readonly connector: InstanceConnector;
-  /** Names of the live proxies. */
-  readonly members: () => readonly string[];
+  readonly ownership: GroupOwnership;
   /** Names of the proxies that ran before this process started. */
   readonly earlierProxies: () => readonly string[];
   /** Whether an availability zone is in the region of this proxy. */
@@ -36,7 +37,7 @@
 /** All groups, with connections to the instances that the directory lists. */
 export class GroupRegistry {
   private readonly groups = new Map<string, DatabaseGroup>();
-  private readonly sharers = new ShareHolders();
+  private readonly sharers = new Map<string, ShareHolders>();
   private readonly listeners: ((group: DatabaseGroup) => void)[] = [];
 
   constructor(private readonly options: GroupRegistryOptions) {
@@ -64,6 +65,13 @@
     return group;
   }
 
+  /** The groups whose connections this proxy holds. */
+  get owned(): DatabaseGroup[] {
+    return [...this.groups.values()].filter(({name}) =>
+      this.options.ownership.isOwned(name),
+    );
+  }
+
   /** Calls a listener with each group, now and later. */
   onGroup(listener: (group: DatabaseGroup) => void): void {
     this.listeners.push(listener);
@@ -80,43 +88,59 @@
     for (const group of this.groups.values()) group.prolong(sentAt);
   }
 
-  /** Brings pools and shares in line with what is declared and registered. */
+  /** Brings pools and shares in line with what is declared, registered and owned. */
   reconcile(): void {
     const declared = this.options.configuration.current;
     if (declared === undefined) return;
-    for (const instance of this.options.directory.instances) {
-      if (declared.groups.has(instance.group)) this.keep(instance);
+    const {ownership, directory} = this.options;
+    ownership.update(declared.groups.keys());
+    for (const instance of directory.instances) {
+      const isOwned = ownership.isOwned(instance.group);
+      if (isOwned && declared.groups.has(instance.group)) this.keep(instance);
+    }
+    for (const group of this.groups.values()) {
+      this.dropGone(group);
+      if (!ownership.isOwned(group.name)) dropUnused(group);
     }
-    for (const group of this.groups.values()) this.dropGone(group);
     this.divide();
   }
 
-  /** Divides the connection limits among the live proxies. */
-  divide(): void {
+  /** Divides the connection limits among the owners of each group. */
+  private divide(): void {
     const declared = this.options.configuration.current;
-    const members = this.sharers.update(
-      this.options.members(),
-      steadyNow(),
-      this.options.earlierProxies(),
-    );
-    for (const group of this.groups.values()) {
-      const limit = declared?.groups.get(group.name)?.connectionLimit ?? 0;
-      const oftenUsed = this.oftenUsed(group);
+    for (const name of declared?.groups.keys() ?? []) {
+      const holders = this.holdersOf(name);
+      const group = this.groups.get(name);
+      if (group === undefined) continue;
+      const limit = declared?.groups.get(name)?.connectionLimit ?? 0;
+      const isOwned = this.options.ownership.isOwned(name);
+      const oftenUsed = isOwned ? this.oftenUsed(group) : new Set();
       for (const {instance, pool} of group.members.values()) {
-        pool.setShare(
-          connectionShare(
-            instance.id,
-            limit - RESERVED_CONNECTIONS,
-            members,
-            this.options.self,
-          ),
-        );
+        pool.setShare(isOwned ? this.shareOf(instance.id, limit, holders) : 0);
         pool.isKeptWarm = oftenUsed.has(instance.id);
         pool.maintain();
       }
     }
   }
 
+  /** Everybody who may hold connections of a group. */
+  private holdersOf(name: string): string[] {
+    const {ownership, earlierProxies} = this.options;
+    const sharers = this.sharers.get(name) ?? new ShareHolders();
+    this.sharers.set(name, sharers);
+    const owners = ownership.ownersOf(name);
+    return sharers.update(owners, steadyNow(), earlierProxies());
+  }
+
+  private shareOf(id: string, limit: number, holders: string[]): number {
+    return connectionShare(
+      id,
+      limit - RESERVED_CONNECTIONS,
+      [...holders, SPARE_HOLDER],
+      this.options.self,
+    );
+  }
+
   /**
    * Chooses the instances that are kept connected without need: the primary,
    * the replicas of this region, and one replica in any case, because only a
@@ -143,6 +167,7 @@
   /** Adds an instance, or opens it anew if it has started again. */
   private keep(instance: RegisteredInstance): void {
     const group = this.ensure(instance.group);
+    if (group.members.size === 0) group.ownershipBegan();
     const known = group.members.get(instance.id);
     if (known !== undefined && isSameIncarnation(known.instance, instance)) {
       group.updateMember(instance);
@@ -165,6 +190,14 @@
   }
 }
 
+/** Lets go of the connections of a group that others own, once nobody uses them. */
+function dropUnused(group: DatabaseGroup): void {
+  for (const [id, {pool}] of [...group.members]) {
+    if (pool.connections > 0) continue;
+    group.removeMember(id, 'other proxies own the group');
+  }
+}
+
 /** Says whether both entries speak of the same start of the same instance. */
 function isSameIncarnation(
   before: RegisteredInstance,
--- a/packages/gateway/src/core/membership/member-task.ts
+++ b/packages/gateway/src/core/membership/member-task.ts
@@ -5,12 +5,13 @@
 import type {CoordinationStore} from '../store/index.js';
 import type {Members} from './members.js';
 import {MEMBER_PREFIX} from './members.js';
+import type {MemberRecord} from './types.js';
 
 /** How long a proxy counts as live after its last renewal, in milliseconds. */
-const LEASE_TTL_MS = 2_000;
+const LEASE_TTL_MS = 2_400;
 
 /** How often the lease is renewed, in milliseconds; a third of its time. */
-const RENEWAL_INTERVAL_MS = 650;
+const RENEWAL_INTERVAL_MS = 800;
 
 /** Pause after a failed call, in milliseconds. */
 const RETRY_PAUSE_MS = 200;
@@ -19,6 +20,11 @@
 export interface MemberTaskOptions {
   readonly name: string;
   readonly incarnation: string;
+  readonly availabilityZone: string;
+  /** Where this proxy accepts links from the others. */
+  readonly peerAddress: () => string;
+  /** What this VM can carry, compared with the others. */
+  readonly capacity: number;
   readonly store: CoordinationStore;
   readonly members: Members;
   readonly log: Logger;
@@ -53,6 +59,7 @@
     return Promise.resolve();
   }
 
+  /** Leaves the list of live proxies, so that others take over what it owns. */
   protected override async onStop(): Promise<void> {
     this.ending.abort();
     this.wake();
@@ -96,7 +103,15 @@
   /** Writes the member key if it is missing or out of date. */
   private async publish(): Promise<void> {
     const {name, incarnation, store, members} = this.options;
-    const value = JSON.stringify({name, incarnation, suspects: this.suspects});
+    const record: MemberRecord = {
+      name,
+      incarnation,
+      availabilityZone: this.options.availabilityZone,
+      peerAddress: this.options.peerAddress(),
+      capacity: this.options.capacity,
+      suspects: this.suspects,
+    };
+    const value = JSON.stringify(record);
     const listed = members.find(name)?.incarnation === incarnation;
     const isCurrent = this.published === value && listed;
     if (isCurrent || this.lease === undefined) return;
--- a/packages/gateway/src/core/membership/members.ts
+++ b/packages/gateway/src/core/membership/members.ts
@@ -1,5 +1,6 @@
 import type {Logger} from '@sapphireglade/runtime';
 import {Subject} from 'rxjs';
+import * as z from 'zod';
 import type {StoredItem} from '../store/index.js';
 import {StoreSection} from '../store/index.js';
 import {steadyNow} from '../time/index.js';
@@ -8,6 +9,15 @@
 /** Prefix of the keys under which proxies publish themselves. */
 export const MEMBER_PREFIX = 'sapphireglade/members/';
 
+const memberSchema = z.object({
+  name: z.string(),
+  incarnation: z.string(),
+  availabilityZone: z.string(),
+  peerAddress: z.string(),
+  capacity: z.number(),
+  suspects: z.array(z.string()),
+});
+
 /** The live proxies, as the store lists them. */
 export class Members extends StoreSection {
   private readonly live = new Map<string, MemberRecord>();
@@ -18,7 +28,7 @@
     super(MEMBER_PREFIX);
   }
 
-  /** Emits after each change. */
+  /** Emits after a proxy came, left or changed what it can do. */
   get changes$(): Subject<void> {
     return this.changes;
   }
@@ -61,9 +71,8 @@
     const known = this.live.get(record.name);
     this.live.set(record.name, record);
     this.departures.delete(record.name);
-    if (known?.incarnation !== record.incarnation) {
-      this.log.info('A proxy joined.', {member: record.name});
-    }
+    if (known?.incarnation === record.incarnation) return;
+    this.log.info('A proxy joined.', {member: record.name});
     this.changes.next();
   }
 
@@ -79,12 +88,8 @@
 /** Reads a member record, or says that it is none. */
 function parseMember(value: Buffer): MemberRecord | undefined {
   try {
-    const record = JSON.parse(value.toString('utf8')) as Partial<MemberRecord>;
-    const isRecord =
-      typeof record.name === 'string' &&
-      typeof record.incarnation === 'string' &&
-      Array.isArray(record.suspects);
-    return isRecord ? (record as MemberRecord) : undefined;
+    const result = memberSchema.safeParse(JSON.parse(value.toString('utf8')));
+    return result.success ? result.data : undefined;
   } catch {
     // The caller logs what cannot be read.
     return undefined;
--- a/packages/gateway/src/core/membership/types.ts
+++ b/packages/gateway/src/core/membership/types.ts
@@ -4,6 +4,11 @@
   readonly name: string;
   /** Identifies this start of its process. */
   readonly incarnation: string;
+  readonly availabilityZone: string;
+  /** Where it accepts links from other proxies, as HOST:PORT. */
+  readonly peerAddress: string;
+  /** What its VM can carry, compared with the others. */
+  readonly capacity: number;
   /** Groups whose primary it cannot use. */
   readonly suspects: readonly string[];
 }
--- a/packages/gateway/src/core/membership/view-lease-task.ts
+++ b/packages/gateway/src/core/membership/view-lease-task.ts
@@ -12,8 +12,8 @@
 /** Shortest time between two renewals, in milliseconds; a quarter of the validity of views, so that two may be lost. */
 const MINIMUM_INTERVAL_MS = 250;
 
-/** Added to the time between renewals for each live proxy, in milliseconds, so that 640 of them make 1,250 calls a second. */
-const INTERVAL_PER_MEMBER_MS = 0.8;
+/** Added to the time between renewals for each proxy that holds one, in milliseconds, so that 640 of them make 1,250 calls a second. */
+const INTERVAL_PER_PROXY_MS = 0.8;
 
 /** Most renewals that wait for an answer; a slow store answers late, but in order. */
 const MAXIMUM_RENEWALS = 4;
@@ -22,8 +22,8 @@
 export interface ViewLeaseOptions {
   readonly name: string;
   readonly store: CoordinationStore;
-  /** How many proxies are live. */
-  readonly memberCount: () => number;
+  /** How many proxies hold such a lease. */
+  readonly proxyCount: () => number;
   readonly log: Logger;
   /** Called with the time at which a renewal was sent that succeeded. */
   readonly onRenewed: (sentAt: ClockReading) => void;
@@ -107,7 +107,7 @@
     else if (this.renewals < MAXIMUM_RENEWALS) void this.renew(lease);
     const intervalMs = Math.max(
       MINIMUM_INTERVAL_MS,
-      this.options.memberCount() * INTERVAL_PER_MEMBER_MS,
+      this.options.proxyCount() * INTERVAL_PER_PROXY_MS,
     );
     this.timer = setTimeout(() => this.tick(), intervalMs);
   }
--- a/packages/gateway/src/core/metrics/catalogue.ts
+++ b/packages/gateway/src/core/metrics/catalogue.ts
@@ -42,6 +42,7 @@
     'Whether the last call to the store was answered: 1 or 0.',
   ),
   sapphireglade_members: gauge('Live proxies that the store lists.'),
+  sapphireglade_owner_links: gauge('Links to owners of groups that are open.'),
   sapphireglade_group_term: gauge('Term of the recorded primary, by group.', [
     'group',
   ]),
--- a/packages/gateway/src/core/metrics/gateway-gauges.ts
+++ b/packages/gateway/src/core/metrics/gateway-gauges.ts
@@ -16,6 +16,7 @@
   readonly isStoreReachable: () => boolean;
   readonly sessions: () => number;
   readonly members: () => number;
+  readonly openLinks: () => number;
 }
 
 /** Sets the gauges that are read when metrics are asked for. */
@@ -27,6 +28,7 @@
   metrics.setGauge('sapphireglade_ready', () => one(sources.isReady()));
   metrics.setGauge('sapphireglade_sessions', () => one(sources.sessions()));
   metrics.setGauge('sapphireglade_members', () => one(sources.members()));
+  metrics.setGauge('sapphireglade_owner_links', () => one(sources.openLinks()));
   metrics.setGauge('sapphireglade_store_reachable', () =>
     one(sources.isStoreReachable()),
   );
@@ -43,7 +45,7 @@
     })),
   );
   metrics.setGauge('sapphireglade_view_age_seconds', () =>
-    [...groups.all].map(({name, confirmation}) => ({
+    groups.owned.map(({name, confirmation}) => ({
       labels: {group: name},
       value: confirmation.ageMs(readClocks()) / MILLISECONDS_PER_SECOND,
     })),
--- /dev/null
+++ b/packages/gateway/src/core/ownership/index.ts
@@ -0,0 +1,2 @@
+/** Which proxies hold connections to which group. */
+export * from './group-ownership.js';
--- a/packages/gateway/src/core/primary-watch/primary-watch-task.ts
+++ b/packages/gateway/src/core/primary-watch/primary-watch-task.ts
@@ -45,7 +45,7 @@
 
   private check(): void {
     const suspects = new Set<string>();
-    for (const group of this.groups.all) {
+    for (const group of this.groups.owned) {
       for (const {pool} of group.members.values()) {
         pool.refuseLate();
         pool.maintain();
--- a/packages/gateway/src/core/primary-watch/release-task.ts
+++ b/packages/gateway/src/core/primary-watch/release-task.ts
@@ -5,7 +5,6 @@
   GroupRegistry,
   KnownRecord,
 } from '../groups/index.js';
-import type {MemberTask} from '../membership/index.js';
 import type {CoordinationStore, StoredItem} from '../store/index.js';
 import {StoreSection} from '../store/index.js';
 import {steadyNow} from '../time/index.js';
@@ -31,7 +30,7 @@
   constructor(
     private readonly self: string,
     private readonly store: CoordinationStore,
-    private readonly member: MemberTask,
+    private readonly leaseOf: () => number | undefined,
     private readonly log: Logger,
   ) {
     super(RELEASE_PREFIX);
@@ -73,7 +72,7 @@
 
   /** The record has been taken in, so nothing new goes to the old primary. */
   private async answer(group: string, known: KnownRecord): Promise<void> {
-    const leaseId = this.member.leaseId;
+    const leaseId = this.leaseOf();
     const isAsked = known.record.phase === PrimaryPhase.Changing;
     if (!isAsked || leaseId === undefined) return;
     try {
--- a/packages/gateway/src/core/primary-watch/view-proof-task.ts
+++ b/packages/gateway/src/core/primary-watch/view-proof-task.ts
@@ -62,7 +62,7 @@
 
   private check(): void {
     const now = readClocks();
-    for (const group of this.groups.all) {
+    for (const group of this.groups.owned) {
       if (group.confirmation.ageMs(now) < ASK_AFTER_MS) continue;
       if (group.record === undefined) continue;
       this.lastAskedAtMs = steadyNow();
--- a/packages/gateway/src/core/process/gateway-adapters.ts
+++ b/packages/gateway/src/core/process/gateway-adapters.ts
@@ -14,11 +14,17 @@
   readonly readinessDoor: ReadinessDoor;
   /** Missing where no address for metrics is set. */
   readonly metricsDoor: MetricsDoor | undefined;
-  /** Prefix that covers the keys of the configuration and the directory. */
-  readonly announcedPrefix: string;
   /** Sections that hold the configuration and the directory. */
   readonly sections: (
     configuration: ConfigurationHolder,
     directory: InstanceDirectory,
-  ) => StoreSection[];
+  ) => AnnouncedSections;
+}
+
+/** What others than the proxies announce in the store. */
+export interface AnnouncedSections {
+  /** Holds the operators' configuration. */
+  readonly configuration: StoreSection;
+  /** Holds what the instances register of themselves. */
+  readonly directory: StoreSection;
 }
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -1,8 +1,10 @@
 import {randomUUID} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {ClockReading} from '@sapphireglade/decisions';
+import {carryingCapacity} from '@sapphireglade/decisions';
 import type {LoggerFactory} from '@sapphireglade/runtime';
 import {LogPart, TaskState} from '@sapphireglade/runtime';
+import {auditTime} from 'rxjs';
 import {ConfigurationHolder} from '../configuration/index.js';
 import {
   ControlConnections,
@@ -10,6 +12,7 @@
   CoordinatorTask,
 } from '../coordinator/index.js';
 import {InstanceDirectory} from '../directory/index.js';
+import {ForwardingService} from '../forwarding/index.js';
 import {CommitSurveys, GroupRegistry, PrimaryRecords} from '../groups/index.js';
 import {GatewayMetrics, setGatewayGauges} from '../metrics/index.js';
 import {
@@ -24,27 +27,16 @@
   Releases,
   ViewProofTask,
 } from '../primary-watch/index.js';
+import {GroupOwnership} from '../ownership/index.js';
 import type {SessionContext} from '../sessions/index.js';
-import {CallerSession} from '../sessions/index.js';
+import {CallerSession, StatementExecutor} from '../sessions/index.js';
 import type {GatewaySettings} from '../settings/index.js';
-import {StoreFollower} from '../store/index.js';
+import {StoreFollowers} from './store-followers.js';
 import {readClocks, within} from '../time/index.js';
 import type {GatewayAdapters} from './gateway-adapters.js';
 
-/** Prefix of the keys that the proxies share with each other. */
-const OWN_PREFIX = 'sapphireglade/';
-
-/** How long a watch of the proxies' own keys waits, in milliseconds; they change seldom, and a change of primary ends the lease of a proxy whose watch is silent. */
-const OWN_WATCH_WAIT_MS = 9_000;
-
-/** The same at the coordinator, in milliseconds, which has to learn of failures. */
-const COORDINATOR_WATCH_WAIT_MS = 2_000;
-
-/** How long a watch of the configuration and the directory waits, in milliseconds; with the interval below and its grace time it stays within the 3 s in which a configuration has to be in force. */
-const ANNOUNCED_WATCH_WAIT_MS = 500;
-
-/** Shortest time between two watches of the configuration and the directory, in milliseconds; each instance writes there about once a second. */
-const ANNOUNCED_INTERVAL_MS = 1_500;
+/** For how long changes of the list of proxies are gathered, in milliseconds; a fleet that starts together makes many. */
+const RECONCILE_DELAY_MS = 100;
 
 /** How often housekeeping runs, in milliseconds. */
 const HOUSEKEEPING_INTERVAL_MS = 500;
@@ -73,10 +65,9 @@
   private readonly directory: InstanceDirectory;
   private readonly members: Members;
   private readonly groups: GroupRegistry;
-  /** Follows the proxies' own keys. */
-  private readonly ownFollower: StoreFollower;
-  /** Follows the configuration and the directory. */
-  private readonly announcedFollower: StoreFollower;
+  private readonly ownership: GroupOwnership;
+  private readonly forwarding: ForwardingService;
+  private readonly followers: StoreFollowers;
   private readonly viewLease: ViewLeaseTask;
   private readonly member: MemberTask;
   private readonly watch: PrimaryWatchTask;
@@ -93,79 +84,95 @@
     private readonly loggers: LoggerFactory,
   ) {
     const {store, connector, promotions} = adapters;
-    const {name} = settings;
+    const {name, availabilityZone, capacity} = settings;
+    const {region, regionOf} = this;
+    const failoverLog = loggers(LogPart.Failover);
     const knownProxies = new KnownProxies();
     this.configuration = new ConfigurationHolder(
       loggers(LogPart.Configuration),
     );
     this.directory = new InstanceDirectory(loggers(LogPart.Upstream));
     this.members = new Members(loggers(LogPart.Membership));
+    this.ownership = new GroupOwnership({
+      self: name,
+      members: this.members,
+      directory: this.directory,
+      configuration: this.configuration,
+      regionOf,
+      log: loggers(LogPart.Membership),
+    });
     this.groups = new GroupRegistry({
       self: name,
       configuration: this.configuration,
       directory: this.directory,
       connector,
-      members: () => this.members.names,
+      ownership: this.ownership,
       earlierProxies: () => knownProxies.ranBefore(name),
       isNear: zone => this.regionOf(zone) === this.region,
       log: loggers(LogPart.Pool),
     });
+    this.forwarding = new ForwardingService({
+      identity: {
+        process: name,
+        boot: this.incarnation,
+        zone: availabilityZone,
+      },
+      region,
+      regionOf,
+      listen: addressOf(settings.listen.peers),
+      ownership: this.ownership,
+      members: this.members,
+      configuration: this.configuration,
+      local: this.createExecutor(),
+      log: loggers(LogPart.Routing),
+    });
     this.member = new MemberTask({
       name,
       incarnation: this.incarnation,
+      availabilityZone,
+      peerAddress: () => this.forwarding.peerAddress,
+      capacity: carryingCapacity(capacity),
       store,
       members: this.members,
       log: loggers(LogPart.Membership),
     });
-    const failoverLog = loggers(LogPart.Failover);
-    const releases = new Releases(name, store, this.member, failoverLog);
+    const releases = new Releases(
+      name,
+      store,
+      () => this.viewLease.leaseId,
+      failoverLog,
+    );
     followAll(releases, this.groups);
     this.watch = new PrimaryWatchTask(this.groups, this.member, failoverLog);
-    const {region, regionOf} = this;
     this.proofs = new ViewProofTask(this.groups, region, regionOf, failoverLog);
     const key = new CoordinatorKey();
     this.viewLease = new ViewLeaseTask({
       name,
       store,
-      memberCount: () => this.members.names.length,
+      proxyCount: () => knownProxies.names.length,
       log: loggers(LogPart.Membership),
       onRenewed: sentAt => this.prolongViews(sentAt),
-      onRecordsNeeded: () => this.ownFollower.refresh(),
+      onRecordsNeeded: () => this.followers.own.refresh(),
     });
-    this.ownFollower = new StoreFollower({
+    this.followers = new StoreFollowers({
       store,
-      watchedPrefix: OWN_PREFIX,
-      watchWaitMs: () =>
-        this.coordinator.isCoordinator
-          ? COORDINATOR_WATCH_WAIT_MS
-          : OWN_WATCH_WAIT_MS,
-      minimumIntervalMs: 0,
-      sections: [
+      ownSections: [
         this.members,
         releases,
         knownProxies,
         key,
         new PrimaryRecords(this.groups, failoverLog),
       ],
-      log: loggers(LogPart.Store),
-      onConfirmed: sentAt => {
-        // What is published later is not taken for a trace of an earlier run.
-        const isFirst = this.viewLease.state === TaskState.Created;
-        if (isFirst) void this.viewLease.start();
+      announced: adapters.sections(this.configuration, this.directory),
+      isCoordinator: () => this.coordinator.isCoordinator,
+      ownsAny: () => this.ownership.ownsAny,
+      onOwnConfirmed: sentAt => {
         this.viewLease.recordsRead(sentAt);
         // Nobody waits for the views of a proxy that is not known yet.
         const isKnown = this.viewLease.isPublished || knownProxies.has(name);
         if (isKnown) this.groups.confirmAll(sentAt);
       },
-    });
-    this.announcedFollower = new StoreFollower({
-      store,
-      watchedPrefix: adapters.announcedPrefix,
-      watchWaitMs: () => ANNOUNCED_WATCH_WAIT_MS,
-      minimumIntervalMs: ANNOUNCED_INTERVAL_MS,
-      sections: adapters.sections(this.configuration, this.directory),
       log: loggers(LogPart.Store),
-      onConfirmed: () => undefined,
     });
     this.coordinator = new CoordinatorTask({
       context: {
@@ -175,23 +182,23 @@
         directory: this.directory,
         configuration: this.configuration,
         members: this.members,
+        ownersOf: group => this.ownership.ownersOf(group),
         releases,
         knownProxies,
         control: new ControlConnections(connector, failoverLog),
         promotions,
-        followedRevision: () => this.ownFollower.revision,
+        followedRevision: () => this.followers.own.revision,
         metrics: this.metrics,
         log: failoverLog,
       },
       key,
       lease: this.viewLease,
       holder: `${name}/${this.incarnation}`,
-      isInformed: () =>
-        this.announcedFollower.isComplete &&
-        this.ownFollower.isComplete &&
-        this.ownFollower.isStoreReachable,
+      isInformed: () => this.followers.areInformed,
     });
-    this.members.changes$.subscribe(() => this.groups.divide());
+    this.members.changes$
+      .pipe(auditTime(RECONCILE_DELAY_MS))
+      .subscribe(() => this.reconcile());
   }
 
   /** Finds the region of an availability zone. */
@@ -207,55 +214,70 @@
 
   /** Whether this proxy can serve callers. */
   get isReady(): boolean {
-    if (this.isStopping || this.configuration.current === undefined) {
-      return false;
-    }
-    return [...this.groups.all].some(({members}) =>
+    const {current} = this.configuration;
+    if (this.isStopping || current === undefined) return false;
+    const isConnected = this.groups.owned.some(({members}) =>
       [...members.values()].some(({pool}) => pool.connections > 0),
     );
+    const hasOwner = (name: string): boolean => this.forwarding.hasOwner(name);
+    return isConnected || [...current.groups.keys()].some(hasOwner);
+  }
+
+  /** Runs statements on connections of this process. */
+  private createExecutor(): StatementExecutor {
+    const log = this.loggers(LogPart.Routing);
+    return new StatementExecutor({
+      groups: this.groups,
+      surveys: new CommitSurveys(this.configuration, log),
+      region: this.region,
+      regionOf: this.regionOf,
+      metrics: this.metrics,
+      log,
+    });
+  }
+
+  /** Brings connections in line with what is owned; only owners have views. */
+  private reconcile(): void {
+    if (this.isStopping) return;
+    this.groups.reconcile();
+    const isFirst = this.viewLease.state === TaskState.Created;
+    if (isFirst && this.ownership.ownsAny) void this.viewLease.start();
   }
 
   /** A renewed lease prolongs the views that count; others are asked for anew. */
   private prolongViews(sentAt: ClockReading): void {
     this.groups.prolongAll(sentAt);
     const now = readClocks();
-    const areValid = [...this.groups.all].every(({confirmation}) =>
+    const areValid = this.groups.owned.every(({confirmation}) =>
       confirmation.isValid(now),
     );
-    if (!areValid) this.ownFollower.refresh();
+    if (!areValid) this.followers.own.refresh();
   }
 
   /** Starts everything; callers are accepted at once, the balancer is told when. */
   async start(): Promise<void> {
     const {availabilityZone, name} = this.settings;
     const log = this.loggers(LogPart.Process);
-    const {region, regionOf} = this;
     const context: SessionContext = {
       configuration: this.configuration,
-      groups: this.groups,
-      surveys: new CommitSurveys(
-        this.configuration,
-        this.loggers(LogPart.Routing),
-      ),
-      region,
-      regionOf,
+      runnerFor: group => this.forwarding.runnerFor(group),
       metrics: this.metrics,
       log: this.loggers(LogPart.Routing),
     };
     await this.adapters.readinessDoor.listen(() => this.isReady);
     await this.serveMetrics();
+    await this.forwarding.start();
     await this.adapters.callerDoor.listen(
       database => new CallerSession(context, database),
     );
-    await this.ownFollower.start();
-    await this.announcedFollower.start();
+    await this.followers.start();
     await this.member.start();
     await this.watch.start();
     await this.proofs.start();
     await this.coordinator.start();
     this.housekeeping = setInterval(() => {
-      this.directory.dropMissing(this.announcedFollower.isStoreReachable);
-      this.groups.divide();
+      this.directory.dropMissing(this.followers.isDirectoryReachable);
+      this.reconcile();
     }, HOUSEKEEPING_INTERVAL_MS);
     log.info('The process started.', {name, zone: availabilityZone});
   }
@@ -265,9 +287,10 @@
       groups: this.groups,
       configuration: this.configuration,
       isReady: () => this.isReady,
-      isStoreReachable: () => this.ownFollower.isStoreReachable,
+      isStoreReachable: () => this.followers.own.isStoreReachable,
       sessions: () => this.adapters.callerDoor.openConnections,
       members: () => this.members.names.length,
+      openLinks: () => this.forwarding.openLinks,
     });
     await this.adapters.metricsDoor?.listen(() => this.metrics.render());
   }
@@ -281,12 +304,19 @@
     log.info('The process is stopping.', {
       connections: this.adapters.callerDoor.openConnections,
     });
-    await within(this.coordinator.stop(0), FAREWELL_TIMEOUT_MS);
+    this.ownership.keep();
+    // Others take over what this proxy owns while it still serves.
+    await within(
+      Promise.all([this.coordinator.stop(0), this.member.stop(0)]),
+      FAREWELL_TIMEOUT_MS,
+    );
     await sleep(BALANCER_DELAY_MS);
     this.adapters.callerDoor.drain();
+    this.forwarding.drain();
     const graceMs = this.settings.stopGraceS * 1_000;
     await this.awaitCallers(beganAtMs + graceMs * TRANSACTION_PART);
     this.adapters.callerDoor.endOpenTransactions();
+    this.forwarding.endGuestTransactions();
     await this.awaitCallers(beganAtMs + graceMs * LAST_PART);
     await this.end();
     log.info('The process stopped.', {
@@ -296,7 +326,9 @@
 
   private async awaitCallers(limitMs: number): Promise<void> {
     const {callerDoor} = this.adapters;
-    while (callerDoor.openConnections > 0 && performance.now() < limitMs) {
+    const isServing = (): boolean =>
+      callerDoor.openConnections + this.forwarding.guestTransactions > 0;
+    while (isServing() && performance.now() < limitMs) {
       await sleep(STOP_POLL_MS);
     }
   }
@@ -306,13 +338,16 @@
     await this.adapters.callerDoor.close();
     await this.watch.stop(0);
     await this.proofs.stop(0);
-    await this.ownFollower.stop(0);
-    await this.announcedFollower.stop(0);
-    await within(
-      Promise.all([this.viewLease.stop(0), this.member.stop(0)]),
-      FAREWELL_TIMEOUT_MS,
-    );
+    await this.followers.stop();
+    await within(this.viewLease.stop(0), FAREWELL_TIMEOUT_MS);
+    await this.forwarding.stop();
     await this.adapters.readinessDoor.close();
     await this.adapters.metricsDoor?.close();
   }
 }
+
+/** Splits HOST:PORT, as the settings have it. */
+function addressOf(text: string): {host: string; port: number} {
+  const colon = text.lastIndexOf(':');
+  return {host: text.slice(0, colon), port: Number(text.slice(colon + 1))};
+}
--- /dev/null
+++ b/packages/gateway/src/core/process/store-followers.ts
@@ -0,0 +1,114 @@
+import type {ClockReading} from '@sapphireglade/decisions';
+import type {Logger} from '@sapphireglade/runtime';
+import type {CoordinationStore, StoreSection} from '../store/index.js';
+import {StoreFollower} from '../store/index.js';
+import type {AnnouncedSections} from './gateway-adapters.js';
+
+/** Prefix of the keys that the proxies share with each other. */
+const OWN_PREFIX = 'sapphireglade/';
+
+/** How long a watch of the proxies' own keys waits, in milliseconds; they change seldom, and a change of primary ends the lease of a proxy whose watch is silent. */
+const OWN_WATCH_WAIT_MS = 9_000;
+
+/** The same at the coordinator, in milliseconds, which has to learn of failures. */
+const COORDINATOR_WATCH_WAIT_MS = 2_000;
+
+/** Shortest time between two watches of those keys at a proxy that owns nothing, in milliseconds; it learns of other owners by its links as well. */
+const GUEST_INTERVAL_MS = 1_000;
+
+/** How long a watch of the configuration waits, in milliseconds; a silent one is given up within the time in which a configuration has to be in force. */
+const CONFIGURATION_WATCH_WAIT_MS = 4_000;
+
+/** Shortest time between two watches of the configuration, in milliseconds; versions come in quick succession at times. */
+const CONFIGURATION_INTERVAL_MS = 300;
+
+/** How long a watch of the directory waits, in milliseconds. */
+const DIRECTORY_WATCH_WAIT_MS = 500;
+
+/** Shortest time between two watches of the directory, in milliseconds; each instance writes there about once a second. */
+const DIRECTORY_INTERVAL_MS = 1_500;
+
+/** The same at a proxy that owns nothing, in milliseconds; it only needs to know in which zones instances are. */
+const GUEST_DIRECTORY_INTERVAL_MS = 4_000;
+
+/** What the followers are made from. */
+export interface StoreFollowersOptions {
+  readonly store: CoordinationStore;
+  readonly ownSections: readonly StoreSection[];
+  readonly announced: AnnouncedSections;
+  readonly isCoordinator: () => boolean;
+  /** Whether this proxy owns any group. */
+  readonly ownsAny: () => boolean;
+  /** Called with the time at which a question about the own keys was sent that got its answer. */
+  readonly onOwnConfirmed: (sentAt: ClockReading) => void;
+  readonly log: Logger;
+}
+
+/** Everything that this process follows in the store. */
+export class StoreFollowers {
+  /** Follows the proxies' own keys. */
+  readonly own: StoreFollower;
+  private readonly configuration: StoreFollower;
+  private readonly directory: StoreFollower;
+
+  constructor(options: StoreFollowersOptions) {
+    const {store, log, ownsAny, isCoordinator, announced} = options;
+    this.own = new StoreFollower({
+      store,
+      watchedPrefix: OWN_PREFIX,
+      watchWaitMs: () =>
+        isCoordinator() ? COORDINATOR_WATCH_WAIT_MS : OWN_WATCH_WAIT_MS,
+      minimumIntervalMs: () => (ownsAny() ? 0 : GUEST_INTERVAL_MS),
+      isOccasional: () => false,
+      sections: options.ownSections,
+      log,
+      onConfirmed: options.onOwnConfirmed,
+    });
+    this.configuration = new StoreFollower({
+      store,
+      watchedPrefix: announced.configuration.prefix,
+      watchWaitMs: () => CONFIGURATION_WATCH_WAIT_MS,
+      minimumIntervalMs: () => CONFIGURATION_INTERVAL_MS,
+      isOccasional: () => false,
+      sections: [announced.configuration],
+      log,
+      onConfirmed: () => undefined,
+    });
+    this.directory = new StoreFollower({
+      store,
+      watchedPrefix: announced.directory.prefix,
+      watchWaitMs: () => DIRECTORY_WATCH_WAIT_MS,
+      minimumIntervalMs: () =>
+        ownsAny() ? DIRECTORY_INTERVAL_MS : GUEST_DIRECTORY_INTERVAL_MS,
+      isOccasional: () => !ownsAny(),
+      sections: [announced.directory],
+      log,
+      onConfirmed: () => undefined,
+    });
+  }
+
+  /** Whether the store answers and everything in it is known. */
+  get areInformed(): boolean {
+    const {own, directory} = this;
+    return own.isComplete && own.isStoreReachable && directory.isComplete;
+  }
+
+  /** Whether an entry that returns to the directory would be seen. */
+  get isDirectoryReachable(): boolean {
+    return this.directory.isStoreReachable;
+  }
+
+  /** Begins to follow. */
+  async start(): Promise<void> {
+    await this.own.start();
+    await this.configuration.start();
+    await this.directory.start();
+  }
+
+  /** Ends. */
+  async stop(): Promise<void> {
+    await this.own.stop(0);
+    await this.configuration.stop(0);
+    await this.directory.stop(0);
+  }
+}
--- a/packages/gateway/src/core/sessions/caller-session.ts
+++ b/packages/gateway/src/core/sessions/caller-session.ts
@@ -14,9 +14,7 @@
   ExecutionRequest,
   RunnableStatement,
 } from './runnable-statement.js';
-import {StatementExecutor} from './statement-executor.js';
 import {SessionTransaction} from './transaction.js';
-import {TransactionRunner} from './transaction-runner.js';
 import type {SessionReply, SessionRequest, Statement} from './types.js';
 import {StatementKind} from './types.js';
 
@@ -34,8 +32,6 @@
  */
 export class CallerSession {
   private readonly values = new SessionValues();
-  private readonly executor: StatementExecutor;
-  private readonly runner: TransactionRunner;
   private state: TransactionState = TransactionState.Idle;
   private transaction: SessionTransaction | undefined;
   private ownCommit: LogPosition | undefined;
@@ -51,10 +47,7 @@
   constructor(
     private readonly context: SessionContext,
     private readonly database: string,
-  ) {
-    this.executor = new StatementExecutor(context);
-    this.runner = new TransactionRunner(this.executor, context);
-  }
+  ) {}
 
   /** Whether the session is in no transaction. */
   get isIdle(): boolean {
@@ -147,7 +140,9 @@
     if (this.transaction !== undefined) {
       throw malformed('A transaction is already open.');
     }
-    this.transaction = new SessionTransaction(isReadOnly, this.route());
+    const route = this.route();
+    const runner = this.context.runnerFor(route.group);
+    this.transaction = new SessionTransaction(isReadOnly, route, runner);
     this.state = TransactionState.Open;
     return this.done();
   }
@@ -155,8 +150,7 @@
   private async commit(requestId: string, text: string): Promise<SessionReply> {
     const {transaction} = this;
     if (transaction === undefined) throw malformed('No transaction is open.');
-    const reply = await this.runner.commit(
-      transaction,
+    const reply = await transaction.commit(
       this.executionOf(transaction.route, {
         requestId,
         isRead: true,
@@ -197,14 +191,14 @@
   private async run(statement: RunnableStatement): Promise<SessionReply> {
     const {transaction} = this;
     if (transaction !== undefined) {
-      const reply = await this.runner.run(
-        transaction,
+      const reply = await transaction.run(
         this.executionOf(transaction.route, statement),
       );
       return this.answer(reply);
     }
     const route = this.route();
-    const reply = await this.executor.run(this.executionOf(route, statement));
+    const runner = this.context.runnerFor(route.group);
+    const reply = await runner.run(this.executionOf(route, statement));
     if (!statement.isRead) this.committed(route, reply);
     return this.answer(reply);
   }
--- a/packages/gateway/src/core/sessions/instance-selection.ts
+++ b/packages/gateway/src/core/sessions/instance-selection.ts
@@ -9,7 +9,7 @@
 import {toOption} from '../groups/index.js';
 import {steadyNow} from '../time/index.js';
 import type {ExecutionRequest} from './runnable-statement.js';
-import type {SessionContext} from './session-context.js';
+import type {ExecutionContext} from './session-context.js';
 
 /** Taken off the allowed age, for timers that fire late, in milliseconds. */
 const STALENESS_MARGIN_MS = 20;
@@ -31,7 +31,7 @@
  * @param ownCommit - Position of the session's last commit, if any.
  */
 export function selectReadTargets(
-  context: SessionContext,
+  context: ExecutionContext,
   group: DatabaseGroup,
   route: Route,
   startedAtMs: number,
--- /dev/null
+++ b/packages/gateway/src/core/sessions/local-transaction.ts
@@ -0,0 +1,167 @@
+import {
+  ErrorKind,
+  SapphiregladeError,
+  TransactionState,
+} from '@sapphireglade/decisions';
+import type {Logger} from '@sapphireglade/runtime';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {InstancePool, PooledConnection} from '../pool/index.js';
+import {steadyNow, TIMED_OUT, within} from '../time/index.js';
+import type {InstanceReply} from '../upstream/index.js';
+import {CommandKind} from '../upstream/index.js';
+import type {BrokenAttempt} from './attempt.js';
+import {attempt, synchronize} from './attempt.js';
+import {brokenOff, refused} from './attempt-errors.js';
+import {PlacedTransaction} from './placed-transaction.js';
+import type {ExecutionRequest} from './runnable-statement.js';
+import {toCommand} from './runnable-statement.js';
+
+/** First pause after the instance was busy, in milliseconds; it doubles. */
+const BUSY_PAUSE_MS = 10;
+
+/** How long rolling back may take before the connection is closed, in milliseconds. */
+const ROLLBACK_TIMEOUT_MS = 1_000;
+
+/** A connection that is bound to a transaction or a statement. */
+export interface BoundConnection {
+  readonly pool: InstancePool;
+  readonly connection: PooledConnection;
+}
+
+/** A transaction on a connection of this proxy. */
+export class LocalTransaction extends PlacedTransaction {
+  private bound: BoundConnection | undefined;
+
+  constructor(
+    bound: BoundConnection,
+    private readonly log: Logger,
+  ) {
+    super();
+    this.bound = bound;
+  }
+
+  override async run(request: ExecutionRequest): Promise<InstanceReply> {
+    const reply = await this.send(request, false);
+    if (reply.refusal !== undefined) throw refused(reply);
+    return reply;
+  }
+
+  override async commit(
+    request: ExecutionRequest,
+    hasWritten: boolean,
+  ): Promise<InstanceReply> {
+    const reply = await this.send(request, hasWritten);
+    if (reply.refusal !== undefined) throw refused(reply);
+    const bound = this.takeBound();
+    if (bound !== undefined) bound.pool.release(bound.connection);
+    return reply;
+  }
+
+  override rollBack(): void {
+    const bound = this.takeBound();
+    if (bound !== undefined) void rollBackConnection(bound);
+  }
+
+  /**
+   * Sends a statement, again if the instance was busy and kept the transaction.
+   *
+   * @param request - The statement.
+   * @param mayBeKept - Whether it keeps writes if it runs.
+   */
+  private async send(
+    request: ExecutionRequest,
+    mayBeKept: boolean,
+  ): Promise<InstanceReply> {
+    const {statement, values, deadlineMs} = request;
+    let pauseMs = BUSY_PAUSE_MS;
+    for (;;) {
+      const {bound} = this;
+      if (bound === undefined) throw ended();
+      const failure = await synchronize(
+        bound.connection,
+        values,
+        statement.prepared,
+        deadlineMs,
+      );
+      if (failure !== undefined) throw this.broken(request, failure, false);
+      const outcome = await attempt(
+        bound.connection,
+        toCommand(statement, undefined),
+        deadlineMs,
+      );
+      if (outcome.kind !== 'answered') {
+        throw this.broken(request, outcome, mayBeKept);
+      }
+      const {reply} = outcome;
+      const isBusy = reply.refusal?.kind === ErrorKind.Overloaded;
+      const isWorthWaiting = steadyNow() + pauseMs < deadlineMs;
+      if (!isBusy || !isOpen(reply) || !isWorthWaiting) return reply;
+      await sleep(pauseMs * (0.5 + Math.random()));
+      pauseMs *= 2;
+    }
+  }
+
+  /** The connection is gone or useless, and the transaction with it. */
+  private broken(
+    request: ExecutionRequest,
+    outcome: BrokenAttempt,
+    mayBeKept: boolean,
+  ): SapphiregladeError {
+    const bound = this.takeBound();
+    if (bound !== undefined) {
+      bound.pool.lastFailedAtMs = steadyNow();
+      bound.pool.discard(bound.connection, outcome.kind);
+    }
+    const error = brokenOff(outcome, mayBeKept);
+    this.log.info('A transaction lost its connection.', {
+      request: request.statement.requestId,
+      instance: bound?.pool.endpoint.id,
+      mayBeKept,
+      reason: error.message,
+    });
+    if (mayBeKept) return error;
+    return new SapphiregladeError(
+      ErrorKind.TransactionLost,
+      `Nothing of the transaction is kept: ${error.message}`,
+      {cause: error},
+    );
+  }
+
+  private takeBound(): BoundConnection | undefined {
+    const {bound} = this;
+    this.bound = undefined;
+    return bound;
+  }
+}
+
+function ended(): SapphiregladeError {
+  return new SapphiregladeError(
+    ErrorKind.TransactionLost,
+    'The transaction has ended; nothing of it is kept.',
+  );
+}
+
+/** Says whether the transaction is still open at the instance. */
+function isOpen(reply: InstanceReply): boolean {
+  return reply.state === TransactionState.Open;
+}
+
+/** Rolls back and gives the connection back, or closes it. */
+async function rollBackConnection({
+  pool,
+  connection,
+}: BoundConnection): Promise<void> {
+  if (connection.isOpen && connection.state === TransactionState.Idle) {
+    pool.release(connection);
+    return;
+  }
+  const answer = await within(
+    connection.run({kind: CommandKind.Rollback}),
+    ROLLBACK_TIMEOUT_MS,
+  ).catch((error: Error) => error);
+  if (answer === TIMED_OUT || answer instanceof Error) {
+    pool.discard(connection, 'the rollback was not answered');
+    return;
+  }
+  pool.release(connection);
+}
--- a/packages/gateway/src/core/sessions/session-context.ts
+++ b/packages/gateway/src/core/sessions/session-context.ts
@@ -1,11 +1,11 @@
 import type {Logger} from '@sapphireglade/runtime';
 import type {ConfigurationHolder} from '../configuration/index.js';
-import type {GatewayMetrics} from '../metrics/index.js';
 import type {CommitSurveys, GroupRegistry} from '../groups/index.js';
+import type {GatewayMetrics} from '../metrics/index.js';
+import type {StatementRunner} from './statement-runner.js';
 
-/** What every session of a process shares. */
-export interface SessionContext {
-  readonly configuration: ConfigurationHolder;
+/** What statements are run with on connections of this proxy. */
+export interface ExecutionContext {
   readonly groups: GroupRegistry;
   readonly surveys: CommitSurveys;
   /** Region of this VM. */
@@ -15,3 +15,12 @@
   readonly metrics: GatewayMetrics;
   readonly log: Logger;
 }
+
+/** What every session of a process shares. */
+export interface SessionContext {
+  readonly configuration: ConfigurationHolder;
+  /** Finds what runs the statements for a group. */
+  readonly runnerFor: (group: string) => StatementRunner;
+  readonly metrics: GatewayMetrics;
+  readonly log: Logger;
+}
--- a/packages/gateway/src/core/sessions/statement-executor.ts
+++ b/packages/gateway/src/core/sessions/statement-executor.ts
@@ -17,8 +17,11 @@
 import {awaitPrimary} from './primary-wait.js';
 import type {ExecutionRequest} from './runnable-statement.js';
 import {toCommand} from './runnable-statement.js';
-import type {SessionContext} from './session-context.js';
-import type {BoundConnection} from './transaction.js';
+import type {ExecutionContext} from './session-context.js';
+import type {BoundConnection} from './local-transaction.js';
+import {LocalTransaction} from './local-transaction.js';
+import type {PlacedTransaction} from './placed-transaction.js';
+import {StatementRunner} from './statement-runner.js';
 
 /** Most times that one statement is sent. */
 const MAXIMUM_ATTEMPTS = 8;
@@ -59,16 +62,13 @@
   | {readonly reply: InstanceReply; readonly bound: BoundConnection}
   | {readonly error: SapphiregladeError; readonly mayBeKept: boolean};
 
-/** Finds an instance for a statement and runs it there. */
-export class StatementExecutor {
-  constructor(private readonly context: SessionContext) {}
+/** Finds an instance for a statement and runs it there, on a connection of this proxy. */
+export class StatementExecutor extends StatementRunner {
+  constructor(private readonly context: ExecutionContext) {
+    super();
+  }
 
-  /**
-   * Runs a statement outside of a transaction.
-   *
-   * @throws SapphiregladeError whose outcome says whether it may have run.
-   */
-  async run(request: ExecutionRequest): Promise<InstanceReply> {
+  override async run(request: ExecutionRequest): Promise<InstanceReply> {
     const {statement, deadlineMs} = request;
     const {reply} = await this.work(request, {
       run: ({atLeast}, {connection}) =>
@@ -84,15 +84,10 @@
     return reply;
   }
 
-  /**
-   * Begins a transaction where its first statement can run.
-   *
-   * @throws SapphiregladeError whose outcome is `not run`.
-   */
-  async begin(
+  override async begin(
     request: ExecutionRequest,
     isReadOnly: boolean,
-  ): Promise<BoundConnection> {
+  ): Promise<PlacedTransaction> {
     const {bound} = await this.work(request, {
       run: ({atLeast}, {connection}) =>
         attempt(
@@ -104,7 +99,7 @@
       isRepeatable: true,
       keepsConnection: true,
     });
-    return bound;
+    return new LocalTransaction(bound, this.context.log);
   }
 
   private async work(
--- a/packages/gateway/src/core/sessions/transaction.ts
+++ b/packages/gateway/src/core/sessions/transaction.ts
@@ -1,76 +1,68 @@
-import {TransactionState} from '@sapphireglade/decisions';
 import type {Route} from '../configuration/index.js';
-import type {InstancePool, PooledConnection} from '../pool/index.js';
-import {steadyNow, TIMED_OUT, within} from '../time/index.js';
-import {CommandKind} from '../upstream/index.js';
+import {steadyNow} from '../time/index.js';
+import type {InstanceReply} from '../upstream/index.js';
+import type {PlacedTransaction} from './placed-transaction.js';
+import type {ExecutionRequest} from './runnable-statement.js';
+import type {StatementRunner} from './statement-runner.js';
 
-/** How long rolling back may take before the connection is closed, in milliseconds. */
-const ROLLBACK_TIMEOUT_MS = 1_000;
-
-/** A connection that is bound to a transaction. */
-export interface BoundConnection {
-  readonly pool: InstancePool;
-  readonly connection: PooledConnection;
-}
-
-/** A transaction of one session. It binds a connection at its first statement. */
+/** A transaction of one session. It gets its place at its first statement. */
 export class SessionTransaction {
-  /** Whether a write was sent in it. */
-  hasWritten = false;
-  /** The connection, once a statement has run. */
-  bound: BoundConnection | undefined;
-  /** When the last statement ended, in milliseconds. */
-  lastActiveMs = steadyNow();
-  /** When it began, in milliseconds. */
-  readonly beganAtMs = steadyNow();
+  private placed: PlacedTransaction | undefined;
+  private isWritten = false;
 
+  /**
+   * @param isReadOnly - Whether it only reads.
+   * @param route - The route at its beginning; it holds to the end.
+   * @param runner - Runs its statements.
+   * @param beganAtMs - When it began, in milliseconds of the steady clock.
+   */
   constructor(
     readonly isReadOnly: boolean,
     readonly route: Route,
+    private readonly runner: StatementRunner,
+    readonly beganAtMs: number = steadyNow(),
   ) {}
 
-  /** Ends the transaction at the instance without keeping anything. */
-  rollBack(): void {
-    const bound = this.takeBound();
-    if (bound === undefined) return;
-    void rollBackConnection(bound);
+  /** Whether a write was sent in it. */
+  get hasWritten(): boolean {
+    return this.isWritten;
   }
 
-  /** Gives the connection back after the transaction has ended there. */
-  release(): void {
-    const bound = this.takeBound();
-    if (bound !== undefined) bound.pool.release(bound.connection);
+  /**
+   * Runs a statement.
+   *
+   * @throws SapphiregladeError; the transaction cannot go on then.
+   */
+  async run(request: ExecutionRequest): Promise<InstanceReply> {
+    const placed = await this.place(request);
+    if (!request.statement.isRead) this.isWritten = true;
+    return placed.run(request);
   }
 
-  /** Closes the connection, because its state is not known. */
-  discard(reason: string): void {
-    const bound = this.takeBound();
-    if (bound !== undefined) bound.pool.discard(bound.connection, reason);
+  /**
+   * Commits.
+   *
+   * @throws SapphiregladeError of kind `outcome-unknown` if the instance was
+   *   asked and did not answer.
+   */
+  async commit(request: ExecutionRequest): Promise<InstanceReply> {
+    const placed = await this.place(request);
+    const reply = await placed.commit(request, this.isWritten);
+    this.placed = undefined;
+    return reply;
   }
 
-  private takeBound(): BoundConnection | undefined {
-    const {bound} = this;
-    this.bound = undefined;
-    return bound;
+  /** Ends the transaction without keeping anything. */
+  rollBack(): void {
+    this.placed?.rollBack();
+    this.placed = undefined;
   }
-}
 
-/** Rolls back and gives the connection back, or closes it. */
-async function rollBackConnection({
-  pool,
-  connection,
-}: BoundConnection): Promise<void> {
-  if (connection.isOpen && connection.state === TransactionState.Idle) {
-    pool.release(connection);
-    return;
-  }
-  const answer = await within(
-    connection.run({kind: CommandKind.Rollback}),
-    ROLLBACK_TIMEOUT_MS,
-  ).catch((error: Error) => error);
-  if (answer === TIMED_OUT || answer instanceof Error) {
-    pool.discard(connection, 'the rollback was not answered');
-    return;
+  private async place(request: ExecutionRequest): Promise<PlacedTransaction> {
+    this.placed ??= await this.runner.begin(
+      {...request, startedAtMs: this.beganAtMs},
+      this.isReadOnly,
+    );
+    return this.placed;
   }
-  pool.release(connection);
 }
--- a/packages/gateway/src/core/settings/settings-schema.ts
+++ b/packages/gateway/src/core/settings/settings-schema.ts
@@ -18,9 +18,22 @@
     callers: address,
     /** For the balancer's questions. */
     readiness: address,
+    /** For links from other proxies. */
+    peers: address,
     /** For metrics; they are not served if it is left out. */
     metrics: address.optional(),
   }),
+  /** What the VM offers to this process; proxies on large VMs own more groups. */
+  capacity: z.strictObject({
+    /** Part of the processor that this process may use. */
+    processorShare: z.number().positive(),
+    /** How many ordinary cores the processor is worth. */
+    processorCores: z.number().positive(),
+    /** Bandwidth of the network link, in Mbit/s. */
+    linkMbps: z.number().positive(),
+    /** Memory that the process may use, in MB. */
+    memoryMb: z.number().positive(),
+  }),
   /** The platform's store. */
   store: z.strictObject({address}),
   /** The platform's service that promotes instances. */
--- a/packages/gateway/src/core/store/coordination-store.ts
+++ b/packages/gateway/src/core/store/coordination-store.ts
@@ -72,8 +72,17 @@
  * otherwise a change may have taken effect, or may still do so.
  */
 export abstract class CoordinationStore {
-  /** Reads all keys with a prefix; the answer is up to date. */
-  abstract list(prefix: string): Promise<StoredItems>;
+  /**
+   * Reads all keys with a prefix.
+   *
+   * @param prefix - The prefix.
+   * @param options - An answer that may be seconds old costs the store little;
+   *   any other is up to date.
+   */
+  abstract list(
+    prefix: string,
+    options?: {readonly mayBeOld: boolean},
+  ): Promise<StoredItems>;
 
   /**
    * Waits for changes of keys with a prefix.
--- a/packages/gateway/src/core/store/store-follower.ts
+++ b/packages/gateway/src/core/store/store-follower.ts
@@ -30,7 +30,9 @@
   /** How long one watch waits at the store, in milliseconds. */
   readonly watchWaitMs: () => number;
   /** Shortest time between two watches, in milliseconds; changes come in batches then. */
-  readonly minimumIntervalMs: number;
+  readonly minimumIntervalMs: () => number;
+  /** Whether reading everything from time to time is enough; it may be seconds old then. */
+  readonly isOccasional: () => boolean;
   readonly log: Logger;
   /** Called with the time at which a question was sent that got its answer. */
   readonly onConfirmed: (sentAt: ClockReading) => void;
@@ -97,7 +99,7 @@
       } catch (error) {
         await this.failed(error);
       }
-      const restMs = this.options.minimumIntervalMs + beganAtMs - steadyNow();
+      const restMs = this.options.minimumIntervalMs() + beganAtMs - steadyNow();
       if (restMs > 0) await sleep(restMs);
     }
   }
@@ -109,26 +111,32 @@
    */
   private async step(): Promise<boolean> {
     const sentAt = readClocks();
-    if (!this.hasRead) await this.readSections();
+    const isOccasional = this.options.isOccasional();
+    if (isOccasional || !this.hasRead) await this.readSections(isOccasional);
     else if (!(await this.watchOnce())) return false;
     this.options.onConfirmed(sentAt);
     return true;
   }
 
   /** Reads all sections; changes continue from the oldest answer. */
-  private async readSections(): Promise<void> {
+  private async readSections(mayBeOld: boolean): Promise<void> {
     const {store, sections} = this.options;
     const answers = await Promise.all(
-      sections.map(({prefix}) => within(store.list(prefix), LIST_TIMEOUT_MS)),
+      sections.map(({prefix}) =>
+        within(store.list(prefix, {mayBeOld}), LIST_TIMEOUT_MS),
+      ),
     );
     const revisions: number[] = [];
     for (const [index, answer] of answers.entries()) {
       if (answer === TIMED_OUT) throw new Error('The store did not answer.');
-      sections[index]?.replace(answer.items);
       revisions.push(answer.revision);
+      // An answer that is older than what is known must not bring it back.
+      if (answer.revision < this.knownRevision) continue;
+      sections[index]?.replace(answer.items);
     }
-    this.knownRevision = Math.min(...revisions);
-    this.hasRead = true;
+    this.knownRevision = Math.max(this.knownRevision, Math.min(...revisions));
+    // What may be old proves nothing; it is read anew before it is watched.
+    this.hasRead = !mayBeOld;
   }
 
   /**
--- a/packages/gateway/test/support/memory-fleet.ts
+++ b/packages/gateway/test/support/memory-fleet.ts
@@ -83,8 +83,8 @@
 
 /** Declares one route of each kind. */
 class FixedSection extends StoreSection {
-  constructor(apply: () => void) {
-    super('fixed/');
+  constructor(prefix: string, apply: () => void) {
+    super(prefix);
     apply();
   }
 
@@ -156,14 +156,15 @@
       callerDoor: door,
       readinessDoor: readiness,
       metricsDoor: undefined,
-      announcedPrefix: 'fixed/',
-      sections: (configuration, directory) => [
-        new FixedSection(() => {
+      sections: (configuration, directory) => ({
+        configuration: new FixedSection('fixed/configuration', () =>
+          configuration.offer(CONFIGURATION),
+        ),
+        directory: new FixedSection('fixed/directory', () => {
           this.directories.push(directory);
           this.register(directory);
-          configuration.offer(CONFIGURATION);
         }),
-      ],
+      }),
     };
     const gateway = new GatewayProcess(settingsOf(name), adapters, () =>
       createSilentLogger(),
@@ -228,7 +229,17 @@
     name,
     availabilityZone: 'zone-0',
     regions: {'zone-0': 'east', 'zone-1': 'east', 'zone-2': 'east'},
-    listen: {callers: 'memory:1', readiness: 'memory:2'},
+    listen: {
+      callers: 'memory:1',
+      readiness: 'memory:2',
+      peers: '127.0.0.1:0',
+    },
+    capacity: {
+      processorShare: 1,
+      processorCores: 1,
+      linkMbps: 1_000,
+      memoryMb: 500,
+    },
     store: {address: 'memory:3'},
     promotion: {address: 'memory:4'},
     maximumCallers: 100,
--- a/packages/gateway/test/view-lease.test.ts
+++ b/packages/gateway/test/view-lease.test.ts
@@ -27,7 +27,7 @@
     task = new ViewLeaseTask({
       name: SELF,
       store,
-      memberCount: () => 9,
+      proxyCount: () => 9,
       log: createSilentLogger(),
       onRenewed: sentAt => renewed.push(sentAt),
       onRecordsNeeded: () => {
--- a/packages/gateway/test/view-withdrawal.test.ts
+++ b/packages/gateway/test/view-withdrawal.test.ts
@@ -48,7 +48,8 @@
       sections: [knownProxies, members, releases],
       watchedPrefix: 'sapphireglade/',
       watchWaitMs: () => 500,
-      minimumIntervalMs: 0,
+      minimumIntervalMs: () => 0,
+      isOccasional: () => false,
       log,
       onConfirmed: () => undefined,
     });
@@ -75,7 +76,14 @@
   function publishOther(isLive: boolean): number {
     const lease = state.grant(60_000);
     state.put(KNOWN_PREFIX + OTHER, String(lease));
-    const member = {name: OTHER, incarnation: 'x', suspects: []};
+    const member = {
+      name: OTHER,
+      incarnation: 'x',
+      availabilityZone: 'zone-0',
+      peerAddress: 'memory:5',
+      capacity: 1,
+      suspects: [],
+    };
     if (isLive) state.put(MEMBER_PREFIX + OTHER, JSON.stringify(member), lease);
     return lease;
   }
--- a/packages/protocol/src/core/links/link-server.ts
+++ b/packages/protocol/src/core/links/link-server.ts
@@ -38,6 +38,14 @@
     return [...this.links].filter(link => link.isOpen);
   }
 
+  /** The port that is open; differs from the wanted one if that was 0. */
+  get port(): number {
+    const bound = this.server.address();
+    return typeof bound === 'object' && bound !== null
+      ? bound.port
+      : this.address.port;
+  }
+
   /** Opens the port. */
   protected async onStart(): Promise<void> {
     const {address, port} = this.address;
--- a/packages/protocol/src/core/links/link.ts
+++ b/packages/protocol/src/core/links/link.ts
@@ -29,9 +29,11 @@
   private readonly pending = new PendingRequests();
   private readonly opened = new ReplaySubject<LinkIdentity>(1);
   private readonly closures = new ReplaySubject<SapphiregladeError>(1);
-  private readonly silenceTimer: NodeJS.Timeout;
+  private silenceTimer: NodeJS.Timeout | undefined;
+  private unusedTimer: NodeJS.Timeout | undefined;
   private peerIdentity: LinkIdentity | undefined;
   private lastFrameAt = performance.now();
+  private lastUsedAt = performance.now();
   private isClosed = false;
 
   /**
@@ -46,9 +48,8 @@
     socket.on('data', chunk => this.onData(chunk));
     socket.on('error', error => this.closeWith(ErrorKind.LinkClosed, error));
     socket.on('close', () => this.closeWith(ErrorKind.LinkClosed));
-    const {pingAfterMs} = context.timings;
-    this.silenceTimer = setInterval(() => this.checkSilence(), pingAfterMs);
-    this.silenceTimer.unref();
+    if (context.timings.watchesIdleLinks) this.watchSilence();
+    this.watchUse();
     this.sendHello();
   }
 
@@ -90,6 +91,11 @@
         }),
       );
     }
+    if (this.silenceTimer === undefined) {
+      // The silence before the first question says nothing about the peer.
+      this.lastFrameAt = performance.now();
+      this.watchSilence();
+    }
     const {correlation, answer} = this.pending.add(deadlineMs);
     this.send({
       kind: FrameKind.Request,
@@ -125,6 +131,7 @@
     const bytes = encodeFrame(frame);
     this.counters.bytesSent += bytes.length;
     this.counters.framesSent += 1;
+    this.lastUsedAt = performance.now();
     this.socket.write(bytes);
     if (this.socket.writableLength > MAXIMUM_UNSENT_BYTES) {
       this.closeWith(ErrorKind.LinkSilent);
@@ -134,6 +141,7 @@
   private onData(chunk: Buffer): void {
     this.counters.bytesReceived += chunk.length;
     this.lastFrameAt = performance.now();
+    this.lastUsedAt = this.lastFrameAt;
     try {
       for (const frame of this.reader.push(chunk)) this.onFrame(frame);
     } catch (error) {
@@ -198,7 +206,7 @@
     deadlineMs: number,
   ): Promise<void> {
     const {clock, handlers} = this.context;
-    const answer = await handlers.onRequest(body, peer, deadlineMs);
+    const answer = await handlers.onRequest(body, peer, deadlineMs, this);
     this.send({
       kind: FrameKind.Answer,
       clock: clock.tick(),
@@ -207,8 +215,32 @@
     });
   }
 
+  private watchSilence(): void {
+    const {pingAfterMs} = this.context.timings;
+    this.silenceTimer = setInterval(() => this.checkSilence(), pingAfterMs);
+    this.silenceTimer.unref();
+  }
+
+  /** Closes the link once nothing has crossed it for long. */
+  private watchUse(): void {
+    const {unusedAfterMs} = this.context.timings;
+    if (unusedAfterMs === undefined) return;
+    this.unusedTimer = setInterval(() => {
+      const isUnused =
+        this.pending.size === 0 &&
+        performance.now() - this.lastUsedAt >= unusedAfterMs;
+      if (isUnused) this.closeWith(ErrorKind.LinkClosed);
+    }, unusedAfterMs);
+    this.unusedTimer.unref();
+  }
+
   private checkSilence(): void {
-    const {pingAfterMs, silentAfterMs} = this.context.timings;
+    const {pingAfterMs, silentAfterMs, watchesIdleLinks} = this.context.timings;
+    if (!watchesIdleLinks && this.pending.size === 0) {
+      clearInterval(this.silenceTimer);
+      this.silenceTimer = undefined;
+      return;
+    }
     const silentMs = performance.now() - this.lastFrameAt;
     if (silentMs >= silentAfterMs) {
       this.closeWith(ErrorKind.LinkSilent);
@@ -222,6 +254,7 @@
     if (this.isClosed) return;
     this.isClosed = true;
     clearInterval(this.silenceTimer);
+    clearInterval(this.unusedTimer);
     this.socket.destroy();
     const peer = this.peerIdentity?.process ?? 'an unknown process';
     const error = new SapphiregladeError(kind, `The link to ${peer} closed.`, {
--- a/packages/protocol/src/core/links/pending-requests.ts
+++ b/packages/protocol/src/core/links/pending-requests.ts
@@ -33,6 +33,11 @@
     return {correlation, answer};
   }
 
+  /** Requests that wait. */
+  get size(): number {
+    return this.requests.size;
+  }
+
   /**
    * Gives a request its answer.
    *
--- a/packages/protocol/src/core/links/types.ts
+++ b/packages/protocol/src/core/links/types.ts
@@ -1,4 +1,5 @@
 import type {ProcessClock} from '@sapphireglade/runtime';
+import type {Link} from './link.js';
 
 /** Who stands at one end of a link. */
 export interface LinkIdentity {
@@ -18,11 +19,13 @@
    * @param body - The request, not yet checked.
    * @param peer - Who asks.
    * @param deadlineMs - How long the peer still waits, in milliseconds.
+   * @param link - The link that it came over.
    */
   onRequest(
     body: unknown,
     peer: LinkIdentity,
     deadlineMs: number,
+    link: Link,
   ): Promise<unknown>;
   /** Takes a notice. */
   onNotice(body: unknown, peer: LinkIdentity): void;
@@ -36,6 +39,14 @@
   readonly silentAfterMs: number;
   /** How long a connection attempt and the greeting may take. */
   readonly openTimeoutMs: number;
+  /**
+   * Whether silence is looked for while no request waits. Without it a link
+   * that carries nothing costs nothing, and its loss is found by its next
+   * request.
+   */
+  readonly watchesIdleLinks: boolean;
+  /** A link is closed after this time without a frame; never if left out. */
+  readonly unusedAfterMs?: number;
 }
 
 /** What both ends of every link of a process share. */
@@ -51,6 +62,7 @@
   pingAfterMs: 300,
   silentAfterMs: 1_000,
   openTimeoutMs: 1_000,
+  watchesIdleLinks: true,
 };
 
 /** What a link has counted. */
--- a/scripts/bundle-platform.js
+++ b/scripts/bundle-platform.js
@@ -7,7 +7,7 @@
 
 const ROOT = fileURLToPath(new URL('..', import.meta.url));
 
-const PACKAGES = ['decisions', 'runtime', 'gateway'];
+const PACKAGES = ['decisions', 'runtime', 'protocol', 'gateway'];
 
 /** Leaves the WebAssembly build of histograms out, which nothing uses. */
 const WITHOUT_WEB_ASSEMBLY = {
