Place groups in buckets, weigh shares by zone, and ask another owner when one cannot serve

Change: groups of a zone share owners in buckets; an owner in the zone of an instance has three parts of its connections; a statement for the primary goes to an owner near it; what did not run at one owner goes to another, also from a proxy that owns the group itself; owners that take over are waited for up to 0.6 s; a proxy of a fleet that ran before owns at once; a report is asked again while the instance is busy; only the coordinator watches the directory, the others read answers that may be old. Directory changes are told only where something changed.

--- a/packages/decisions/src/core/ownership/plan-owners.ts
+++ b/packages/decisions/src/core/ownership/plan-owners.ts
@@ -4,6 +4,9 @@
 /** Most owners of a group in the availability zone of each of its instances. */
 const OWNERS_PER_ZONE = 2;
 
+/** How many groups of a zone go to the same owners on the average. */
+const GROUPS_PER_OWNER = 4;
+
 /** Fewest connections to an instance with which an owner is of use. */
 const MINIMUM_SHARE = 2;
 
@@ -34,12 +37,21 @@
   const chosen = new Set<string>();
   for (const zone of zones) {
     const near = candidatesNear(zone, request);
-    const ranked = rankByWeight(`${request.group}/${zone}`, near);
+    const ranked = rankByWeight(`${zone}/${bucketOf(zone, request)}`, near);
     for (const {name} of ranked.slice(0, perZone)) chosen.add(name);
   }
   return [...chosen];
 }
 
+/**
+ * Groups are placed in buckets, so that few proxies own anything: each of them
+ * follows the store closely and holds a lease for its views.
+ */
+function bucketOf(zone: string, {group, groupsIn}: OwnershipRequest): number {
+  const buckets = Math.max(1, Math.round(groupsIn(zone) / GROUPS_PER_OWNER));
+  return Math.floor(hashUnit('bucket', group) * buckets);
+}
+
 /** Few connections are worth more in few hands. */
 function ownersPerZone(zones: number, connectionLimit: number): number {
   const usable = connectionLimit - RESERVED_CONNECTIONS;
--- a/packages/decisions/src/core/ownership/types.ts
+++ b/packages/decisions/src/core/ownership/types.ts
@@ -18,6 +18,8 @@
   readonly connectionLimit: number;
   /** Every live proxy. */
   readonly candidates: readonly OwnerCandidate[];
+  /** How many groups have an instance in an availability zone. */
+  readonly groupsIn: (zone: string) => number;
   /** Finds the region of an availability zone. */
   readonly regionOf: (zone: string) => string;
 }
--- a/packages/decisions/test/ownership/plan-owners.test.ts
+++ b/packages/decisions/test/ownership/plan-owners.test.ts
@@ -32,6 +32,7 @@
     group: 'ledger-1',
     zones: ['a', 'b', 'c'],
     connectionLimit: 41,
+    groupsIn: () => 40,
     candidates,
     regionOf: zone => REGIONS[zone]!,
     ...changes,
@@ -57,6 +58,33 @@
       expect(owners.length).toEqual(3);
     });
 
+    it('gives the few groups of a zone the same owners', () => {
+      const fleet = fleetOf(80);
+      const groups = Array.from({length: 6}, (_, index) => `group-${index}`);
+      const owners = groups.flatMap(group =>
+        planOwners(requestOf(fleet, {group, groupsIn: () => 3})),
+      );
+      expect(new Set(owners).size).toEqual(6);
+    });
+
+    it('spreads the groups of a large deployment over all proxies alike', () => {
+      const fleet = fleetOf(64).map(each => ({...each, capacity: 1}));
+      const counts = new Map(fleet.map(({name}) => [name, 0]));
+      for (let index = 0; index < 1_100; index += 1) {
+        const owners = planOwners(
+          requestOf(fleet, {
+            group: `group-${index}`,
+            zones: ['a', 'b', 'c', 'd'],
+            groupsIn: () => 1_100,
+          }),
+        );
+        for (const name of owners) counts.set(name, counts.get(name)! + 1);
+      }
+      const mean = (1_100 * 8) / 64;
+      expect(Math.max(...counts.values()) < 2 * mean).toEqual(true);
+      expect(Math.min(...counts.values()) > mean / 2).toEqual(true);
+    });
+
     it('puts most groups on large VMs', () => {
       const fleet = fleetOf(80);
       const groups = Array.from({length: 50}, (_, index) => `group-${index}`);
--- a/packages/gateway/src/core/coordinator/coordinator-task.ts
+++ b/packages/gateway/src/core/coordinator/coordinator-task.ts
@@ -32,8 +32,12 @@
   readonly lease: ViewLeaseTask;
   /** Identifies this start of this proxy. */
   readonly holder: string;
-  /** Whether the store answers and everything in it is known. */
+  /** Whether the store answers and the proxies' own keys are known. */
+  readonly isConnected: () => boolean;
+  /** Whether the newest state of the directory is known as well; only the coordinator follows it that closely. */
   readonly isInformed: () => boolean;
+  /** Called while the coordinator does not know the newest state. */
+  readonly onNewsNeeded: () => void;
 }
 
 /** Becomes the coordinator if there is none, and replaces primaries. */
@@ -87,12 +91,16 @@
   }
 
   private check(): void {
-    if (!this.options.isInformed()) return;
+    if (!this.options.isConnected()) return;
     if (!this.isCoordinator) {
       this.options.context.control.closeAll();
       this.considerClaim();
       return;
     }
+    if (!this.options.isInformed()) {
+      this.options.onNewsNeeded();
+      return;
+    }
     const {groups, configuration} = this.options.context;
     for (const name of configuration.current?.groups.keys() ?? []) {
       this.inspect(groups.ensure(name));
--- a/packages/gateway/src/core/directory/instance-directory.ts
+++ b/packages/gateway/src/core/directory/instance-directory.ts
@@ -9,6 +9,9 @@
  */
 const MISSING_GRACE_MS = 2_500;
 
+/** Added where the directory is read from answers that may be old, in milliseconds. */
+const OLD_ANSWER_MS = 4_000;
+
 /** An entry, and since when it is missing. */
 interface DirectoryEntry {
   instance: RegisteredInstance;
@@ -19,6 +22,7 @@
 export class InstanceDirectory {
   private readonly entries = new Map<string, DirectoryEntry>();
   private readonly changes = new Subject<void>();
+  private zones = 0;
 
   /** @param log - Receives a line for each instance that comes or goes. */
   constructor(private readonly log: Logger) {}
@@ -49,11 +53,27 @@
     return this.instances.filter(instance => instance.group === group);
   }
 
+  /** Rises when an instance came to a zone or left one. */
+  get zoneVersion(): number {
+    return this.zones;
+  }
+
+  /** How many groups have an instance in an availability zone. */
+  groupsIn(zone: string): number {
+    const groups = this.instances
+      .filter(each => each.availabilityZone === zone)
+      .map(({group}) => group);
+    return new Set(groups).size;
+  }
+
   /** Takes in that an instance is registered. */
   register(instance: RegisteredInstance): void {
     const known = this.entries.get(instance.id);
     this.entries.set(instance.id, {instance, missingSinceMs: undefined});
-    this.logChange(known?.instance, instance);
+    const before = known?.instance;
+    if (before?.availabilityZone !== instance.availabilityZone) this.zones += 1;
+    if (before !== undefined && isSame(before, instance)) return;
+    this.logChange(instance);
     this.changes.next();
   }
 
@@ -79,16 +99,19 @@
    * Drops the instances whose entries have been missing for the grace time.
    *
    * @param isStoreReachable - Whether a returning entry would be seen.
+   * @param mayBeOld - Whether it would be seen late.
    */
-  dropMissing(isStoreReachable: boolean): void {
+  dropMissing(isStoreReachable: boolean, mayBeOld: boolean): void {
     if (!isStoreReachable) {
       this.restartGrace();
       return;
     }
-    const limitMs = steadyNow() - MISSING_GRACE_MS;
+    const graceMs = MISSING_GRACE_MS + (mayBeOld ? OLD_ANSWER_MS : 0);
+    const limitMs = steadyNow() - graceMs;
     for (const [id, {missingSinceMs}] of this.entries) {
       if (missingSinceMs === undefined || missingSinceMs > limitMs) continue;
       this.entries.delete(id);
+      this.zones += 1;
       this.log.warn('An instance is taken as gone.', {instance: id});
       this.changes.next();
     }
@@ -102,23 +125,31 @@
     }
   }
 
-  private logChange(
-    before: RegisteredInstance | undefined,
-    after: RegisteredInstance,
-  ): void {
-    const isSame =
-      before !== undefined &&
-      before.isLeaving === after.isLeaving &&
-      before.claimsPrimary === after.claimsPrimary &&
-      before.bornAtMs === after.bornAtMs;
-    if (isSame) return;
+  private logChange(instance: RegisteredInstance): void {
     this.log.info('An instance registered.', {
-      instance: after.id,
-      group: after.group,
-      zone: after.availabilityZone,
-      leaving: after.isLeaving,
-      claimsPrimary: after.claimsPrimary,
-      bornAtMs: after.bornAtMs,
+      instance: instance.id,
+      group: instance.group,
+      zone: instance.availabilityZone,
+      leaving: instance.isLeaving,
+      claimsPrimary: instance.claimsPrimary,
+      bornAtMs: instance.bornAtMs,
     });
   }
 }
+
+/** Says whether an instance registered what it had registered before. */
+function isSame(
+  before: RegisteredInstance,
+  after: RegisteredInstance,
+): boolean {
+  return (
+    before.group === after.group &&
+    before.host === after.host &&
+    before.port === after.port &&
+    before.availabilityZone === after.availabilityZone &&
+    before.isLeaving === after.isLeaving &&
+    before.claimsPrimary === after.claimsPrimary &&
+    before.slots === after.slots &&
+    before.bornAtMs === after.bornAtMs
+  );
+}
--- a/packages/gateway/src/core/forwarding/forwarding-runner.ts
+++ b/packages/gateway/src/core/forwarding/forwarding-runner.ts
@@ -1,5 +1,11 @@
-import {ErrorKind, Outcome, SapphiregladeError} from '@sapphireglade/decisions';
+import {
+  ErrorKind,
+  Outcome,
+  ReadConsistency,
+  SapphiregladeError,
+} from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {ExecutionRequest, PlacedTransaction} from '../sessions/index.js';
 import {StatementRunner} from '../sessions/index.js';
 import {steadyNow} from '../time/index.js';
@@ -9,6 +15,7 @@
 import type {OwnerLinks} from './owner-links.js';
 import type {OwnerPeer, PeerResult} from './owner-peer.js';
 import {RemoteTransaction} from './remote-transaction.js';
+import {ELSEWHERE} from './elsewhere.js';
 
 /** Most owners that one statement is sent to. */
 const MAXIMUM_OWNERS_ASKED = 4;
@@ -16,15 +23,11 @@
 /** When a caller comes back if no owner could be asked, in milliseconds. */
 const RETRY_AFTER_MS = 100;
 
-/** Errors of an owner after which another owner may do better. */
-const ELSEWHERE: ReadonlySet<ErrorKind> = new Set<ErrorKind>([
-  ErrorKind.NoOwner,
-  ErrorKind.ShuttingDown,
-  ErrorKind.NotReady,
-  ErrorKind.NoConnection,
-  ErrorKind.NoPrimary,
-  ErrorKind.Overloaded,
-]);
+/** How long a statement waits for owners that are just taking over, in milliseconds; a restarted proxy takes about as long. */
+const HANDOVER_WAIT_MS = 600;
+
+/** Pause between two rounds of such a wait, in milliseconds. */
+const HANDOVER_PAUSE_MS = 40;
 
 /** A request of which it is known whether another owner may get it as well. */
 export interface ForwardedWork {
@@ -33,6 +36,8 @@
   readonly encode: () => Forwarded;
   /** Whether it may be sent again although it may have run. */
   readonly isRepeatable: boolean;
+  /** Whether only the primary can serve it. */
+  readonly needsPrimary: boolean;
 }
 
 /** An answer, and over which link it came. */
@@ -61,6 +66,7 @@
         execution: encodeExecution(request),
       }),
       isRepeatable: request.statement.isRead,
+      needsPrimary: needsPrimary(request, request.statement.isRead),
     });
     return reply;
   }
@@ -79,11 +85,33 @@
   }
 
   /**
-   * Sends a request to one owner after another, until one has run it.
+   * Sends a request to one owner after another, until one has run it. Waits for
+   * a moment if nobody owns the group yet, because somebody soon will.
    *
    * @throws SapphiregladeError whose outcome says whether it may have run.
    */
   async ask(work: ForwardedWork): Promise<ForwardedResult> {
+    const limitMs = Math.min(
+      work.request.queueDeadlineMs,
+      steadyNow() + HANDOVER_WAIT_MS,
+    );
+    for (;;) {
+      const outcome = await this.askEach(work);
+      if (!(outcome instanceof SapphiregladeError)) return outcome;
+      const isHandover =
+        outcome.kind === ErrorKind.NoOwner &&
+        outcome.outcome === Outcome.NotRun;
+      if (!isHandover || steadyNow() + HANDOVER_PAUSE_MS > limitMs) {
+        throw outcome;
+      }
+      await sleep(HANDOVER_PAUSE_MS * (0.5 + Math.random()));
+    }
+  }
+
+  /** Sends a request to each of a few owners once. */
+  private async askEach(
+    work: ForwardedWork,
+  ): Promise<ForwardedResult | SapphiregladeError> {
     const {request, isRepeatable} = work;
     const {group} = request.route;
     const tried = new Set<string>();
@@ -92,24 +120,22 @@
       tried.size < MAXIMUM_OWNERS_ASKED &&
       steadyNow() < request.deadlineMs
     ) {
-      const peer = this.links.choose(group, tried);
+      const peer = this.links.choose(group, tried, work.needsPrimary);
       if (peer === undefined) break;
       tried.add(peer.name);
       const result = await peer.ask(work.encode, request.deadlineMs);
       const outcome = readResult(result, isRepeatable);
       if (!(outcome instanceof SapphiregladeError)) {
-        return {...outcome, peer};
+        this.links.learnPrimary(group, outcome.primaryZone);
+        return {reply: outcome.reply, link: outcome.link, peer};
       }
       this.logFailure(work, peer, outcome);
       last = outcome;
-      const mayHaveRun = outcome.outcome !== Outcome.NotRun;
-      if (mayHaveRun ? !isRepeatable : !ELSEWHERE.has(outcome.kind)) break;
-      const wasRun =
-        outcome.kind === ErrorKind.RunFailed ||
-        (outcome.kind === ErrorKind.RunTimedOut && result.kind === 'answered');
-      if (wasRun) break;
+      if (!mayAskAnother(outcome, result.kind === 'answered', isRepeatable)) {
+        break;
+      }
     }
-    throw last;
+    return last;
   }
 
   private logFailure(
@@ -129,15 +155,47 @@
   }
 }
 
+/**
+ * Says whether only the primary can serve a request.
+ *
+ * @param request - The request, or the first one of a transaction.
+ * @param isRead - Whether the statement, or the whole transaction, only reads.
+ */
+export function needsPrimary(
+  {route}: ExecutionRequest,
+  isRead: boolean,
+): boolean {
+  return !isRead || route.consistency === ReadConsistency.Primary;
+}
+
+/** Whether another owner may get a request that one owner did not serve. */
+function mayAskAnother(
+  error: SapphiregladeError,
+  isOwnersWord: boolean,
+  isRepeatable: boolean,
+): boolean {
+  if (error.outcome === Outcome.NotRun) return ELSEWHERE.has(error.kind);
+  // An owner that answers has tried other instances itself.
+  return isRepeatable && !isOwnersWord;
+}
+
+/** What an owner answered, decoded. */
+interface ReadAnswer {
+  readonly reply: InstanceReply;
+  readonly link: ForwardedResult['link'];
+  /** Availability zone of the group's primary, as the owner knows it. */
+  readonly primaryZone: string | undefined;
+}
+
 /** The answer, or the error that the caller may be told. */
 function readResult(
   result: PeerResult,
   isRepeatable: boolean,
-): Omit<ForwardedResult, 'peer'> | SapphiregladeError {
+): ReadAnswer | SapphiregladeError {
   if (result.kind === 'failed') return linkError(result, isRepeatable);
   const answer = decodeAnswer(result.body);
   if (answer instanceof SapphiregladeError) return answer;
-  if (answer !== undefined) return {reply: answer, link: result.link};
+  if (answer !== undefined) return {...answer, link: result.link};
   return linkError(
     {wasSent: true, reason: 'The answer of the owner cannot be read.'},
     isRepeatable,
--- a/packages/gateway/src/core/forwarding/forwarding-service.ts
+++ b/packages/gateway/src/core/forwarding/forwarding-service.ts
@@ -11,6 +11,7 @@
 import type {GroupOwnership} from '../ownership/index.js';
 import type {StatementRunner} from '../sessions/index.js';
 import {ForwardingRunner} from './forwarding-runner.js';
+import {OwnedGroupRunner} from './owned-group-runner.js';
 import {OwnerDesk} from './owner-desk.js';
 import {OwnerLinks} from './owner-links.js';
 
@@ -40,6 +41,8 @@
   readonly ownership: GroupOwnership;
   readonly members: Members;
   readonly configuration: ConfigurationHolder;
+  /** Availability zone of a group's primary, if it is known. */
+  readonly primaryZoneOf: (group: string) => string | undefined;
   /** Runs statements on connections of this proxy. */
   readonly local: StatementRunner;
   readonly log: Logger;
@@ -50,6 +53,7 @@
   private readonly desk: OwnerDesk;
   private readonly links: OwnerLinks;
   private readonly remote: ForwardingRunner;
+  private readonly owned: OwnedGroupRunner;
   private readonly server: LinkServer;
 
   constructor(private readonly options: ForwardingOptions) {
@@ -58,6 +62,7 @@
     this.desk = new OwnerDesk({
       runner: local,
       isOwned: group => ownership.isOwned(group),
+      primaryZoneOf: options.primaryZoneOf,
       configuration,
       log,
     });
@@ -75,6 +80,9 @@
       ownersOf: group => ownership.ownersOf(group),
     });
     this.remote = new ForwardingRunner(this.links, log);
+    this.owned = new OwnedGroupRunner(local, this.remote, group =>
+      this.links.hasOwner(group),
+    );
     this.server = new LinkServer(
       {address: listen.host, port: listen.port},
       {...shared, timings: SERVED_LINK_TIMINGS},
@@ -99,8 +107,7 @@
 
   /** Finds what runs the statements for a group. */
   runnerFor(group: string): StatementRunner {
-    const {ownership, local} = this.options;
-    return ownership.isOwned(group) ? local : this.remote;
+    return this.options.ownership.isOwned(group) ? this.owned : this.remote;
   }
 
   /** Whether statements for a group can be sent to another proxy. */
--- a/packages/gateway/src/core/forwarding/messages.ts
+++ b/packages/gateway/src/core/forwarding/messages.ts
@@ -87,6 +87,8 @@
     signature: z.string().optional(),
     state: z.enum(TransactionState),
     position: positionSchema.optional(),
+    /** Availability zone of the group's primary, if the owner knows it. */
+    primaryZone: z.string().optional(),
   }),
   z.object({
     error: z.enum(ErrorKind),
@@ -155,9 +157,12 @@
 }
 
 /** Turns an answer into what crosses the link. */
-export function encodeReply(reply: InstanceReply): ForwardedAnswer {
+export function encodeReply(
+  reply: InstanceReply,
+  primaryZone: string | undefined,
+): ForwardedAnswer {
   const {rows, signature, state, position} = reply;
-  return {rows: [...rows], signature, state, position};
+  return {rows: [...rows], signature, state, position, primaryZone};
 }
 
 /** Turns an error into what crosses the link. */
@@ -170,6 +175,13 @@
   return {error: kind, message, outcome, retryAfterMs};
 }
 
+/** An answer that crossed the link. */
+export interface DecodedAnswer {
+  readonly reply: InstanceReply;
+  /** Availability zone of the group's primary, if the owner knows it. */
+  readonly primaryZone: string | undefined;
+}
+
 /**
  * Turns what crossed the link into an answer.
  *
@@ -177,7 +189,7 @@
  */
 export function decodeAnswer(
   body: unknown,
-): InstanceReply | SapphiregladeError | undefined {
+): DecodedAnswer | SapphiregladeError | undefined {
   const result = answerSchema.safeParse(body);
   if (!result.success) return undefined;
   const answer = result.data;
@@ -187,13 +199,16 @@
       retryAfterMs === undefined ? {outcome} : {outcome, retryAfterMs};
     return new SapphiregladeError(error, message, details);
   }
-  const {rows, signature, state, position} = answer;
+  const {rows, signature, state, position, primaryZone} = answer;
   return {
-    rows,
-    signature,
-    refusal: undefined,
-    state,
-    position,
-    report: undefined,
+    reply: {
+      rows,
+      signature,
+      refusal: undefined,
+      state,
+      position,
+      report: undefined,
+    },
+    primaryZone,
   };
 }
--- a/packages/gateway/src/core/forwarding/owner-desk.ts
+++ b/packages/gateway/src/core/forwarding/owner-desk.ts
@@ -22,6 +22,8 @@
   /** Runs statements on connections of this proxy. */
   readonly runner: StatementRunner;
   readonly isOwned: (group: string) => boolean;
+  /** Availability zone of a group's primary, if it is known. */
+  readonly primaryZoneOf: (group: string) => string | undefined;
   readonly configuration: ConfigurationHolder;
   readonly log: Logger;
 }
@@ -83,8 +85,13 @@
       );
     }
     try {
-      const reply = await this.serve(parsed.data, link);
-      return encodeReply(reply);
+      const request = parsed.data;
+      const reply = await this.serve(request, link);
+      const primaryZone =
+        request.kind === ForwardedKind.RollBack
+          ? undefined
+          : this.options.primaryZoneOf(request.execution.group);
+      return encodeReply(reply, primaryZone);
     } catch (error) {
       // What is not the product's own error is a fault, and told as one.
       if (!(error instanceof SapphiregladeError)) {
--- a/packages/gateway/src/core/forwarding/owner-links.ts
+++ b/packages/gateway/src/core/forwarding/owner-links.ts
@@ -20,6 +20,8 @@
 /** The links of this proxy to the owners of groups, opened when needed. */
 export class OwnerLinks {
   private readonly peers = new Map<string, OwnerPeer>();
+  /** Availability zone of each group's primary, as owners say. */
+  private readonly primaryZones = new Map<string, string>();
 
   constructor(private readonly options: OwnerLinksOptions) {
     options.members.changes$.subscribe(() => this.dropDeparted());
@@ -40,23 +42,42 @@
    *
    * @param group - The group.
    * @param tried - Owners that are not asked again.
+   * @param needsPrimary - Whether only the primary can serve the statement;
+   *   an owner near it saves round trips.
    */
-  choose(group: string, tried: ReadonlySet<string>): OwnerPeer | undefined {
+  choose(
+    group: string,
+    tried: ReadonlySet<string>,
+    needsPrimary: boolean,
+  ): OwnerPeer | undefined {
     const peers = this.others(group)
       .filter(name => !tried.has(name))
       .flatMap(name => this.peer(name) ?? []);
     const options = peers.map(peer => this.describe(peer));
-    const {place} = this.options;
+    const place = needsPrimary
+      ? this.placeOfPrimary(group)
+      : this.options.place;
     const chosen = chooseOwner(options, place, steadyNow(), Math.random);
     return peers.find(({name}) => name === chosen?.name);
   }
 
+  /** Takes in in which availability zone a group's primary is. */
+  learnPrimary(group: string, zone: string | undefined): void {
+    if (zone !== undefined) this.primaryZones.set(group, zone);
+  }
+
   /** Closes every link. */
   close(): void {
     for (const peer of this.peers.values()) peer.stop();
     this.peers.clear();
   }
 
+  private placeOfPrimary(group: string): EntryPlace {
+    const zone = this.primaryZones.get(group);
+    if (zone === undefined) return this.options.place;
+    return {availabilityZone: zone, region: this.options.regionOf(zone)};
+  }
+
   private others(group: string): readonly string[] {
     const {self, ownersOf} = this.options;
     return ownersOf(group).filter(name => name !== self);
--- a/packages/gateway/src/core/forwarding/remote-transaction.ts
+++ b/packages/gateway/src/core/forwarding/remote-transaction.ts
@@ -4,7 +4,7 @@
 import {PlacedTransaction} from '../sessions/index.js';
 import type {InstanceReply} from '../upstream/index.js';
 import type {ForwardingRunner} from './forwarding-runner.js';
-import {linkError} from './forwarding-runner.js';
+import {linkError, needsPrimary} from './forwarding-runner.js';
 import type {Forwarded} from './messages.js';
 import {decodeAnswer, encodeExecution, ForwardedKind} from './messages.js';
 import type {OwnerPeer} from './owner-peer.js';
@@ -73,7 +73,7 @@
     const answer =
       result.kind === 'answered' ? decodeAnswer(result.body) : undefined;
     if (answer instanceof SapphiregladeError) throw answer;
-    if (answer !== undefined) return answer;
+    if (answer !== undefined) return answer.reply;
     // Whatever still runs there ends with the link.
     link.close();
     this.hasEnded = true;
@@ -94,6 +94,7 @@
       request,
       encode: () => this.encode(request, isCommit, true),
       isRepeatable: true,
+      needsPrimary: needsPrimary(request, this.options.isReadOnly),
     });
     this.place = {peer, link};
     return reply;
--- a/packages/gateway/src/core/groups/ask-report.ts
+++ b/packages/gateway/src/core/groups/ask-report.ts
@@ -1,5 +1,6 @@
 import type {ReplicationReport} from '@sapphireglade/decisions';
-import {SapphiregladeError} from '@sapphireglade/decisions';
+import {ErrorKind, SapphiregladeError} from '@sapphireglade/decisions';
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {InstancePool, PooledConnection} from '../pool/index.js';
 import {steadyNow, TIMED_OUT, within} from '../time/index.js';
 import {CommandKind} from '../upstream/index.js';
@@ -10,6 +11,9 @@
 /** How long an instance may take to answer, in milliseconds. */
 const ANSWER_TIMEOUT_MS = 400;
 
+/** Pause after an instance was busy, in milliseconds. */
+const BUSY_PAUSE_MS = 15;
+
 /**
  * Asks an instance for its role, term and position, over a connection of its
  * pool.
@@ -19,28 +23,37 @@
 export async function askReport(
   pool: InstancePool,
 ): Promise<ReplicationReport | undefined> {
-  const connection = await connectionOf(pool);
+  const limitMs = steadyNow() + ANSWER_TIMEOUT_MS;
+  const connection = await connectionOf(pool, limitMs);
   if (connection === undefined) return undefined;
-  const reply = await within(
-    connection.run({kind: CommandKind.Status}),
-    ANSWER_TIMEOUT_MS,
-  ).catch((error: Error) => error);
-  if (reply === TIMED_OUT || reply instanceof Error) {
-    pool.discard(connection, 'it did not answer');
-    return undefined;
+  for (;;) {
+    const reply = await within(
+      connection.run({kind: CommandKind.Status}),
+      limitMs - steadyNow(),
+    ).catch((error: Error) => error);
+    if (reply === TIMED_OUT || reply instanceof Error) {
+      pool.discard(connection, 'it did not answer');
+      return undefined;
+    }
+    // A busy instance did nothing; without a report a view may run out.
+    const isBusy = reply.refusal?.kind === ErrorKind.Overloaded;
+    if (!isBusy || steadyNow() + BUSY_PAUSE_MS >= limitMs) {
+      pool.release(connection);
+      return reply.report;
+    }
+    await sleep(BUSY_PAUSE_MS);
   }
-  pool.release(connection);
-  return reply.report;
 }
 
 /** Takes a connection, if one is free or can be opened quickly. */
 async function connectionOf(
   pool: InstancePool,
+  limitMs: number,
 ): Promise<PooledConnection | undefined> {
   try {
     return await pool.acquire({
       priority: CONTROL_PRIORITY,
-      deadlineMs: steadyNow() + ANSWER_TIMEOUT_MS,
+      deadlineMs: limitMs,
       values: new Map(),
     });
   } catch (error) {
--- a/packages/gateway/src/core/groups/group-registry.ts
+++ b/packages/gateway/src/core/groups/group-registry.ts
@@ -18,7 +18,10 @@
 import {DatabaseGroup} from './database-group.js';
 
 /** Stands for an owner that takes over before the one before it has let go. */
-const SPARE_HOLDER = '?spare';
+const SPARE_HOLDER = {name: '?spare', parts: 1};
+
+/** Parts of an owner in the zone of the instance, where most of its statements come from; others have one. */
+const NEAR_PARTS = 3;
 
 /** What the registry is made from. */
 export interface GroupRegistryOptions {
@@ -27,6 +30,8 @@
   readonly directory: InstanceDirectory;
   readonly connector: InstanceConnector;
   readonly ownership: GroupOwnership;
+  /** Availability zone of a live proxy. */
+  readonly zoneOf: (name: string) => string | undefined;
   /** Names of the proxies that ran before this process started. */
   readonly earlierProxies: () => readonly string[];
   /** Whether an availability zone is in the region of this proxy. */
@@ -72,6 +77,13 @@
     );
   }
 
+  /** Availability zone of a group's primary, if it is known. */
+  primaryZoneOf(name: string): string | undefined {
+    const primary = this.groups.get(name)?.record?.record.primary;
+    if (primary === undefined) return undefined;
+    return this.options.directory.find(primary)?.availabilityZone;
+  }
+
   /** Calls a listener with each group, now and later. */
   onGroup(listener: (group: DatabaseGroup) => void): void {
     this.listeners.push(listener);
@@ -116,7 +128,7 @@
       const isOwned = this.options.ownership.isOwned(name);
       const oftenUsed = isOwned ? this.oftenUsed(group) : new Set();
       for (const {instance, pool} of group.members.values()) {
-        pool.setShare(isOwned ? this.shareOf(instance.id, limit, holders) : 0);
+        pool.setShare(isOwned ? this.shareOf(instance, limit, holders) : 0);
         pool.isKeptWarm = oftenUsed.has(instance.id);
         pool.maintain();
       }
@@ -132,7 +144,15 @@
     return sharers.update(owners, steadyNow(), earlierProxies());
   }
 
-  private shareOf(id: string, limit: number, holders: string[]): number {
+  private shareOf(
+    {id, availabilityZone}: RegisteredInstance,
+    limit: number,
+    names: readonly string[],
+  ): number {
+    const holders = names.map(name => {
+      const isNear = this.options.zoneOf(name) === availabilityZone;
+      return {name, parts: isNear ? NEAR_PARTS : 1};
+    });
     return connectionShare(
       id,
       limit - RESERVED_CONNECTIONS,
--- a/packages/gateway/src/core/membership/known-proxies.ts
+++ b/packages/gateway/src/core/membership/known-proxies.ts
@@ -37,6 +37,11 @@
     return names.includes(self) ? names : [];
   }
 
+  /** Whether the fleet ran before this process started. */
+  get ranBeforeStart(): boolean {
+    return (this.earlierNames ?? []).length > 0;
+  }
+
   /** Whether a proxy of this name may be running, by what the store says. */
   has(name: string): boolean {
     return this.leases.has(name);
--- a/packages/gateway/src/core/membership/member-task.ts
+++ b/packages/gateway/src/core/membership/member-task.ts
@@ -25,6 +25,8 @@
   readonly peerAddress: () => string;
   /** What this VM can carry, compared with the others. */
   readonly capacity: number;
+  /** Called when what this proxy says of itself was written. */
+  readonly onPublished: () => void;
   readonly store: CoordinationStore;
   readonly members: Members;
   readonly log: Logger;
@@ -124,6 +126,7 @@
       return;
     }
     this.published = value;
+    this.options.onPublished();
   }
 
   /** Waits, unless there is something to publish. */
--- a/packages/gateway/src/core/membership/view-lease-task.ts
+++ b/packages/gateway/src/core/membership/view-lease-task.ts
@@ -9,8 +9,8 @@
 /** How long the lease runs without a renewal, in milliseconds; a little over the shortest that the users' store grants. */
 const LEASE_TTL_MS = 1_200;
 
-/** Shortest time between two renewals, in milliseconds; a quarter of the validity of views, so that two may be lost. */
-const MINIMUM_INTERVAL_MS = 250;
+/** Shortest time between two renewals, in milliseconds; a third of the validity of views, so that one may be lost. */
+const MINIMUM_INTERVAL_MS = 330;
 
 /** Added to the time between renewals for each proxy that holds one, in milliseconds, so that 640 of them make 1,250 calls a second. */
 const INTERVAL_PER_PROXY_MS = 0.8;
--- a/packages/gateway/src/core/ownership/group-ownership.ts
+++ b/packages/gateway/src/core/ownership/group-ownership.ts
@@ -6,7 +6,7 @@
 import type {Members} from '../membership/index.js';
 import {steadyNow} from '../time/index.js';
 
-/** How long this proxy must have been listed before it owns anything, in milliseconds; the others of a fleet that starts together are listed by then. */
+/** How long this proxy must have been listed before it owns anything in a fleet that starts for the first time, in milliseconds; the others are listed by then. */
 const SETTLE_MS = 1_000;
 
 /** What the ownership is computed from. */
@@ -16,6 +16,8 @@
   readonly directory: InstanceDirectory;
   readonly configuration: ConfigurationHolder;
   readonly regionOf: (zone: string) => string;
+  /** Whether the fleet ran before this process started, so that its list is whole. */
+  readonly isFleetOld: () => boolean;
   readonly log: Logger;
 }
 
@@ -56,7 +58,8 @@
       .sort();
     const limit =
       configuration.current?.groups.get(group)?.connectionLimit ?? 0;
-    const fingerprint = `${this.memberVersion} ${limit} ${zones.join(' ')}`;
+    const version = `${this.memberVersion} ${directory.zoneVersion}`;
+    const fingerprint = `${version} ${limit} ${zones.join(' ')}`;
     const known = this.plans.get(group);
     if (known?.fingerprint === fingerprint) return known.owners;
     const owners = planOwners({
@@ -64,6 +67,7 @@
       zones,
       connectionLimit: limit,
       candidates: this.liveCandidates(),
+      groupsIn: zone => this.options.directory.groupsIn(zone),
       regionOf: this.options.regionOf,
     });
     this.plans.set(group, {fingerprint, owners});
@@ -112,10 +116,9 @@
   private isSettled(): boolean {
     const {members, self} = this.options;
     if (members.find(self) !== undefined) this.listedSinceMs ??= steadyNow();
-    return (
-      this.listedSinceMs !== undefined &&
-      steadyNow() - this.listedSinceMs >= SETTLE_MS
-    );
+    if (this.listedSinceMs === undefined) return false;
+    const listedMs = steadyNow() - this.listedSinceMs;
+    return this.options.isFleetOld() || listedMs >= SETTLE_MS;
   }
 
   private liveCandidates(): readonly OwnerCandidate[] {
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -99,6 +99,7 @@
       directory: this.directory,
       configuration: this.configuration,
       regionOf,
+      isFleetOld: () => knownProxies.ranBeforeStart,
       log: loggers(LogPart.Membership),
     });
     this.groups = new GroupRegistry({
@@ -107,6 +108,7 @@
       directory: this.directory,
       connector,
       ownership: this.ownership,
+      zoneOf: member => this.members.find(member)?.availabilityZone,
       earlierProxies: () => knownProxies.ranBefore(name),
       isNear: zone => this.regionOf(zone) === this.region,
       log: loggers(LogPart.Pool),
@@ -123,6 +125,7 @@
       ownership: this.ownership,
       members: this.members,
       configuration: this.configuration,
+      primaryZoneOf: group => this.groups.primaryZoneOf(group),
       local: this.createExecutor(),
       log: loggers(LogPart.Routing),
     });
@@ -132,6 +135,7 @@
       availabilityZone,
       peerAddress: () => this.forwarding.peerAddress,
       capacity: carryingCapacity(capacity),
+      onPublished: () => this.followers.own.refresh(),
       store,
       members: this.members,
       log: loggers(LogPart.Membership),
@@ -194,7 +198,9 @@
       key,
       lease: this.viewLease,
       holder: `${name}/${this.incarnation}`,
-      isInformed: () => this.followers.areInformed,
+      isConnected: () => this.followers.isConnected,
+      isInformed: () => this.followers.isInformed,
+      onNewsNeeded: () => this.followers.refreshDirectory(),
     });
     this.members.changes$
       .pipe(auditTime(RECONCILE_DELAY_MS))
@@ -276,7 +282,8 @@
     await this.proofs.start();
     await this.coordinator.start();
     this.housekeeping = setInterval(() => {
-      this.directory.dropMissing(this.followers.isDirectoryReachable);
+      const {isDirectoryReachable, isDirectoryOld} = this.followers;
+      this.directory.dropMissing(isDirectoryReachable, isDirectoryOld);
       this.reconcile();
     }, HOUSEKEEPING_INTERVAL_MS);
     log.info('The process started.', {name, zone: availabilityZone});
--- a/packages/gateway/src/core/process/store-followers.ts
+++ b/packages/gateway/src/core/process/store-followers.ts
@@ -13,11 +13,14 @@
 /** The same at the coordinator, in milliseconds, which has to learn of failures. */
 const COORDINATOR_WATCH_WAIT_MS = 2_000;
 
+/** Shortest time between two watches of those keys at an owner, in milliseconds; the answers to a change of primary come in batches then. */
+const OWNER_INTERVAL_MS = 100;
+
 /** Shortest time between two watches of those keys at a proxy that owns nothing, in milliseconds; it learns of other owners by its links as well. */
 const GUEST_INTERVAL_MS = 1_000;
 
 /** How long a watch of the configuration waits, in milliseconds; a silent one is given up within the time in which a configuration has to be in force. */
-const CONFIGURATION_WATCH_WAIT_MS = 4_000;
+const CONFIGURATION_WATCH_WAIT_MS = 6_000;
 
 /** Shortest time between two watches of the configuration, in milliseconds; versions come in quick succession at times. */
 const CONFIGURATION_INTERVAL_MS = 300;
@@ -58,7 +61,10 @@
       watchedPrefix: OWN_PREFIX,
       watchWaitMs: () =>
         isCoordinator() ? COORDINATOR_WATCH_WAIT_MS : OWN_WATCH_WAIT_MS,
-      minimumIntervalMs: () => (ownsAny() ? 0 : GUEST_INTERVAL_MS),
+      minimumIntervalMs: () => {
+        if (isCoordinator()) return 0;
+        return ownsAny() ? OWNER_INTERVAL_MS : GUEST_INTERVAL_MS;
+      },
       isOccasional: () => false,
       sections: options.ownSections,
       log,
@@ -80,17 +86,26 @@
       watchWaitMs: () => DIRECTORY_WATCH_WAIT_MS,
       minimumIntervalMs: () =>
         ownsAny() ? DIRECTORY_INTERVAL_MS : GUEST_DIRECTORY_INTERVAL_MS,
-      isOccasional: () => !ownsAny(),
+      isOccasional: () => !isCoordinator(),
       sections: [announced.directory],
       log,
       onConfirmed: () => undefined,
     });
   }
 
-  /** Whether the store answers and everything in it is known. */
-  get areInformed(): boolean {
-    const {own, directory} = this;
-    return own.isComplete && own.isStoreReachable && directory.isComplete;
+  /** Whether the store answers and the proxies' own keys are known. */
+  get isConnected(): boolean {
+    return this.own.isComplete && this.own.isStoreReachable;
+  }
+
+  /** Whether the newest state of the directory is known as well. */
+  get isInformed(): boolean {
+    return this.isConnected && this.directory.isComplete;
+  }
+
+  /** Reads the directory now. */
+  refreshDirectory(): void {
+    this.directory.refresh();
   }
 
   /** Whether an entry that returns to the directory would be seen. */
@@ -98,6 +113,11 @@
     return this.directory.isStoreReachable;
   }
 
+  /** Whether what is known of the directory may be seconds old. */
+  get isDirectoryOld(): boolean {
+    return !this.directory.isComplete;
+  }
+
   /** Begins to follow. */
   async start(): Promise<void> {
     await this.own.start();
--- a/packages/gateway/src/core/store/store-follower.ts
+++ b/packages/gateway/src/core/store/store-follower.ts
@@ -99,8 +99,20 @@
       } catch (error) {
         await this.failed(error);
       }
-      const restMs = this.options.minimumIntervalMs() + beganAtMs - steadyNow();
-      if (restMs > 0) await sleep(restMs);
+      await this.rest(beganAtMs);
+    }
+  }
+
+  /** Waits until the next question is due, or somebody needs its answer. */
+  private async rest(beganAtMs: number): Promise<void> {
+    const restMs = this.options.minimumIntervalMs() + beganAtMs - steadyNow();
+    if (restMs <= 0 || this.isHurried) return;
+    const waking = new AbortController();
+    this.interrupt = () => waking.abort();
+    try {
+      await sleep(restMs, undefined, {signal: waking.signal});
+    } catch {
+      // Woken early, because an answer is needed now.
     }
   }
 
