Refuse forwarded requests that come after their time, and find lost news of the configuration in time

Change: each request carries what its sender's clocks showed; the smallest difference on a link is the fastest way, what is above it is age, and a request whose time is over is refused with all behind it. Both kinds of clock count, as the steady one misses a suspension. The new test fails with the check taken out.

Change: after a cut everything is read anew, and a watch of the configuration ends a second before the time in which a configuration has to be in force, which is a setting now. Owners watch the directory again: answers that may be old are 5.5 s behind while the store drops its history, too long for a leaving instance.

Also: an instance's spare part is as large as any, a proxy that stops makes room for those that take over, and a stop waits for statements of other proxies.

--- a/packages/decisions/src/core/ownership/index.ts
+++ b/packages/decisions/src/core/ownership/index.ts
@@ -2,4 +2,5 @@
 export * from './carrying-capacity.js';
 export * from './choose-owner.js';
 export * from './plan-owners.js';
+export * from './request-age.js';
 export * from './types.js';
--- a/packages/gateway/src/core/forwarding/forwarding-service.ts
+++ b/packages/gateway/src/core/forwarding/forwarding-service.ts
@@ -100,9 +100,9 @@
     return this.links.open;
   }
 
-  /** Transactions of other proxies' callers that are open here. */
-  get guestTransactions(): number {
-    return this.desk.openTransactions;
+  /** Statements and transactions of other proxies' callers that are open here. */
+  get openGuestWork(): number {
+    return this.desk.openWork;
   }
 
   /** Finds what runs the statements for a group. */
--- a/packages/gateway/src/core/forwarding/messages.ts
+++ b/packages/gateway/src/core/forwarding/messages.ts
@@ -9,7 +9,7 @@
 } from '@sapphireglade/decisions';
 import * as z from 'zod';
 import type {ExecutionRequest} from '../sessions/index.js';
-import {steadyNow} from '../time/index.js';
+import {readClocks, steadyNow} from '../time/index.js';
 import type {InstanceReply} from '../upstream/index.js';
 
 /** Kinds of request that an entry proxy sends to an owner. */
@@ -49,6 +49,8 @@
   /** For which it may wait for a connection, in milliseconds. */
   queueRemainingMs: z.number(),
   ownCommit: positionSchema.optional(),
+  /** What the clocks of the entry proxy showed when it was sent. */
+  sentAt: z.object({steadyMs: z.number(), wallMs: z.number()}),
 });
 
 /** Checks what an entry proxy asks. */
@@ -78,7 +80,7 @@
 export type Forwarded = z.infer<typeof forwardedSchema>;
 
 /** The execution part of a request. */
-type ForwardedExecution = z.infer<typeof executionSchema>;
+export type ForwardedExecution = z.infer<typeof executionSchema>;
 
 /** Checks what an owner answers. */
 const answerSchema = z.union([
@@ -118,14 +120,22 @@
     remainingMs: request.deadlineMs - nowMs,
     queueRemainingMs: request.queueDeadlineMs - nowMs,
     ownCommit,
+    sentAt: readClocks(),
   };
 }
 
-/** Turns what crossed the link into a request of this process. */
+/**
+ * Turns what crossed the link into a request of this process.
+ *
+ * @param execution - What crossed the link.
+ * @param wayMs - How long ago it was sent at most, in milliseconds.
+ */
 export function decodeExecution(
   execution: ForwardedExecution,
+  wayMs: number,
 ): ExecutionRequest {
   const nowMs = steadyNow();
+  const sentAtMs = nowMs - wayMs;
   const values = new SessionValues();
   for (const [name, value] of execution.values) values.set(name, value);
   const {requestId, isRead, awaitsReplica, parameters} = execution;
@@ -150,8 +160,8 @@
     values,
     // The way over the link makes the beginning seem later, and the read fresher.
     startedAtMs: nowMs - execution.ageMs,
-    deadlineMs: nowMs + execution.remainingMs,
-    queueDeadlineMs: nowMs + execution.queueRemainingMs,
+    deadlineMs: sentAtMs + execution.remainingMs,
+    queueDeadlineMs: sentAtMs + execution.queueRemainingMs,
     ownCommit: execution.ownCommit,
   };
 }
--- a/packages/gateway/src/core/forwarding/owner-desk.ts
+++ b/packages/gateway/src/core/forwarding/owner-desk.ts
@@ -1,11 +1,20 @@
-import {ErrorKind, SapphiregladeError} from '@sapphireglade/decisions';
+import {
+  ErrorKind,
+  RequestAge,
+  SapphiregladeError,
+} from '@sapphireglade/decisions';
 import type {Link, LinkHandlers} from '@sapphireglade/protocol';
 import type {Logger} from '@sapphireglade/runtime';
 import type {ConfigurationHolder} from '../configuration/index.js';
 import type {ExecutionRequest, StatementRunner} from '../sessions/index.js';
 import {SessionTransaction} from '../sessions/index.js';
 import type {InstanceReply} from '../upstream/index.js';
-import type {Forwarded, ForwardedAnswer} from './messages.js';
+import {readClocks} from '../time/index.js';
+import type {
+  Forwarded,
+  ForwardedAnswer,
+  ForwardedExecution,
+} from './messages.js';
 import {
   decodeExecution,
   encodeError,
@@ -17,6 +26,9 @@
 /** How much longer than the entry proxy the owner lets a transaction idle, in milliseconds, so that the entry proxy's word comes first. */
 const IDLE_SLACK_MS = 1_000;
 
+/** How long a link stays open after a request that came too late, in milliseconds, so that the answer leaves. */
+const LATE_CLOSE_MS = 100;
+
 /** What the desk serves with. */
 export interface OwnerDeskOptions {
   /** Runs statements on connections of this proxy. */
@@ -35,6 +47,14 @@
   idleTimer: NodeJS.Timeout | undefined;
 }
 
+/** What the desk keeps of one link. */
+interface LinkGuests {
+  readonly transactions: Map<number, GuestTransaction>;
+  readonly age: RequestAge;
+  /** Whether a request came after its time; those behind it are late as well. */
+  isLate: boolean;
+}
+
 type InTransaction = Extract<
   Forwarded,
   {kind: typeof ForwardedKind.InTransaction}
@@ -42,15 +62,18 @@
 
 /** Serves what entry proxies send to this proxy as an owner. */
 export class OwnerDesk implements LinkHandlers {
-  private readonly guests = new Map<Link, Map<number, GuestTransaction>>();
+  private readonly guests = new Map<Link, LinkGuests>();
   private isClosing = false;
+  private running = 0;
 
   constructor(private readonly options: OwnerDeskOptions) {}
 
-  /** Transactions that are open. */
-  get openTransactions(): number {
-    let count = 0;
-    for (const table of this.guests.values()) count += table.size;
+  /** Statements that run and transactions that are open. */
+  get openWork(): number {
+    let count = this.running;
+    for (const {transactions} of this.guests.values()) {
+      count += transactions.size;
+    }
     return count;
   }
 
@@ -61,9 +84,9 @@
 
   /** Ends the transactions in which no statement runs. */
   endOpenTransactions(): void {
-    for (const table of this.guests.values()) {
-      for (const [id, guest] of table) {
-        if (!guest.isBusy) end(table, id);
+    for (const {transactions} of this.guests.values()) {
+      for (const [id, guest] of transactions) {
+        if (!guest.isBusy) end(transactions, id);
       }
     }
   }
@@ -84,6 +107,7 @@
         new SapphiregladeError(ErrorKind.InvalidInput, 'It is malformed.'),
       );
     }
+    this.running += 1;
     try {
       const request = parsed.data;
       const reply = await this.serve(request, link);
@@ -100,6 +124,8 @@
         });
       }
       return encodeError(error);
+    } finally {
+      this.running -= 1;
     }
   }
 
@@ -111,9 +137,9 @@
     switch (request.kind) {
       case ForwardedKind.Statement:
         this.checkOwned(request.execution.group);
-        return this.options.runner.run(decodeExecution(request.execution));
+        return this.options.runner.run(this.decode(request.execution, link));
       case ForwardedKind.RollBack:
-        end(this.tableOf(link), request.transaction);
+        end(this.guestsOf(link).transactions, request.transaction);
         return Promise.resolve(NOTHING);
       case ForwardedKind.InTransaction:
         return this.serveTransaction(request, link);
@@ -124,8 +150,8 @@
     request: InTransaction,
     link: Link,
   ): Promise<InstanceReply> {
-    const execution = decodeExecution(request.execution);
-    const table = this.tableOf(link);
+    const execution = this.decode(request.execution, link);
+    const table = this.guestsOf(link).transactions;
     const guest = request.isFirst
       ? this.open(request, execution, table)
       : table.get(request.transaction);
@@ -151,6 +177,31 @@
     }
   }
 
+  /**
+   * Decodes a request, unless its time is over. One that waited here while this
+   * process was frozen must not run: its caller has been told something else.
+   */
+  private decode(execution: ForwardedExecution, link: Link): ExecutionRequest {
+    const guests = this.guestsOf(link);
+    const wayMs = guests.age.estimate(execution.sentAt, readClocks());
+    if (wayMs >= execution.remainingMs && !guests.isLate) {
+      guests.isLate = true;
+      this.options.log.warn('A forwarded request came after its time.', {
+        request: execution.requestId,
+        peer: link.peer?.process,
+        wayMs: Math.round(wayMs),
+        remainingMs: Math.round(execution.remainingMs),
+      });
+      // A new link gets a new estimate of the way.
+      setTimeout(() => link.close(), LATE_CLOSE_MS).unref();
+    }
+    if (!guests.isLate) return decodeExecution(execution, wayMs);
+    throw new SapphiregladeError(
+      ErrorKind.DeadlineUnreachable,
+      'The statement reached the owner after its time.',
+    );
+  }
+
   private open(
     request: InTransaction,
     {route, startedAtMs}: ExecutionRequest,
@@ -194,16 +245,18 @@
     );
   }
 
-  private tableOf(link: Link): Map<number, GuestTransaction> {
+  private guestsOf(link: Link): LinkGuests {
     const known = this.guests.get(link);
     if (known !== undefined) return known;
-    const table = new Map<number, GuestTransaction>();
-    this.guests.set(link, table);
+    const transactions = new Map<number, GuestTransaction>();
+    const age = new RequestAge(link.openedAt);
+    const guests = {transactions, age, isLate: false};
+    this.guests.set(link, guests);
     link.closed$.subscribe(() => {
       this.guests.delete(link);
-      for (const id of [...table.keys()]) end(table, id);
+      for (const id of [...transactions.keys()]) end(transactions, id);
     });
-    return table;
+    return guests;
   }
 }
 
--- a/packages/gateway/src/core/groups/group-registry.ts
+++ b/packages/gateway/src/core/groups/group-registry.ts
@@ -17,12 +17,12 @@
 import {steadyNow} from '../time/index.js';
 import {DatabaseGroup} from './database-group.js';
 
-/** Stands for an owner that takes over before the one before it has let go. */
-const SPARE_HOLDER = {name: '?spare', parts: 1};
-
 /** Parts of an owner in the zone of the instance, where most of its statements come from; others have one. */
 const NEAR_PARTS = 3;
 
+/** Stands for an owner that takes over before the one before it has let go; as heavy as any. */
+const SPARE_HOLDER = {name: '?spare', parts: NEAR_PARTS};
+
 /** What the registry is made from. */
 export interface GroupRegistryOptions {
   readonly self: string;
--- a/packages/gateway/src/core/membership/member-task.ts
+++ b/packages/gateway/src/core/membership/member-task.ts
@@ -8,10 +8,10 @@
 import type {MemberRecord} from './types.js';
 
 /** How long a proxy counts as live after its last renewal, in milliseconds. */
-const LEASE_TTL_MS = 2_400;
+const LEASE_TTL_MS = 3_000;
 
 /** How often the lease is renewed, in milliseconds; a third of its time. */
-const RENEWAL_INTERVAL_MS = 800;
+const RENEWAL_INTERVAL_MS = 1_000;
 
 /** Pause after a failed call, in milliseconds. */
 const RETRY_PAUSE_MS = 200;
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -168,6 +168,7 @@
         new PrimaryRecords(this.groups, failoverLog),
       ],
       announced: adapters.sections(this.configuration, this.directory),
+      configurationWithinMs: settings.configurationWithinMs,
       isCoordinator: () => this.coordinator.isCoordinator,
       ownsAny: () => this.ownership.ownsAny,
       onOwnConfirmed: sentAt => {
@@ -244,10 +245,11 @@
 
   /** Brings connections in line with what is owned; only owners have views. */
   private reconcile(): void {
-    if (this.isStopping) return;
+    // A proxy that stops makes room for those that take over.
     this.groups.reconcile();
     const isFirst = this.viewLease.state === TaskState.Created;
-    if (isFirst && this.ownership.ownsAny) void this.viewLease.start();
+    const needsLease = isFirst && this.ownership.ownsAny && !this.isStopping;
+    if (needsLease) void this.viewLease.start();
   }
 
   /** A renewed lease prolongs the views that count; others are asked for anew. */
@@ -334,7 +336,7 @@
   private async awaitCallers(limitMs: number): Promise<void> {
     const {callerDoor} = this.adapters;
     const isServing = (): boolean =>
-      callerDoor.openConnections + this.forwarding.guestTransactions > 0;
+      callerDoor.openConnections + this.forwarding.openGuestWork > 0;
     while (isServing() && performance.now() < limitMs) {
       await sleep(STOP_POLL_MS);
     }
--- a/packages/gateway/src/core/process/store-followers.ts
+++ b/packages/gateway/src/core/process/store-followers.ts
@@ -19,8 +19,11 @@
 /** Shortest time between two watches of those keys at a proxy that owns nothing, in milliseconds; it learns of other owners by its links as well. */
 const GUEST_INTERVAL_MS = 1_000;
 
-/** How long a watch of the configuration waits, in milliseconds; a silent one is given up within the time in which a configuration has to be in force. */
-const CONFIGURATION_WATCH_WAIT_MS = 6_000;
+/** How much earlier than a configuration has to be in force a watch of it ends, in milliseconds, so that one whose answer was lost is asked again in time. */
+const CONFIGURATION_MARGIN_MS = 1_000;
+
+/** Shortest wait of such a watch, in milliseconds. */
+const MINIMUM_CONFIGURATION_WAIT_MS = 500;
 
 /** Shortest time between two watches of the configuration, in milliseconds; versions come in quick succession at times. */
 const CONFIGURATION_INTERVAL_MS = 300;
@@ -28,8 +31,11 @@
 /** How long a watch of the directory waits, in milliseconds. */
 const DIRECTORY_WATCH_WAIT_MS = 500;
 
-/** Shortest time between two watches of the directory, in milliseconds; each instance writes there about once a second. */
-const DIRECTORY_INTERVAL_MS = 1_500;
+/** Shortest time between two watches of the directory at the coordinator, in milliseconds; each instance writes there about once a second. */
+const COORDINATOR_DIRECTORY_INTERVAL_MS = 1_500;
+
+/** The same at an owner, in milliseconds; half of the time in which a leaving instance has to be left alone. */
+const OWNER_DIRECTORY_INTERVAL_MS = 3_000;
 
 /** The same at a proxy that owns nothing, in milliseconds; it only needs to know in which zones instances are. */
 const GUEST_DIRECTORY_INTERVAL_MS = 4_000;
@@ -39,6 +45,8 @@
   readonly store: CoordinationStore;
   readonly ownSections: readonly StoreSection[];
   readonly announced: AnnouncedSections;
+  /** Within which time a configuration has to be in force, in milliseconds. */
+  readonly configurationWithinMs: number;
   readonly isCoordinator: () => boolean;
   /** Whether this proxy owns any group. */
   readonly ownsAny: () => boolean;
@@ -73,7 +81,11 @@
     this.configuration = new StoreFollower({
       store,
       watchedPrefix: announced.configuration.prefix,
-      watchWaitMs: () => CONFIGURATION_WATCH_WAIT_MS,
+      watchWaitMs: () =>
+        Math.max(
+          MINIMUM_CONFIGURATION_WAIT_MS,
+          options.configurationWithinMs - CONFIGURATION_MARGIN_MS,
+        ),
       minimumIntervalMs: () => CONFIGURATION_INTERVAL_MS,
       isOccasional: () => false,
       sections: [announced.configuration],
@@ -84,9 +96,13 @@
       store,
       watchedPrefix: announced.directory.prefix,
       watchWaitMs: () => DIRECTORY_WATCH_WAIT_MS,
-      minimumIntervalMs: () =>
-        ownsAny() ? DIRECTORY_INTERVAL_MS : GUEST_DIRECTORY_INTERVAL_MS,
-      isOccasional: () => !isCoordinator(),
+      minimumIntervalMs: () => {
+        if (isCoordinator()) return COORDINATOR_DIRECTORY_INTERVAL_MS;
+        return ownsAny()
+          ? OWNER_DIRECTORY_INTERVAL_MS
+          : GUEST_DIRECTORY_INTERVAL_MS;
+      },
+      isOccasional: () => !ownsAny(),
       sections: [announced.directory],
       log,
       onConfirmed: () => undefined,
--- a/packages/gateway/src/core/settings/settings-schema.ts
+++ b/packages/gateway/src/core/settings/settings-schema.ts
@@ -38,6 +38,8 @@
   store: z.strictObject({address}),
   /** The platform's service that promotes instances. */
   promotion: z.strictObject({address}),
+  /** Within which time a new configuration has to be in force, in milliseconds. */
+  configurationWithinMs: z.number().positive().default(3_000),
   /** Most callers at a time; bounds memory and descriptors. */
   maximumCallers: z.number().int().positive(),
   /** How long a stop may take, in seconds. */
--- a/packages/gateway/src/core/store/store-follower.ts
+++ b/packages/gateway/src/core/store/store-follower.ts
@@ -130,25 +130,25 @@
     return true;
   }
 
-  /** Reads all sections; changes continue from the oldest answer. */
+  /** Reads all sections by one question; changes continue from its answer. */
   private async readSections(mayBeOld: boolean): Promise<void> {
-    const {store, sections} = this.options;
-    const answers = await Promise.all(
-      sections.map(({prefix}) =>
-        within(store.list(prefix, {mayBeOld}), LIST_TIMEOUT_MS),
-      ),
+    const {store, sections, watchedPrefix} = this.options;
+    const answer = await within(
+      store.list(watchedPrefix, {mayBeOld}),
+      LIST_TIMEOUT_MS,
     );
-    const revisions: number[] = [];
-    for (const [index, answer] of answers.entries()) {
-      if (answer === TIMED_OUT) throw new Error('The store did not answer.');
-      revisions.push(answer.revision);
-      // An answer that is older than what is known must not bring it back.
-      if (answer.revision < this.knownRevision) continue;
-      sections[index]?.replace(answer.items);
-    }
-    this.knownRevision = Math.max(this.knownRevision, Math.min(...revisions));
+    if (answer === TIMED_OUT) throw new Error('The store did not answer.');
     // What may be old proves nothing; it is read anew before it is watched.
     this.hasRead = !mayBeOld;
+    // An answer that is older than what is known must not bring it back.
+    if (answer.revision < this.knownRevision) return;
+    for (const section of sections) {
+      const items = answer.items.filter(({key}) =>
+        key.startsWith(section.prefix),
+      );
+      section.replace(items);
+    }
+    this.knownRevision = answer.revision;
   }
 
   /**
@@ -217,6 +217,8 @@
       });
     }
     this.isConnected = false;
+    // A store that cuts its watches may drop its history next, or have done so.
+    this.hasRead = false;
     await sleep(this.pauseMs);
     this.pauseMs = Math.min(MAXIMUM_PAUSE_MS, this.pauseMs * 2);
   }
--- a/packages/gateway/test/forwarding/forwarding.test.ts
+++ b/packages/gateway/test/forwarding/forwarding.test.ts
@@ -230,6 +230,23 @@
       expect(right.runner.ran.length).toEqual(10);
     });
 
+    it('counts as open work until it is answered, so that a stop waits for it', async () => {
+      let finish: () => void = () => undefined;
+      const answer = new Promise<InstanceReply>(resolve => {
+        finish = () => resolve(REPLY);
+      });
+      for (const {runner} of [left, right]) runner.answer = () => answer;
+      const reply = remote.run(requestOf('w1', false));
+      await sleep(50);
+      const openWork = (): number =>
+        left.service.openGuestWork + right.service.openGuestWork;
+      expect(openWork()).toEqual(1);
+      finish();
+      await reply;
+      await sleep(10);
+      expect(openWork()).toEqual(0);
+    });
+
     it('goes to another owner if one is stopping', async () => {
       left.service.drain();
       for (let count = 0; count < 10; count += 1) {
@@ -309,8 +326,8 @@
       await transaction.run(requestOf('t2', false));
       await transaction.commit(requestOf('t3', true));
       expect(events()).toEqual(['begin', 'run t1', 'run t2', 'commit']);
-      expect(left.service.guestTransactions).toEqual(0);
-      expect(right.service.guestTransactions).toEqual(0);
+      expect(left.service.openGuestWork).toEqual(0);
+      expect(right.service.openGuestWork).toEqual(0);
     });
 
     it('is rolled back at the owner once its caller ends it', async () => {
@@ -363,6 +380,29 @@
     });
   });
 
+  describe('an owner that was frozen', () => {
+    it('does not run what came after its time, nor what is behind it', async () => {
+      const write = requestOf('w1', false);
+      // What the owner finds on waking: sent a while ago, and not as long after the link opened.
+      await remote.run(requestOf('r1', true));
+      await remote.run(requestOf('r2', true));
+      const before = ran().length;
+      const frozen = {...write, deadlineMs: performance.now() + 150};
+      const until = performance.now() + 400;
+      const sent = failureOf(remote.run(frozen));
+      // Both owners stand in this process: the loop is blocked like a frozen one.
+      setImmediate(() => {
+        while (performance.now() < until);
+      });
+      const error = await sent;
+      expect(
+        error.kind === ErrorKind.OutcomeUnknown || error.outcome === 'not run',
+      ).toEqual(true);
+      await sleep(100);
+      expect(ran().length).toEqual(before);
+    });
+  });
+
   describe('a malformed message', () => {
     it('ends its link and nothing else', async () => {
       const port = Number(left.service.peerAddress.split(':')[1]);
--- a/packages/gateway/test/support/memory-fleet.ts
+++ b/packages/gateway/test/support/memory-fleet.ts
@@ -242,6 +242,7 @@
     },
     store: {address: 'memory:3'},
     promotion: {address: 'memory:4'},
+    configurationWithinMs: 3_000,
     maximumCallers: 100,
     stopGraceS: 0.1,
     logLevel: LogLevel.Error,
--- a/packages/protocol/src/core/links/link.ts
+++ b/packages/protocol/src/core/links/link.ts
@@ -25,6 +25,8 @@
     framesReceived: 0,
     lateAnswers: 0,
   };
+  /** What the steady clock and the time of day showed when the socket was there. */
+  readonly openedAt = {steadyMs: performance.now(), wallMs: Date.now()};
   private readonly reader = new FrameReader();
   private readonly pending = new PendingRequests();
   private readonly opened = new ReplaySubject<LinkIdentity>(1);
