Tell proxies that own nothing the news of the store over links, and weigh shares by what is left

Change: a proxy that owns nothing asks an owner twice a second over its link what has changed since the revisions it knows, and stops following the store; it goes back to the store for three seconds when no owner can tell. What is told proves nothing about records of primaries.

Change: owners near an instance get more only where the others keep two.

--- a/packages/decisions/src/core/connection-plan/connection-share.ts
+++ b/packages/decisions/src/core/connection-plan/connection-share.ts
@@ -11,6 +11,43 @@
   readonly parts: number;
 }
 
+/** Most parts of an owner in the zone of the instance, where most of its statements come from; others have one. */
+const MAXIMUM_NEAR_PARTS = 3;
+
+/** Fewest connections of an owner elsewhere for which owners near the instance get more. */
+const MINIMUM_FAR_SHARE = 2;
+
+/** Stands for an owner that takes over before the one before it has let go; as heavy as any. */
+const SPARE_HOLDER = '?spare';
+
+/**
+ * Weighs the shares of an instance's owners.
+ *
+ * Answers the pattern that most statements come to the owners near an instance,
+ * as far as the others keep enough for their own callers.
+ *
+ * @param limit - Connections that the owners may hold in total.
+ * @param owners - Names of everybody who may hold some.
+ * @param isNear - Whether an owner is in the instance's zone.
+ * @returns The holders with their parts, and one more for an owner that takes
+ *   over.
+ */
+export function weighHolders(
+  limit: number,
+  owners: readonly string[],
+  isNear: (owner: string) => boolean,
+): WeightedHolder[] {
+  const near = owners.filter(isNear).length;
+  const far = owners.length - near;
+  let nearParts = MAXIMUM_NEAR_PARTS;
+  const farShare = (): number => limit / (near * nearParts + far + nearParts);
+  while (nearParts > 1 && farShare() < MINIMUM_FAR_SHARE) nearParts -= 1;
+  return [
+    ...owners.map(name => ({name, parts: isNear(name) ? nearParts : 1})),
+    {name: SPARE_HOLDER, parts: nearParts},
+  ];
+}
+
 /**
  * Divides an instance's connection limit among the proxies that own its group.
  *
--- a/packages/decisions/test/connection-plan/connection-share.test.ts
+++ b/packages/decisions/test/connection-plan/connection-share.test.ts
@@ -2,7 +2,7 @@
 import {expect} from 'earl';
 import fc from 'fast-check';
 import type {WeightedHolder} from '../../src/index.js';
-import {connectionShare, ShareHolders} from '../../src/index.js';
+import {connectionShare, ShareHolders, weighHolders} from '../../src/index.js';
 
 const MEMBERS = fc
   .uniqueArray(fc.integer({min: 0, max: 200}), {minLength: 1, maxLength: 60})
@@ -82,6 +82,34 @@
   });
 });
 
+describe('weighHolders', () => {
+  const OWNERS = ['a1', 'a2', 'b1', 'b2', 'c1', 'c2'];
+  const isNear = (owner: string): boolean => owner.startsWith('a');
+  const shareOf = (limit: number, owner: string): number =>
+    connectionShare('i', limit, weighHolders(limit, OWNERS, isNear), owner);
+
+  it('gives owners near the instance more where there is enough', () => {
+    expect(shareOf(60, 'a1') > 2 * shareOf(60, 'b1')).toEqual(true);
+  });
+
+  it('gives everybody the same where others would be left with one', () => {
+    expect(shareOf(15, 'a1') >= 2).toEqual(true);
+    expect(shareOf(15, 'b1') >= 2).toEqual(true);
+  });
+
+  it('leaves room for an owner that takes over from any other', () => {
+    for (const limit of [8, 15, 21, 40, 60, 143, 215]) {
+      const holders = weighHolders(limit, OWNERS, isNear);
+      const shares = OWNERS.map(owner =>
+        connectionShare('i', limit, holders, owner),
+      );
+      const sum = shares.reduce((total, share) => total + share, 0);
+      const isTight = limit < 2 * (OWNERS.length + 1);
+      expect(isTight || sum + Math.max(...shares) <= limit + 1).toEqual(true);
+    }
+  });
+});
+
 describe('ShareHolders', () => {
   it('assumes others until the list has had time to fill', () => {
     const holders = new ShareHolders();
--- a/packages/gateway/src/core/forwarding/forwarding-service.ts
+++ b/packages/gateway/src/core/forwarding/forwarding-service.ts
@@ -8,8 +8,10 @@
 import {LinkServer} from '@sapphireglade/protocol';
 import type {ConfigurationHolder} from '../configuration/index.js';
 import type {Members} from '../membership/index.js';
+import type {NewsDesk, NewsRequest} from '../news/index.js';
 import type {GroupOwnership} from '../ownership/index.js';
 import type {StatementRunner} from '../sessions/index.js';
+import {steadyNow} from '../time/index.js';
 import {ForwardingRunner} from './forwarding-runner.js';
 import {OwnedGroupRunner} from './owned-group-runner.js';
 import {OwnerDesk} from './owner-desk.js';
@@ -31,6 +33,9 @@
   unusedAfterMs: 30_000,
 };
 
+/** How long news may take to arrive, in milliseconds. */
+const NEWS_DEADLINE_MS = 800;
+
 /** What forwarding is made from. */
 export interface ForwardingOptions {
   readonly identity: LinkIdentity;
@@ -45,6 +50,8 @@
   readonly primaryZoneOf: (group: string) => string | undefined;
   /** Runs statements on connections of this proxy. */
   readonly local: StatementRunner;
+  /** Passes on what is known of the store. */
+  readonly news: NewsDesk;
   readonly log: Logger;
 }
 
@@ -64,6 +71,7 @@
       isOwned: group => ownership.isOwned(group),
       primaryZoneOf: options.primaryZoneOf,
       configuration,
+      news: options.news,
       log,
     });
     const shared: Omit<LinkContext, 'timings'> = {
@@ -115,6 +123,20 @@
     return this.links.hasOwner(group);
   }
 
+  /**
+   * Asks a proxy that owns groups for news of the store.
+   *
+   * @returns Its answer, not checked; nothing if there was none.
+   */
+  async askNews(request: NewsRequest): Promise<unknown> {
+    const groups = this.options.configuration.current?.groups.keys() ?? [];
+    const peer = this.links.chooseAny(groups);
+    if (peer === undefined) return undefined;
+    const deadlineMs = steadyNow() + NEWS_DEADLINE_MS;
+    const result = await peer.ask(() => request, deadlineMs);
+    return result.kind === 'answered' ? result.body : undefined;
+  }
+
   /** Begins to accept links. */
   start(): Promise<void> {
     return this.server.start();
--- a/packages/gateway/src/core/forwarding/owner-desk.ts
+++ b/packages/gateway/src/core/forwarding/owner-desk.ts
@@ -8,6 +8,8 @@
 import type {ConfigurationHolder} from '../configuration/index.js';
 import type {ExecutionRequest, StatementRunner} from '../sessions/index.js';
 import {SessionTransaction} from '../sessions/index.js';
+import type {NewsAnswer, NewsDesk, NewsRequest} from '../news/index.js';
+import {newsRequestSchema} from '../news/index.js';
 import type {InstanceReply} from '../upstream/index.js';
 import {readClocks} from '../time/index.js';
 import type {
@@ -37,6 +39,8 @@
   /** Availability zone of a group's primary, if it is known. */
   readonly primaryZoneOf: (group: string) => string | undefined;
   readonly configuration: ConfigurationHolder;
+  /** Passes on what is known of the store. */
+  readonly news: NewsDesk;
   readonly log: Logger;
 }
 
@@ -96,7 +100,9 @@
     _peer: unknown,
     _deadlineMs: number,
     link: Link,
-  ): Promise<ForwardedAnswer> {
+  ): Promise<ForwardedAnswer | NewsAnswer> {
+    const news = newsRequestSchema.safeParse(body);
+    if (news.success) return this.tellNews(news.data);
     const parsed = forwardedSchema.safeParse(body);
     if (!parsed.success) {
       this.options.log.warn('Another proxy sent a malformed request.', {
@@ -129,6 +135,14 @@
     }
   }
 
+  private tellNews(request: NewsRequest): ForwardedAnswer | NewsAnswer {
+    try {
+      return this.options.news.answer(request);
+    } catch (error) {
+      return encodeError(error);
+    }
+  }
+
   onNotice(): void {
     this.options.log.debug('A notice arrived that nothing here listens to.');
   }
--- a/packages/gateway/src/core/forwarding/owner-links.ts
+++ b/packages/gateway/src/core/forwarding/owner-links.ts
@@ -20,6 +20,8 @@
 /** The links of this proxy to the owners of groups, opened when needed. */
 export class OwnerLinks {
   private readonly peers = new Map<string, OwnerPeer>();
+  /** Which proxy was last chosen for what any owner can tell. */
+  private lastAny: string | undefined;
   /** Availability zone of each group's primary, as owners say. */
   private readonly primaryZones = new Map<string, string>();
 
@@ -50,13 +52,37 @@
     tried: ReadonlySet<string>,
     needsPrimary: boolean,
   ): OwnerPeer | undefined {
-    const peers = this.others(group)
-      .filter(name => !tried.has(name))
-      .flatMap(name => this.peer(name) ?? []);
-    const options = peers.map(peer => this.describe(peer));
     const place = needsPrimary
       ? this.placeOfPrimary(group)
       : this.options.place;
+    const names = this.others(group).filter(name => !tried.has(name));
+    return this.chooseAmong(names, place);
+  }
+
+  /**
+   * Chooses a proxy that owns any group, the one chosen before if it still does.
+   *
+   * @param groups - Names of all groups.
+   */
+  chooseAny(groups: Iterable<string>): OwnerPeer | undefined {
+    const names = new Set([...groups].flatMap(group => this.others(group)));
+    const known = this.peers.get(this.lastAny ?? '');
+    const isUsable =
+      known !== undefined &&
+      names.has(known.name) &&
+      known.load.avoidUntilMs <= steadyNow();
+    if (isUsable) return known;
+    const chosen = this.chooseAmong([...names], this.options.place);
+    this.lastAny = chosen?.name;
+    return chosen;
+  }
+
+  private chooseAmong(
+    names: readonly string[],
+    place: EntryPlace,
+  ): OwnerPeer | undefined {
+    const peers = names.flatMap(name => this.peer(name) ?? []);
+    const options = peers.map(peer => this.describe(peer));
     const chosen = chooseOwner(options, place, steadyNow(), Math.random);
     return peers.find(({name}) => name === chosen?.name);
   }
--- a/packages/gateway/src/core/groups/group-registry.ts
+++ b/packages/gateway/src/core/groups/group-registry.ts
@@ -4,6 +4,7 @@
   rankNodes,
   RESERVED_CONNECTIONS,
   ShareHolders,
+  weighHolders,
 } from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
 import type {ConfigurationHolder} from '../configuration/index.js';
@@ -17,12 +18,6 @@
 import {steadyNow} from '../time/index.js';
 import {DatabaseGroup} from './database-group.js';
 
-/** Parts of an owner in the zone of the instance, where most of its statements come from; others have one. */
-const NEAR_PARTS = 3;
-
-/** Stands for an owner that takes over before the one before it has let go; as heavy as any. */
-const SPARE_HOLDER = {name: '?spare', parts: NEAR_PARTS};
-
 /** What the registry is made from. */
 export interface GroupRegistryOptions {
   readonly self: string;
@@ -149,16 +144,13 @@
     limit: number,
     names: readonly string[],
   ): number {
-    const holders = names.map(name => {
-      const isNear = this.options.zoneOf(name) === availabilityZone;
-      return {name, parts: isNear ? NEAR_PARTS : 1};
-    });
-    return connectionShare(
-      id,
-      limit - RESERVED_CONNECTIONS,
-      [...holders, SPARE_HOLDER],
-      this.options.self,
+    const usable = limit - RESERVED_CONNECTIONS;
+    const holders = weighHolders(
+      usable,
+      names,
+      name => this.options.zoneOf(name) === availabilityZone,
     );
+    return connectionShare(id, usable, holders, this.options.self);
   }
 
   /**
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -27,6 +27,7 @@
   Releases,
   ViewProofTask,
 } from '../primary-watch/index.js';
+import {NewsFollower} from '../news/index.js';
 import {GroupOwnership} from '../ownership/index.js';
 import type {SessionContext} from '../sessions/index.js';
 import {CallerSession, StatementExecutor} from '../sessions/index.js';
@@ -68,6 +69,7 @@
   private readonly ownership: GroupOwnership;
   private readonly forwarding: ForwardingService;
   private readonly followers: StoreFollowers;
+  private readonly news: NewsFollower;
   private readonly viewLease: ViewLeaseTask;
   private readonly member: MemberTask;
   private readonly watch: PrimaryWatchTask;
@@ -113,6 +115,36 @@
       isNear: zone => this.regionOf(zone) === this.region,
       log: loggers(LogPart.Pool),
     });
+    const key = new CoordinatorKey();
+    const announced = adapters.sections(this.configuration, this.directory);
+    const releases = new Releases(
+      name,
+      store,
+      () => this.viewLease.leaseId,
+      failoverLog,
+    );
+    this.followers = new StoreFollowers({
+      store,
+      ownSections: [
+        this.members,
+        releases,
+        knownProxies,
+        key,
+        new PrimaryRecords(this.groups, failoverLog),
+      ],
+      announced,
+      configurationWithinMs: settings.configurationWithinMs,
+      isCoordinator: () => this.coordinator.isCoordinator,
+      ownsAny: () => this.ownership.ownsAny,
+      areNewsTold: () => this.news.isActive,
+      onOwnConfirmed: sentAt => {
+        this.viewLease.recordsRead(sentAt);
+        // Nobody waits for the views of a proxy that is not known yet.
+        const isKnown = this.viewLease.isPublished || knownProxies.has(name);
+        if (isKnown) this.groups.confirmAll(sentAt);
+      },
+      log: loggers(LogPart.Store),
+    });
     this.forwarding = new ForwardingService({
       identity: {
         process: name,
@@ -127,8 +159,18 @@
       configuration: this.configuration,
       primaryZoneOf: group => this.groups.primaryZoneOf(group),
       local: this.createExecutor(),
+      news: this.followers.createNewsDesk(),
       log: loggers(LogPart.Routing),
     });
+    this.news = new NewsFollower({
+      mayRely: () => !this.ownership.ownsAny && !this.isStopping,
+      ask: request => this.forwarding.askNews(request),
+      sections: {
+        members: this.members,
+        configuration: announced.configuration,
+      },
+      log: loggers(LogPart.Membership),
+    });
     this.member = new MemberTask({
       name,
       incarnation: this.incarnation,
@@ -140,16 +182,9 @@
       members: this.members,
       log: loggers(LogPart.Membership),
     });
-    const releases = new Releases(
-      name,
-      store,
-      () => this.viewLease.leaseId,
-      failoverLog,
-    );
     followAll(releases, this.groups);
     this.watch = new PrimaryWatchTask(this.groups, this.member, failoverLog);
     this.proofs = new ViewProofTask(this.groups, region, regionOf, failoverLog);
-    const key = new CoordinatorKey();
     this.viewLease = new ViewLeaseTask({
       name,
       store,
@@ -158,27 +193,6 @@
       onRenewed: sentAt => this.prolongViews(sentAt),
       onRecordsNeeded: () => this.followers.own.refresh(),
     });
-    this.followers = new StoreFollowers({
-      store,
-      ownSections: [
-        this.members,
-        releases,
-        knownProxies,
-        key,
-        new PrimaryRecords(this.groups, failoverLog),
-      ],
-      announced: adapters.sections(this.configuration, this.directory),
-      configurationWithinMs: settings.configurationWithinMs,
-      isCoordinator: () => this.coordinator.isCoordinator,
-      ownsAny: () => this.ownership.ownsAny,
-      onOwnConfirmed: sentAt => {
-        this.viewLease.recordsRead(sentAt);
-        // Nobody waits for the views of a proxy that is not known yet.
-        const isKnown = this.viewLease.isPublished || knownProxies.has(name);
-        if (isKnown) this.groups.confirmAll(sentAt);
-      },
-      log: loggers(LogPart.Store),
-    });
     this.coordinator = new CoordinatorTask({
       context: {
         self: name,
@@ -279,6 +293,7 @@
       database => new CallerSession(context, database),
     );
     await this.followers.start();
+    await this.news.start();
     await this.member.start();
     await this.watch.start();
     await this.proofs.start();
@@ -347,6 +362,7 @@
     await this.adapters.callerDoor.close();
     await this.watch.stop(0);
     await this.proofs.stop(0);
+    await this.news.stop(0);
     await this.followers.stop();
     await within(this.viewLease.stop(0), FAREWELL_TIMEOUT_MS);
     await this.forwarding.stop();
--- a/packages/gateway/src/core/process/store-followers.ts
+++ b/packages/gateway/src/core/process/store-followers.ts
@@ -1,7 +1,9 @@
 import type {ClockReading} from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
 import type {CoordinationStore, StoreSection} from '../store/index.js';
-import {StoreFollower} from '../store/index.js';
+import {MEMBER_PREFIX} from '../membership/index.js';
+import {NewsDesk} from '../news/index.js';
+import {StoreFollower, StoreMirror} from '../store/index.js';
 import type {AnnouncedSections} from './gateway-adapters.js';
 
 /** Prefix of the keys that the proxies share with each other. */
@@ -20,7 +22,7 @@
 const GUEST_INTERVAL_MS = 1_000;
 
 /** How much earlier than a configuration has to be in force a watch of it ends, in milliseconds, so that one whose answer was lost is asked again in time. */
-const CONFIGURATION_MARGIN_MS = 1_000;
+const CONFIGURATION_MARGIN_MS = 1_500;
 
 /** Shortest wait of such a watch, in milliseconds. */
 const MINIMUM_CONFIGURATION_WAIT_MS = 500;
@@ -50,6 +52,8 @@
   readonly isCoordinator: () => boolean;
   /** Whether this proxy owns any group. */
   readonly ownsAny: () => boolean;
+  /** Whether other proxies tell of members and configuration. */
+  readonly areNewsTold: () => boolean;
   /** Called with the time at which a question about the own keys was sent that got its answer. */
   readonly onOwnConfirmed: (sentAt: ClockReading) => void;
   readonly log: Logger;
@@ -61,9 +65,12 @@
   readonly own: StoreFollower;
   private readonly configuration: StoreFollower;
   private readonly directory: StoreFollower;
+  private readonly memberMirror = new StoreMirror(MEMBER_PREFIX);
+  private readonly configurationMirror: StoreMirror;
 
   constructor(options: StoreFollowersOptions) {
     const {store, log, ownsAny, isCoordinator, announced} = options;
+    this.configurationMirror = new StoreMirror(announced.configuration.prefix);
     this.own = new StoreFollower({
       store,
       watchedPrefix: OWN_PREFIX,
@@ -74,7 +81,8 @@
         return ownsAny() ? OWNER_INTERVAL_MS : GUEST_INTERVAL_MS;
       },
       isOccasional: () => false,
-      sections: options.ownSections,
+      isPaused: options.areNewsTold,
+      sections: [...options.ownSections, this.memberMirror],
       log,
       onConfirmed: options.onOwnConfirmed,
     });
@@ -88,7 +96,8 @@
         ),
       minimumIntervalMs: () => CONFIGURATION_INTERVAL_MS,
       isOccasional: () => false,
-      sections: [announced.configuration],
+      isPaused: options.areNewsTold,
+      sections: [announced.configuration, this.configurationMirror],
       log,
       onConfirmed: () => undefined,
     });
@@ -103,12 +112,27 @@
           : GUEST_DIRECTORY_INTERVAL_MS;
       },
       isOccasional: () => !ownsAny(),
+      isPaused: () => false,
       sections: [announced.directory],
       log,
       onConfirmed: () => undefined,
     });
   }
 
+  /** What other proxies are told. */
+  createNewsDesk(): NewsDesk {
+    return new NewsDesk(
+      {
+        mirror: this.memberMirror,
+        revision: () => revisionOf(this.own),
+      },
+      {
+        mirror: this.configurationMirror,
+        revision: () => revisionOf(this.configuration),
+      },
+    );
+  }
+
   /** Whether the store answers and the proxies' own keys are known. */
   get isConnected(): boolean {
     return this.own.isComplete && this.own.isStoreReachable;
@@ -148,3 +172,9 @@
     await this.directory.stop(0);
   }
 }
+
+/** Up to which revision a follower knows its part, if the store answers it. */
+function revisionOf(follower: StoreFollower): number | undefined {
+  const isKnown = follower.isComplete && follower.isStoreReachable;
+  return isKnown ? follower.revision : undefined;
+}
--- a/packages/gateway/src/core/store/index.ts
+++ b/packages/gateway/src/core/store/index.ts
@@ -2,3 +2,4 @@
 export * from './coordination-store.js';
 export * from './store-follower.js';
 export * from './store-section.js';
+export * from './store-mirror.js';
--- a/packages/gateway/src/core/store/store-follower.ts
+++ b/packages/gateway/src/core/store/store-follower.ts
@@ -18,6 +18,9 @@
 /** Longest pause after failed calls, in milliseconds. */
 const MAXIMUM_PAUSE_MS = 400;
 
+/** How often a paused follower looks whether it has to go on, in milliseconds. */
+const PAUSED_POLL_MS = 200;
+
 /** Stands for a watch whose answer is not waited for any longer. */
 const INTERRUPTED = Symbol('interrupted');
 
@@ -33,6 +36,8 @@
   readonly minimumIntervalMs: () => number;
   /** Whether reading everything from time to time is enough; it may be seconds old then. */
   readonly isOccasional: () => boolean;
+  /** Whether somebody else tells what is followed; nothing is asked then. */
+  readonly isPaused: () => boolean;
   readonly log: Logger;
   /** Called with the time at which a question was sent that got its answer. */
   readonly onConfirmed: (sentAt: ClockReading) => void;
@@ -95,7 +100,8 @@
     while (!this.ending.signal.aborted) {
       const beganAtMs = steadyNow();
       try {
-        if (await this.step()) this.connected();
+        if (this.options.isPaused()) this.hasRead = false;
+        else if (await this.step()) this.connected();
       } catch (error) {
         await this.failed(error);
       }
@@ -105,8 +111,13 @@
 
   /** Waits until the next question is due, or somebody needs its answer. */
   private async rest(beganAtMs: number): Promise<void> {
-    const restMs = this.options.minimumIntervalMs() + beganAtMs - steadyNow();
-    if (restMs <= 0 || this.isHurried) return;
+    const intervalMs = this.options.isPaused()
+      ? PAUSED_POLL_MS
+      : this.options.minimumIntervalMs();
+    const restMs = intervalMs + beganAtMs - steadyNow();
+    if (restMs <= 0) return;
+    // Nobody waits for an answer while nothing is asked.
+    if (this.isHurried && !this.options.isPaused()) return;
     const waking = new AbortController();
     this.interrupt = () => waking.abort();
     try {
--- a/packages/gateway/test/forwarding/forwarding.test.ts
+++ b/packages/gateway/test/forwarding/forwarding.test.ts
@@ -10,6 +10,7 @@
 import {createSilentLogger} from '@sapphireglade/runtime';
 import {expect} from 'earl';
 import {ConfigurationHolder, Members} from '../../src/index.js';
+import {NewsDesk} from '../../src/core/news/index.js';
 import {ForwardingService} from '../../src/core/forwarding/index.js';
 import type {GroupOwnership} from '../../src/core/ownership/index.js';
 import type {ExecutionRequest} from '../../src/index.js';
@@ -17,6 +18,7 @@
   PlacedTransaction,
   SessionTransaction,
   StatementRunner,
+  StoreMirror,
 } from '../../src/index.js';
 import type {InstanceReply} from '../../src/index.js';
 
@@ -73,6 +75,12 @@
 class Proxy {
   readonly runner = new RecordingRunner();
   owns = true;
+  /** Up to which revision it follows the store, if it does. */
+  followed: number | undefined = 7;
+  private readonly news = new NewsDesk(
+    {mirror: new StoreMirror('members/'), revision: () => this.followed},
+    {mirror: new StoreMirror('configuration'), revision: () => this.followed},
+  );
   readonly service: ForwardingService;
 
   constructor(
@@ -94,6 +102,7 @@
       configuration: new ConfigurationHolder(createSilentLogger()),
       primaryZoneOf: () => 'zone-0',
       local: this.runner,
+      news: this.news,
       log: createSilentLogger(),
     });
   }
--- a/packages/gateway/test/view-withdrawal.test.ts
+++ b/packages/gateway/test/view-withdrawal.test.ts
@@ -50,6 +50,7 @@
       watchWaitMs: () => 500,
       minimumIntervalMs: () => 0,
       isOccasional: () => false,
+      isPaused: () => false,
       log,
       onConfirmed: () => undefined,
     });
