--- a/packages/gateway/src/core/process/store-followers.ts
+++ b/packages/gateway/src/core/process/store-followers.ts
@@ -22,7 +22,7 @@
 const GUEST_INTERVAL_MS = 1_000;
 
 /** How much earlier than a configuration has to be in force a watch of it ends, in milliseconds, so that one whose answer was lost is asked again in time. */
-const CONFIGURATION_MARGIN_MS = 1_500;
+const CONFIGURATION_MARGIN_MS = 2_000;
 
 /** Shortest wait of such a watch, in milliseconds. */
 const MINIMUM_CONFIGURATION_WAIT_MS = 500;
