Send statements for a far primary to an owner in its region

Cause: an owner in another region ran each step of a transaction across the regions (begin, replay of the session, statement, commit), and held one of its few connections meanwhile. Change: it sends them to an owner in the region of the primary, which crosses once a statement, and runs them itself if that one cannot. Ruled out: more connections for owners far away, as there are none to give.

--- a/packages/gateway/src/core/forwarding/elsewhere.ts
+++ b/packages/gateway/src/core/forwarding/elsewhere.ts
@@ -1,4 +1,5 @@
-import {ErrorKind} from '@sapphireglade/decisions';
+import {ErrorKind, ReadConsistency} from '@sapphireglade/decisions';
+import type {ExecutionRequest} from '../sessions/index.js';
 
 /** Errors of one owner after which another owner may do better; nothing has run then. */
 export const ELSEWHERE: ReadonlySet<ErrorKind> = new Set<ErrorKind>([
@@ -9,3 +10,16 @@
   ErrorKind.NoPrimary,
   ErrorKind.Overloaded,
 ]);
+
+/**
+ * Says whether only the primary can serve a request.
+ *
+ * @param request - The request, or the first one of a transaction.
+ * @param isRead - Whether the statement, or the whole transaction, only reads.
+ */
+export function needsPrimary(
+  {route}: ExecutionRequest,
+  isRead: boolean,
+): boolean {
+  return !isRead || route.consistency === ReadConsistency.Primary;
+}
--- a/packages/gateway/src/core/forwarding/forwarding-runner.ts
+++ b/packages/gateway/src/core/forwarding/forwarding-runner.ts
@@ -1,9 +1,4 @@
-import {
-  ErrorKind,
-  Outcome,
-  ReadConsistency,
-  SapphiregladeError,
-} from '@sapphireglade/decisions';
+import {ErrorKind, Outcome, SapphiregladeError} from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {ExecutionRequest, PlacedTransaction} from '../sessions/index.js';
@@ -15,7 +10,7 @@
 import type {OwnerLinks} from './owner-links.js';
 import type {OwnerPeer, PeerResult} from './owner-peer.js';
 import {RemoteTransaction} from './remote-transaction.js';
-import {ELSEWHERE} from './elsewhere.js';
+import {ELSEWHERE, needsPrimary} from './elsewhere.js';
 
 /** Most owners that one statement is sent to. */
 const MAXIMUM_OWNERS_ASKED = 4;
@@ -155,19 +150,6 @@
   }
 }
 
-/**
- * Says whether only the primary can serve a request.
- *
- * @param request - The request, or the first one of a transaction.
- * @param isRead - Whether the statement, or the whole transaction, only reads.
- */
-export function needsPrimary(
-  {route}: ExecutionRequest,
-  isRead: boolean,
-): boolean {
-  return !isRead || route.consistency === ReadConsistency.Primary;
-}
-
 /** Whether another owner may get a request that one owner did not serve. */
 function mayAskAnother(
   error: SapphiregladeError,
--- a/packages/gateway/src/core/forwarding/forwarding-service.ts
+++ b/packages/gateway/src/core/forwarding/forwarding-service.ts
@@ -88,9 +88,14 @@
       ownersOf: group => ownership.ownersOf(group),
     });
     this.remote = new ForwardingRunner(this.links, log);
-    this.owned = new OwnedGroupRunner(local, this.remote, group =>
-      this.links.hasOwner(group),
-    );
+    this.owned = new OwnedGroupRunner(local, this.remote, {
+      exist: group => this.links.hasOwner(group),
+      areNearerToPrimary: group => {
+        const zone = options.primaryZoneOf(group);
+        this.links.learnPrimary(group, zone);
+        return this.links.hasOwnerNearerTo(group, zone);
+      },
+    });
     this.server = new LinkServer(
       {address: listen.host, port: listen.port},
       {...shared, timings: SERVED_LINK_TIMINGS},
--- a/packages/gateway/src/core/forwarding/owned-group-runner.ts
+++ b/packages/gateway/src/core/forwarding/owned-group-runner.ts
@@ -2,49 +2,74 @@
 import type {ExecutionRequest, PlacedTransaction} from '../sessions/index.js';
 import {StatementRunner} from '../sessions/index.js';
 import type {InstanceReply} from '../upstream/index.js';
-import {ELSEWHERE} from './elsewhere.js';
+import {ELSEWHERE, needsPrimary} from './elsewhere.js';
 
-/** Runs statements for a group that this proxy owns, and asks other owners when it cannot. */
+/** What the runner knows of the other owners. */
+export interface OtherOwners {
+  /** Whether another proxy owns a group. */
+  readonly exist: (group: string) => boolean;
+  /** Whether a group's primary is in another region, with an owner there. */
+  readonly areNearerToPrimary: (group: string) => boolean;
+}
+
+/**
+ * Runs statements for a group that this proxy owns, and asks other owners when
+ * it cannot.
+ *
+ * Answers the pattern of few connections to a primary in another region: what
+ * is sent to an owner there crosses the regions once, while the steps of a
+ * transaction from here would cross them one by one and hold a connection
+ * meanwhile.
+ */
 export class OwnedGroupRunner extends StatementRunner {
   /**
    * @param local - Runs statements on connections of this proxy.
    * @param remote - Runs statements at other owners.
-   * @param hasOthers - Says whether another proxy owns a group.
+   * @param others - What is known of them.
    */
   constructor(
     private readonly local: StatementRunner,
     private readonly remote: StatementRunner,
-    private readonly hasOthers: (group: string) => boolean,
+    private readonly others: OtherOwners,
   ) {
     super();
   }
 
   override run(request: ExecutionRequest): Promise<InstanceReply> {
-    return this.attempt(request, runner => runner.run(request));
+    const isForPrimary = needsPrimary(request, request.statement.isRead);
+    return this.attempt(request, isForPrimary, runner => runner.run(request));
   }
 
   override begin(
     request: ExecutionRequest,
     isReadOnly: boolean,
   ): Promise<PlacedTransaction> {
-    return this.attempt(request, runner => runner.begin(request, isReadOnly));
+    const isForPrimary = needsPrimary(request, isReadOnly);
+    return this.attempt(request, isForPrimary, runner =>
+      runner.begin(request, isReadOnly),
+    );
   }
 
-  /** What surely did not run here may run elsewhere. */
+  /** What surely did not run at the first place may run at the other. */
   private async attempt<Result>(
     {route}: ExecutionRequest,
+    isForPrimary: boolean,
     work: (runner: StatementRunner) => Promise<Result>,
   ): Promise<Result> {
+    const {group} = route;
+    const isFar = isForPrimary && this.others.areNearerToPrimary(group);
+    const first = isFar ? this.remote : this.local;
+    const second = isFar ? this.local : this.remote;
     try {
-      return await work(this.local);
+      return await work(first);
     } catch (error) {
       const mayGoOn =
         error instanceof SapphiregladeError &&
         error.outcome === Outcome.NotRun &&
         ELSEWHERE.has(error.kind) &&
-        this.hasOthers(route.group);
+        this.others.exist(group);
       if (!mayGoOn) throw error;
-      return work(this.remote);
+      return work(second);
     }
   }
 }
--- a/packages/gateway/src/core/forwarding/owner-links.ts
+++ b/packages/gateway/src/core/forwarding/owner-links.ts
@@ -87,6 +87,18 @@
     return peers.find(({name}) => name === chosen?.name);
   }
 
+  /** Whether a group's primary is in another region, with an owner there. */
+  hasOwnerNearerTo(group: string, zone: string | undefined): boolean {
+    if (zone === undefined) return false;
+    const {members, regionOf, place} = this.options;
+    const region = regionOf(zone);
+    if (region === place.region) return false;
+    return this.others(group).some(name => {
+      const record = members.find(name);
+      return record && regionOf(record.availabilityZone) === region;
+    });
+  }
+
   /** Takes in in which availability zone a group's primary is. */
   learnPrimary(group: string, zone: string | undefined): void {
     if (zone !== undefined) this.primaryZones.set(group, zone);
--- a/packages/gateway/test/forwarding/forwarding.test.ts
+++ b/packages/gateway/test/forwarding/forwarding.test.ts
@@ -5,180 +5,38 @@
   ErrorKind,
   ReadConsistency,
   SapphiregladeError,
-  SessionValues,
 } from '@sapphireglade/decisions';
 import {createSilentLogger} from '@sapphireglade/runtime';
 import {expect} from 'earl';
-import {ConfigurationHolder, Members} from '../../src/index.js';
-import {NewsDesk} from '../../src/core/news/index.js';
-import {ForwardingService} from '../../src/core/forwarding/index.js';
-import type {GroupOwnership} from '../../src/core/ownership/index.js';
-import type {ExecutionRequest} from '../../src/index.js';
-import {
-  PlacedTransaction,
-  SessionTransaction,
+import type {
+  ExecutionRequest,
+  InstanceReply,
   StatementRunner,
-  StoreMirror,
 } from '../../src/index.js';
-import type {InstanceReply} from '../../src/index.js';
-
-const GROUP = 'ledger';
-
-const REPLY: InstanceReply = {
-  rows: ['row'],
-  signature: 'signed',
-  refusal: undefined,
-  state: 'idle',
-  position: {term: 3, position: 9},
-  report: undefined,
-};
-
-/** Runs nothing, and keeps what it was asked. */
-class RecordingRunner extends StatementRunner {
-  readonly ran: ExecutionRequest[] = [];
-  readonly events: string[] = [];
-  /** What happens when a statement runs. */
-  answer: () => Promise<InstanceReply> = () => Promise.resolve(REPLY);
-
-  override run(request: ExecutionRequest): Promise<InstanceReply> {
-    this.ran.push(request);
-    return this.answer();
-  }
-
-  override begin(): Promise<PlacedTransaction> {
-    this.events.push('begin');
-    return Promise.resolve(new RecordingTransaction(this));
-  }
-}
-
-class RecordingTransaction extends PlacedTransaction {
-  constructor(private readonly runner: RecordingRunner) {
-    super();
-  }
-
-  override run(request: ExecutionRequest): Promise<InstanceReply> {
-    this.runner.events.push(`run ${request.statement.requestId}`);
-    return this.runner.answer();
-  }
-
-  override commit(): Promise<InstanceReply> {
-    this.runner.events.push('commit');
-    return this.runner.answer();
-  }
-
-  override rollBack(): void {
-    this.runner.events.push('roll back');
-  }
-}
-
-/** One proxy with its links; who owns the group is set by the test. */
-class Proxy {
-  readonly runner = new RecordingRunner();
-  owns = true;
-  /** Up to which revision it follows the store, if it does. */
-  followed: number | undefined = 7;
-  private readonly news = new NewsDesk(
-    {mirror: new StoreMirror('members/'), revision: () => this.followed},
-    {mirror: new StoreMirror('configuration'), revision: () => this.followed},
-  );
-  readonly service: ForwardingService;
-
-  constructor(
-    readonly name: string,
-    members: Members,
-    owners: () => readonly string[],
-  ) {
-    const ownership = {
-      ownersOf: owners,
-      isOwned: () => this.owns,
-    } as Partial<GroupOwnership> as GroupOwnership;
-    this.service = new ForwardingService({
-      identity: {process: name, boot: `${name}-1`, zone: 'zone-0'},
-      region: 'east',
-      regionOf: () => 'east',
-      listen: {host: '127.0.0.1', port: 0},
-      ownership,
-      members,
-      configuration: new ConfigurationHolder(createSilentLogger()),
-      primaryZoneOf: () => 'zone-0',
-      local: this.runner,
-      news: this.news,
-      log: createSilentLogger(),
-    });
-  }
-}
-
-function publish(members: Members, {name, service}: Proxy): void {
-  members.written({
-    key: `sapphireglade/members/${name}`,
-    value: Buffer.from(
-      JSON.stringify({
-        name,
-        incarnation: `${name}-1`,
-        availabilityZone: 'zone-0',
-        peerAddress: service.peerAddress,
-        capacity: 1,
-        suspects: [],
-      }),
-    ),
-    revision: 1,
-    leaseId: 0,
-  });
-}
-
-function requestOf(requestId: string, isRead: boolean): ExecutionRequest {
-  const values = new SessionValues();
-  values.set('colour', 'green');
-  const nowMs = performance.now();
-  return {
-    statement: {
-      requestId,
-      isRead,
-      awaitsReplica: !isRead,
-      text: isRead ? 'FETCH 1' : 'STORE 1 a',
-      prepared: undefined,
-      parameters: '',
-    },
-    route: {
-      database: 'books',
-      group: GROUP,
-      consistency: ReadConsistency.ReadYourWrites,
-      maximumStalenessMs: 700,
-      statementTimeoutMs: 1_000,
-      targetLatencyMs: 800,
-      priority: 1,
-    },
-    values,
-    startedAtMs: nowMs,
-    deadlineMs: nowMs + 1_000,
-    queueDeadlineMs: nowMs + 600,
-    ownCommit: {term: 2, position: 8},
-  };
-}
-
-async function failureOf(work: Promise<unknown>): Promise<SapphiregladeError> {
-  const error: unknown = await work.then(
-    () => undefined,
-    (reason: unknown) => reason,
-  );
-  if (error instanceof SapphiregladeError) return error;
-  throw new Error('It did not fail as expected.', {cause: error});
-}
+import {Members, SessionTransaction} from '../../src/index.js';
+import {
+  failureOf,
+  GROUP,
+  LinkedProxy,
+  publish,
+  REPLY,
+  requestOf,
+} from '../support/linked-proxy.js';
 
 describe('ForwardingService', () => {
   let members: Members;
   let owners: string[];
-  let entry: Proxy;
-  let left: Proxy;
-  let right: Proxy;
+  let entry: LinkedProxy;
+  let left: LinkedProxy;
+  let right: LinkedProxy;
   let remote: StatementRunner;
 
   beforeEach(async () => {
     members = new Members(createSilentLogger());
     owners = ['left', 'right'];
-    entry = new Proxy('entry', members, () => owners);
-    left = new Proxy('left', members, () => owners);
-    right = new Proxy('right', members, () => owners);
+    entry = new LinkedProxy('entry', members, () => owners);
+    left = new LinkedProxy('left', members, () => owners);
+    right = new LinkedProxy('right', members, () => owners);
     entry.owns = false;
     for (const proxy of [entry, left, right]) {
       await proxy.service.start();
@@ -222,6 +80,20 @@
       expect(right.runner.ran.length).toEqual(1);
     });
 
+    it('of a write goes to an owner in the region of the primary', async () => {
+      left.primaryZone = 'zone-far';
+      publish(members, right, 'zone-far');
+      await left.service.runnerFor(GROUP).run(requestOf('w1', false));
+      expect(right.runner.ran.length).toEqual(1);
+      await left.service.runnerFor(GROUP).run(requestOf('r1', true));
+      expect(left.runner.ran.length).toEqual(1);
+      await right.service.stop();
+      // The end of the link has to arrive, or the write would be in doubt.
+      await sleep(20);
+      await left.service.runnerFor(GROUP).run(requestOf('w2', false));
+      expect(left.runner.ran.length).toEqual(2);
+    });
+
     it('waits for a moment until somebody owns the group', async () => {
       left.owns = false;
       right.owns = false;
--- /dev/null
+++ b/packages/gateway/test/support/linked-proxy.ts
@@ -0,0 +1,179 @@
+import {
+  ReadConsistency,
+  SapphiregladeError,
+  SessionValues,
+} from '@sapphireglade/decisions';
+import {createSilentLogger} from '@sapphireglade/runtime';
+import {ForwardingService} from '../../src/core/forwarding/index.js';
+import {NewsDesk} from '../../src/core/news/index.js';
+import type {GroupOwnership} from '../../src/core/ownership/index.js';
+import type {
+  ExecutionRequest,
+  InstanceReply,
+  Members,
+} from '../../src/index.js';
+import {
+  ConfigurationHolder,
+  PlacedTransaction,
+  StatementRunner,
+  StoreMirror,
+} from '../../src/index.js';
+
+/** Name of the group that is owned. */
+export const GROUP = 'ledger';
+
+/** What an instance answers. */
+export const REPLY: InstanceReply = {
+  rows: ['row'],
+  signature: 'signed',
+  refusal: undefined,
+  state: 'idle',
+  position: {term: 3, position: 9},
+  report: undefined,
+};
+
+/** Runs nothing, and keeps what it was asked. */
+export class RecordingRunner extends StatementRunner {
+  readonly ran: ExecutionRequest[] = [];
+  readonly events: string[] = [];
+  /** What happens when a statement runs. */
+  answer: () => Promise<InstanceReply> = () => Promise.resolve(REPLY);
+
+  override run(request: ExecutionRequest): Promise<InstanceReply> {
+    this.ran.push(request);
+    return this.answer();
+  }
+
+  override begin(): Promise<PlacedTransaction> {
+    this.events.push('begin');
+    return Promise.resolve(new RecordingTransaction(this));
+  }
+}
+
+class RecordingTransaction extends PlacedTransaction {
+  constructor(private readonly runner: RecordingRunner) {
+    super();
+  }
+
+  override run(request: ExecutionRequest): Promise<InstanceReply> {
+    this.runner.events.push(`run ${request.statement.requestId}`);
+    return this.runner.answer();
+  }
+
+  override commit(): Promise<InstanceReply> {
+    this.runner.events.push('commit');
+    return this.runner.answer();
+  }
+
+  override rollBack(): void {
+    this.runner.events.push('roll back');
+  }
+}
+
+/** One proxy with its links; who owns the group is set by the test. */
+export class LinkedProxy {
+  readonly runner = new RecordingRunner();
+  owns = true;
+  /** Where it takes the primary to be. */
+  primaryZone = 'zone-0';
+  /** Up to which revision it follows the store, if it does. */
+  followed: number | undefined = 7;
+  private readonly news = new NewsDesk(
+    {mirror: new StoreMirror('members/'), revision: () => this.followed},
+    {mirror: new StoreMirror('configuration'), revision: () => this.followed},
+  );
+  readonly service: ForwardingService;
+
+  constructor(
+    readonly name: string,
+    members: Members,
+    owners: () => readonly string[],
+  ) {
+    const ownership = {
+      ownersOf: owners,
+      isOwned: () => this.owns,
+    } as Partial<GroupOwnership> as GroupOwnership;
+    this.service = new ForwardingService({
+      identity: {process: name, boot: `${name}-1`, zone: 'zone-0'},
+      region: 'east',
+      regionOf: zone => (zone === 'zone-far' ? 'west' : 'east'),
+      listen: {host: '127.0.0.1', port: 0},
+      ownership,
+      members,
+      configuration: new ConfigurationHolder(createSilentLogger()),
+      primaryZoneOf: () => this.primaryZone,
+      local: this.runner,
+      news: this.news,
+      log: createSilentLogger(),
+    });
+  }
+}
+
+/** Publishes a proxy as a member. */
+export function publish(
+  members: Members,
+  {name, service}: LinkedProxy,
+  availabilityZone = 'zone-0',
+): void {
+  members.written({
+    key: `sapphireglade/members/${name}`,
+    value: Buffer.from(
+      JSON.stringify({
+        name,
+        incarnation: `${name}-1`,
+        availabilityZone,
+        peerAddress: service.peerAddress,
+        capacity: 1,
+        suspects: [],
+      }),
+    ),
+    revision: 1,
+    leaseId: 0,
+  });
+}
+
+/** A read or a write of a session with one value. */
+export function requestOf(
+  requestId: string,
+  isRead: boolean,
+): ExecutionRequest {
+  const values = new SessionValues();
+  values.set('colour', 'green');
+  const nowMs = performance.now();
+  return {
+    statement: {
+      requestId,
+      isRead,
+      awaitsReplica: !isRead,
+      text: isRead ? 'FETCH 1' : 'STORE 1 a',
+      prepared: undefined,
+      parameters: '',
+    },
+    route: {
+      database: 'books',
+      group: GROUP,
+      consistency: ReadConsistency.ReadYourWrites,
+      maximumStalenessMs: 700,
+      statementTimeoutMs: 1_000,
+      targetLatencyMs: 800,
+      priority: 1,
+    },
+    values,
+    startedAtMs: nowMs,
+    deadlineMs: nowMs + 1_000,
+    queueDeadlineMs: nowMs + 600,
+    ownCommit: {term: 2, position: 8},
+  };
+}
+
+/** The product's error with which work fails. */
+export async function failureOf(
+  work: Promise<unknown>,
+): Promise<SapphiregladeError> {
+  const error: unknown = await work.then(
+    () => undefined,
+    (reason: unknown) => reason,
+  );
+  if (error instanceof SapphiregladeError) return error;
+  throw new Error('It did not fail as expected.', {cause: error});
+}
