--- a/packages/gateway/src/core/membership/member-task.ts
+++ b/packages/gateway/src/core/membership/member-task.ts
@@ -7,11 +7,14 @@
 import {MEMBER_PREFIX} from './members.js';
 import type {MemberRecord} from './types.js';
 
-/** How long a proxy counts as live after its last renewal, in milliseconds. */
-const LEASE_TTL_MS = 3_000;
+/** How long an owner counts as live after its last renewal, in milliseconds; a change of primary counts the owners that are live. */
+const OWNER_LEASE_TTL_MS = 2_400;
 
-/** How often the lease is renewed, in milliseconds; a third of its time. */
-const RENEWAL_INTERVAL_MS = 1_000;
+/** The same of a proxy that owns nothing, in milliseconds. */
+const GUEST_LEASE_TTL_MS = 6_000;
+
+/** Renewals in the time that a lease lasts. */
+const RENEWALS_PER_LEASE = 3;
 
 /** Pause after a failed call, in milliseconds. */
 const RETRY_PAUSE_MS = 200;
@@ -25,6 +28,8 @@
   readonly peerAddress: () => string;
   /** What this VM can carry, compared with the others. */
   readonly capacity: number;
+  /** Whether this proxy owns any group. */
+  readonly ownsAny: () => boolean;
   /** Called when what this proxy says of itself was written. */
   readonly onPublished: () => void;
   readonly store: CoordinationStore;
@@ -36,6 +41,7 @@
 export class MemberTask extends TaskLifecycle {
   private readonly ending = new AbortController();
   private lease: number | undefined;
+  private leaseTtlMs = GUEST_LEASE_TTL_MS;
   private suspects: readonly string[] = [];
   private published: string | undefined;
   private wake: () => void = () => undefined;
@@ -44,11 +50,6 @@
     super('member');
   }
 
-  /** The lease under which this proxy's keys live, if it has one. */
-  get leaseId(): number | undefined {
-    return this.lease;
-  }
-
   /** Publishes which groups' primaries this proxy cannot use. */
   publishSuspects(suspects: readonly string[]): void {
     if (suspects.join() === this.suspects.join()) return;
@@ -81,7 +82,7 @@
       try {
         await this.renew();
         await this.publish();
-        await this.pause(RENEWAL_INTERVAL_MS);
+        await this.pause(this.leaseTtlMs / RENEWALS_PER_LEASE);
       } catch (error) {
         if (!isStoreFailure(error)) throw error;
         this.options.log.debug('The lease could not be kept.', {
@@ -93,12 +94,16 @@
   }
 
   private async renew(): Promise<void> {
-    const {store, log} = this.options;
-    if (this.lease !== undefined) {
+    const {store, log, ownsAny} = this.options;
+    const ttlMs = ownsAny() ? OWNER_LEASE_TTL_MS : GUEST_LEASE_TTL_MS;
+    const isShortEnough = this.lease !== undefined && this.leaseTtlMs <= ttlMs;
+    if (this.lease !== undefined && isShortEnough) {
       if (await store.renewLease(this.lease)) return;
       log.warn('The lease of this proxy has ended.', {lease: this.lease});
     }
-    this.lease = (await store.grantLease(LEASE_TTL_MS)).leaseId;
+    // A longer lease lapses by itself; the key no longer lives under it.
+    this.lease = (await store.grantLease(ttlMs)).leaseId;
+    this.leaseTtlMs = ttlMs;
     this.published = undefined;
   }
 
--- a/packages/gateway/src/core/news/news-follower.ts
+++ b/packages/gateway/src/core/news/news-follower.ts
@@ -9,7 +9,7 @@
 const INTERVAL_MS = 500;
 
 /** For how long the store is followed directly after no proxy could tell news, in milliseconds. */
-const FALLBACK_MS = 3_000;
+const FALLBACK_MS = 1_500;
 
 /** What the follower works with. */
 export interface NewsFollowerOptions {
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -177,6 +177,7 @@
       availabilityZone,
       peerAddress: () => this.forwarding.peerAddress,
       capacity: carryingCapacity(capacity),
+      ownsAny: () => this.ownership.ownsAny,
       onPublished: () => this.followers.own.refresh(),
       store,
       members: this.members,
