--- a/packages/gateway/src/core/forwarding/owned-group-runner.ts
+++ b/packages/gateway/src/core/forwarding/owned-group-runner.ts
@@ -19,7 +19,7 @@
  * Answers the pattern of few connections to a primary in another region: what
  * is sent to an owner there crosses the regions once, while the steps of a
  * transaction from here would cross them one by one and hold a connection
- * meanwhile.
+ * meanwhile. A transaction that was given to other owners stays with them.
  */
 export class OwnedGroupRunner extends StatementRunner {
   /**
