Let a crashed primary of the stand-in come back as a replica at once

The stand-in let a primary that came back after another was promoted lead for one more timer; a commit under way before its crash could reach a follower whose hold was released and count as acknowledged. The users' pages say that such an instance comes back as a replica. The new test blocks the process as load does and fails without the change (acknowledged, where nothing may be). No check is narrowed.

--- a/packages/gateway/test/support/memory-group.ts
+++ b/packages/gateway/test/support/memory-group.ts
@@ -96,7 +96,8 @@
   restart(instance: MemoryInstance, nowMs: number): void {
     instance.isDown = false;
     instance.bornAtMs = nowMs;
-    this.later(0, () => this.retireOldPrimaries());
+    // At once: a commit that was under way must not go on in between.
+    this.retireOldPrimaries();
   }
 
   /** Whether a party reaches an instance. */
