--- a/packages/measure/src/core/experiments/overload.ts
+++ b/packages/measure/src/core/experiments/overload.ts
@@ -1,12 +1,12 @@
 import {Outcome} from '@sapphireglade/decisions';
-import type {CallerClient, Fleet} from '@sapphireglade/stand-ins';
+import type {CallerClient} from '@sapphireglade/stand-ins';
 import {LatencyRecorder, runOpenLoop} from '../load/index.js';
 import type {Figure} from '../report/index.js';
 import {BoundRelation} from '../report/index.js';
 import type {ExperimentContext, ExperimentResult} from './experiment.js';
 import {Experiment} from './experiment.js';
-import {warmUp} from './warm-up.js';
-import {withFleet} from './with-fleet.js';
+import type {WarmFleet} from './with-fleet.js';
+import {withWarmFleet} from './with-fleet.js';
 
 /** Offered load as a share of what the slots can carry, in percent. */
 const LEVELS = [50, 90, 150, 300];
@@ -44,20 +44,14 @@
     'Offers 50, 90, 150 and 300% of what the slots of a group can carry.';
 
   async run(context: ExperimentContext): Promise<ExperimentResult> {
-    const {deployment} = context;
-    return withFleet({deployment, usesRelay: true}, fleet =>
-      measure(context, fleet),
-    );
+    return withWarmFleet(context, SOCKETS, warm => measure(context, warm));
   }
 }
 
 async function measure(
   context: ExperimentContext,
-  fleet: Fleet,
+  {fleet, clients, group}: WarmFleet,
 ): Promise<ExperimentResult> {
-  const clients = [...(await warmUp(fleet, SOCKETS)).values()];
-  const group = context.deployment.groups[0];
-  if (group === undefined) throw new Error('There is no group.');
   const slots = group.instances.reduce((sum, one) => sum + one.slots, 0);
   for (const {name} of group.instances) {
     const control = fleet.instanceControl(group.name, name);
--- a/packages/measure/src/core/experiments/replica-reads.ts
+++ b/packages/measure/src/core/experiments/replica-reads.ts
@@ -14,8 +14,8 @@
 import {countPossibleReads} from './possible-reads.js';
 import type {Counts, Step} from './replica-read-figures.js';
 import {listFigures, notesFor, shareOf} from './replica-read-figures.js';
-import {warmUp} from './warm-up.js';
-import {withFleet} from './with-fleet.js';
+import type {WarmFleet} from './with-fleet.js';
+import {withWarmFleet} from './with-fleet.js';
 
 /** Lag of a replica that is stuck, in milliseconds. */
 const STUCK_LAG_MS = 600_000;
@@ -43,20 +43,14 @@
     'Counts the reads that replicas serve, at lags and shares of own writes.';
 
   async run(context: ExperimentContext): Promise<ExperimentResult> {
-    const {deployment} = context;
-    return withFleet({deployment, usesRelay: true}, fleet =>
-      measure(context, fleet),
-    );
+    return withWarmFleet(context, SOCKETS, warm => measure(context, warm));
   }
 }
 
 async function measure(
   context: ExperimentContext,
-  fleet: Fleet,
+  {fleet, clients, group}: WarmFleet,
 ): Promise<ExperimentResult> {
-  const clients = [...(await warmUp(fleet, SOCKETS)).values()];
-  const group = context.deployment.groups[0];
-  if (group === undefined) throw new Error('There is no group.');
   const figures: Figure[] = [];
   const series: Series[] = [];
   let lastTerm = 1;
