Log which position a read relied on, and a list of proxies as one line

The record of the incident cannot tell its hypotheses apart: no line says which position a read asked of a replica, whose word that position was and how old it was; and in the first play each process's collected output began after 14 s, because 5976 of about 9000 lines were "A proxy joined.", one for each proxy of each list.

- A read that ran in an older term than is recorded logs instance, position shown, position asked, source (primary, record, survey) and the age of the source.
- "A primary was recorded" tells target, last position and the age of the view before it.
- Reads at replicas are counted by source.
- A list of proxies is one line with their names.

--- a/packages/decisions/src/core/groups/log-position.ts
+++ b/packages/decisions/src/core/groups/log-position.ts
@@ -15,6 +15,11 @@
   return left.term - right.term || left.position - right.position;
 }
 
+/** Writes a position as TERM.NUMBER, for logs. */
+export function formatPosition({term, position}: LogPosition): string {
+  return `${term}.${position}`;
+}
+
 /**
  * Chooses the view that knows more.
  *
--- a/packages/decisions/src/core/instance-choice/observed-positions.ts
+++ b/packages/decisions/src/core/instance-choice/observed-positions.ts
@@ -1,6 +1,7 @@
 import type {LogPosition} from '../groups/index.js';
 import {comparePositions} from '../groups/index.js';
 import type {ObservedPosition} from './types.js';
+import {PositionSource} from './types.js';
 
 /** Least distance between two kept observations, in milliseconds. */
 const RESOLUTION_MS = 20;
@@ -43,12 +44,17 @@
   }
 
   /**
-   * Takes a position in that the primary showed.
+   * Takes a position in that the primary showed, or that was recorded of it.
    *
    * @param sentAtMs - When the request was sent, in milliseconds.
    * @param position - The position of the answer.
+   * @param source - Whose word it is.
    */
-  observe(sentAtMs: number, position: LogPosition): void {
+  observe(
+    sentAtMs: number,
+    position: LogPosition,
+    source: PositionSource = PositionSource.Primary,
+  ): void {
     this.seen(position);
     const last = this.observations.at(-1);
     if (last !== undefined && sentAtMs <= last.sentAtMs) return;
@@ -58,7 +64,7 @@
       previous !== undefined &&
       sentAtMs - previous.sentAtMs < RESOLUTION_MS;
     if (isDense) this.observations.pop();
-    this.observations.push({sentAtMs, position});
+    this.observations.push({sentAtMs, position, source});
     if (this.observations.length > MAXIMUM_OBSERVATIONS) {
       this.observations = this.observations.slice(-MAXIMUM_OBSERVATIONS / 2);
     }
@@ -72,7 +78,8 @@
    * @param position - The position.
    */
   bound(askedAtMs: number, position: LogPosition): void {
-    this.bounds.push({sentAtMs: askedAtMs, position});
+    const source = PositionSource.Survey;
+    this.bounds.push({sentAtMs: askedAtMs, position, source});
     this.bounds = this.bounds.slice(-MAXIMUM_BOUNDS);
   }
 
@@ -83,11 +90,9 @@
    * @returns The oldest position that is new enough, or nothing if neither
    *   the primary nor all replicas have been asked since.
    */
-  positionFor(notBeforeMs: number): LogPosition | undefined {
+  positionFor(notBeforeMs: number): ObservedPosition | undefined {
     const isNewEnough = ({sentAtMs}: ObservedPosition): boolean =>
       sentAtMs >= notBeforeMs;
-    const found =
-      this.observations.find(isNewEnough) ?? this.bounds.find(isNewEnough);
-    return found?.position;
+    return this.observations.find(isNewEnough) ?? this.bounds.find(isNewEnough);
   }
 }
--- a/packages/decisions/src/core/instance-choice/types.ts
+++ b/packages/decisions/src/core/instance-choice/types.ts
@@ -38,10 +38,26 @@
   readonly lastFailedAtMs: number;
 }
 
-/** A position that the primary showed, and when it was asked. */
+/** Whose word an observed position is. */
+export const PositionSource = {
+  /** An answer of the primary. */
+  Primary: 'primary',
+  /** The record of a change of primary. */
+  Record: 'record',
+  /** What all replicas together showed. */
+  Survey: 'survey',
+} as const;
+
+/** One of the sources. */
+export type PositionSource =
+  (typeof PositionSource)[keyof typeof PositionSource];
+
+/** A position, and the time up to which it holds everything acknowledged. */
 export interface ObservedPosition {
-  /** When the request was sent that showed it, in milliseconds. */
+  /** The time, in milliseconds; for an answer, when its request was sent. */
   readonly sentAtMs: number;
   /** The position; it holds every commit acknowledged before that time. */
   readonly position: LogPosition;
+  /** Whose word it is. */
+  readonly source: PositionSource;
 }
--- a/packages/decisions/test/instance-choice/observed-positions.test.ts
+++ b/packages/decisions/test/instance-choice/observed-positions.test.ts
@@ -31,7 +31,7 @@
           position += step.commits;
         }
         const notBeforeMs = atMs - ageMs;
-        const found = positions.positionFor(notBeforeMs);
+        const found = positions.positionFor(notBeforeMs)?.position;
         if (found === undefined) return;
         const acknowledged = history
           .filter(each => each.atMs <= notBeforeMs)
@@ -47,7 +47,10 @@
     const positions = new ObservedPositions();
     positions.observe(1_000, {term: 1, position: 5});
     expect(positions.positionFor(1_001)).toEqual(undefined);
-    expect(positions.positionFor(1_000)).toEqual({term: 1, position: 5});
+    expect(positions.positionFor(1_000)?.position).toEqual({
+      term: 1,
+      position: 5,
+    });
   });
 
   it('keeps the highest position of any instance', () => {
--- a/packages/gateway/src/core/groups/commit-surveys.ts
+++ b/packages/gateway/src/core/groups/commit-surveys.ts
@@ -1,4 +1,4 @@
-import {commitBound} from '@sapphireglade/decisions';
+import {commitBound, formatPosition} from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
 import type {ConfigurationHolder} from '../configuration/index.js';
 import {steadyNow, within} from '../time/index.js';
@@ -71,8 +71,7 @@
       group: group.name,
       answers: received.length,
       missing,
-      term: bound?.term,
-      position: bound?.position,
+      position: bound && formatPosition(bound),
     });
   }
 }
--- a/packages/gateway/src/core/groups/database-group.ts
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -7,6 +7,7 @@
 import {
   comparePositions,
   ObservedPositions,
+  PositionSource,
   PrimaryPhase,
   ViewConfirmation as Confirmation,
 } from '@sapphireglade/decisions';
@@ -96,7 +97,11 @@
     this.noteChange(known);
     const {lastPosition} = known.record;
     if (lastPosition !== undefined) {
-      this.positions.observe(steadyNow(), lastPosition);
+      this.positions.observe(
+        steadyNow(),
+        lastPosition,
+        PositionSource.Record,
+      );
     }
     this.recordChanges.next(known);
   }
--- a/packages/gateway/src/core/groups/primary-records.ts
+++ b/packages/gateway/src/core/groups/primary-records.ts
@@ -1,8 +1,9 @@
 import type {PrimaryRecord} from '@sapphireglade/decisions';
-import {PrimaryPhase} from '@sapphireglade/decisions';
+import {formatPosition, PrimaryPhase} from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
 import type {StoredItem} from '../store/index.js';
 import {StoreSection} from '../store/index.js';
+import {readClocks} from '../time/index.js';
 import type {GroupRegistry} from './group-registry.js';
 
 /** Prefix of the keys that record each group's primary. */
@@ -33,13 +34,19 @@
       this.log.error('A primary record cannot be read.', {key: item.key});
       return;
     }
-    this.groups.ensure(name).learnRecord({record, revision: item.revision});
+    const group = this.groups.ensure(name);
+    const viewAgeMs = group.confirmation.ageMs(readClocks());
+    const {target, lastPosition} = record;
+    group.learnRecord({record, revision: item.revision});
     this.log.info('A primary was recorded.', {
       group: name,
       primary: record.primary,
       term: record.term,
       phase: record.phase,
+      target,
+      lastPosition: lastPosition && formatPosition(lastPosition),
       revision: item.revision,
+      viewAgeMs: Math.round(viewAgeMs),
     });
   }
 
--- a/packages/gateway/src/core/membership/members.ts
+++ b/packages/gateway/src/core/membership/members.ts
@@ -59,21 +59,34 @@
       const key = MEMBER_PREFIX + name;
       if (!present.has(key)) this.removed(key);
     }
-    for (const item of items) this.written(item);
+    // A list is one line; hundreds of them would push out what led to it.
+    const joined = items.flatMap(item => this.take(item) ?? []);
+    if (joined.length === 0) return;
+    this.log.info('Proxies joined.', {
+      count: joined.length,
+      members: joined.join(' '),
+    });
+    this.changes.next();
   }
 
   override written(item: StoredItem): void {
+    const member = this.take(item);
+    if (member === undefined) return;
+    this.log.info('A proxy joined.', {member});
+    this.changes.next();
+  }
+
+  /** Takes a record in, and gives the name of a proxy that was not listed before. */
+  private take(item: StoredItem): string | undefined {
     const record = parseMember(item.value);
     if (record === undefined) {
       this.log.error('A member record cannot be read.', {key: item.key});
-      return;
+      return undefined;
     }
     const known = this.live.get(record.name);
     this.live.set(record.name, record);
     this.departures.delete(record.name);
-    if (known?.incarnation === record.incarnation) return;
-    this.log.info('A proxy joined.', {member: record.name});
-    this.changes.next();
+    return known?.incarnation === record.incarnation ? undefined : record.name;
   }
 
   override removed(key: string): void {
--- a/packages/gateway/src/core/metrics/catalogue.ts
+++ b/packages/gateway/src/core/metrics/catalogue.ts
@@ -14,6 +14,10 @@
     'Times that an instance did not serve a statement, by error kind.',
     ['kind'],
   ),
+  sapphireglade_replica_reads_total: counter(
+    'Reads that replicas served, by whose word made them fresh enough.',
+    ['source'],
+  ),
   sapphireglade_changes_of_primary_total: counter(
     'Steps of changes of primary that this proxy carried out, by step.',
     ['step'],
--- a/packages/gateway/src/core/sessions/instance-selection.ts
+++ b/packages/gateway/src/core/sessions/instance-selection.ts
@@ -1,4 +1,8 @@
-import type {InstanceOption, LogPosition} from '@sapphireglade/decisions';
+import type {
+  InstanceOption,
+  LogPosition,
+  ObservedPosition,
+} from '@sapphireglade/decisions';
 import {
   comparePositions,
   rankInstances,
@@ -19,6 +23,8 @@
   readonly member: GroupMember;
   readonly isPrimary: boolean;
   readonly atLeast: LogPosition | undefined;
+  /** What makes a replica fresh enough, if that is why it was chosen. */
+  readonly basis: ObservedPosition | undefined;
 }
 
 /**
@@ -39,9 +45,10 @@
 ): ReadTarget[] {
   const nowMs = steadyNow();
   const primary = group.usablePrimary();
-  const required = requiredPosition(group, route, startedAtMs, ownCommit);
+  const basis = freshPosition(group, route, startedAtMs);
+  const required = newerOf(basis?.position, ownCommit);
   const options: InstanceOption[] = [];
-  if (required !== undefined) {
+  if (basis !== undefined) {
     options.push(...group.replicaOptions(context.regionOf, context.region));
   }
   if (typeof primary === 'object') {
@@ -53,7 +60,7 @@
     const member = group.members.get(id);
     if (member === undefined) return [];
     const atLeast = isPrimary ? group.floorWith(ownCommit) : required;
-    return [{member, isPrimary, atLeast}];
+    return [{member, isPrimary, atLeast, basis}];
   });
 }
 
@@ -63,24 +70,29 @@
  */
 export function isFreshnessUnknown(
   group: DatabaseGroup,
-  {route, startedAtMs, ownCommit}: ExecutionRequest,
+  {route, startedAtMs}: ExecutionRequest,
 ): boolean {
   if (route.consistency === ReadConsistency.Primary) return false;
-  return requiredPosition(group, route, startedAtMs, ownCommit) === undefined;
+  return freshPosition(group, route, startedAtMs) === undefined;
 }
 
 /** The position that makes a replica fresh enough, if it is known. */
-function requiredPosition(
+function freshPosition(
   group: DatabaseGroup,
   route: Route,
   startedAtMs: number,
-  ownCommit: LogPosition | undefined,
-): LogPosition | undefined {
+): ObservedPosition | undefined {
   if (route.consistency === ReadConsistency.Primary) return undefined;
   const notBeforeMs =
     startedAtMs - Math.max(0, route.maximumStalenessMs - STALENESS_MARGIN_MS);
-  const fresh = group.positions.positionFor(notBeforeMs);
-  if (fresh === undefined || ownCommit === undefined) return fresh;
-  const isOwnNewer = comparePositions(ownCommit, fresh) > 0;
-  return isOwnNewer ? ownCommit : fresh;
+  return group.positions.positionFor(notBeforeMs);
+}
+
+/** The newer of two positions, if any is known. */
+function newerOf(
+  left: LogPosition | undefined,
+  right: LogPosition | undefined,
+): LogPosition | undefined {
+  if (left === undefined || right === undefined) return left ?? right;
+  return comparePositions(left, right) >= 0 ? left : right;
 }
--- a/packages/gateway/src/core/sessions/statement-executor.ts
+++ b/packages/gateway/src/core/sessions/statement-executor.ts
@@ -1,6 +1,7 @@
 import {
   decideNextStep,
   ErrorKind,
+  formatPosition,
   NextStep,
   SapphiregladeError,
 } from '@sapphireglade/decisions';
@@ -169,7 +170,10 @@
     const {reply} = outcome;
     const isKept = work.keepsConnection && reply.refusal === undefined;
     if (!isKept) pool.release(bound.connection);
-    if (reply.refusal === undefined) return {reply, bound};
+    if (reply.refusal === undefined) {
+      this.noteRead(progress, target, reply);
+      return {reply, bound};
+    }
     return {error: refused(reply), mayBeKept: false};
   }
 
@@ -235,7 +239,7 @@
     const atLeast = work.allowsReplica
       ? group.floorWith(request.ownCommit)
       : undefined;
-    return {member, isPrimary: true, atLeast};
+    return {member, isPrimary: true, atLeast, basis: undefined};
   }
 
   /** The best instance for a read that was not asked yet. */
@@ -253,6 +257,32 @@
     ).find(({member}) => !tried.has(member.instance.id));
   }
 
+  /** A replica whose log ends in a term before the recorded one has not caught up. */
+  private noteRead(
+    {group, request}: Progress,
+    {member, isPrimary, basis, atLeast}: ReadTarget,
+    {position}: InstanceReply,
+  ): void {
+    if (isPrimary || basis === undefined) return;
+    this.context.metrics.increment('sapphireglade_replica_reads_total', {
+      source: basis.source,
+    });
+    const term = group.record?.record.term;
+    if (position === undefined || term === undefined) return;
+    if (position.term >= term) return;
+    this.context.log.info('A read ran in an older term than is recorded.', {
+      request: request.statement.requestId,
+      group: group.name,
+      instance: member.instance.id,
+      recordedTerm: term,
+      shown: formatPosition(position),
+      asked: atLeast && formatPosition(atLeast),
+      source: basis.source,
+      sourceAgeMs: Math.round(steadyNow() - basis.sentAtMs),
+      readAgeMs: Math.round(steadyNow() - request.startedAtMs),
+    });
+  }
+
   private logFailure(
     {request}: Progress,
     target: ReadTarget,
