Show a stale read after a change of primary that is learned late

- fleet/primary-change.test.ts: a change is ordered and its coordinator cannot finish it, because the store is away; proxies without the store adopt the new primary and commit there; one proxy, cut off until then, reads the unfinished record; the old primary is back with its log and has not caught up.

--- a/packages/gateway/test/fleet/primary-change.test.ts
+++ b/packages/gateway/test/fleet/primary-change.test.ts
@@ -1,6 +1,7 @@
 import {describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
+import type {FleetProxy} from '../support/memory-fleet.js';
 import {MemoryFleet} from '../support/memory-fleet.js';
 import {ObservedCallers} from '../support/observed-callers.js';
 
@@ -38,6 +39,12 @@
   }
 }
 
+/** A proxy that does not coordinate. */
+function followerOf({proxies, store}: MemoryFleet): FleetProxy {
+  const holder = store.items.get('sapphireglade/coordinator')?.value.toString();
+  return proxies.find(({name}) => !holder?.startsWith(`${name}/`))!;
+}
+
 /** Removes the keys of a proxy although its lease goes on. */
 function revokeKeys(fleet: MemoryFleet, name: string): void {
   for (const key of [...fleet.store.items.keys()]) {
@@ -124,6 +131,31 @@
     },
     writersAfter: EVERY_PROXY,
   },
+  {
+    name: 'a proxy hears late of a change that was not finished, and the old primary is back and behind',
+    strike: async fleet => {
+      const [old, ...replicas] = fleet.group.instances;
+      const late = followerOf(fleet);
+      late.store.isCut = true;
+      for (const {id} of replicas) {
+        fleet.group.cut(late.name, id);
+        fleet.group.cut(old!.id, id);
+      }
+      crashPrimary(fleet);
+      while (fleet.group.tokens.length === 0) await sleep(5);
+      for (const {store} of fleet.proxies) store.isCut = true;
+      await sleep(2_000);
+      old!.isPrimary = false;
+      old!.isDown = false;
+      await sleep(2_500);
+      for (const {id} of replicas) fleet.group.join(late.name, id);
+      late.store.isCut = false;
+      await sleep(3_000);
+      for (const {store} of fleet.proxies) store.isCut = false;
+    },
+    heal: ({group}) => group.heal(),
+    writersAfter: EVERY_PROXY,
+  },
 ];
 
 /** Waits until writes are acknowledged at proxies, all later than now. */
--- a/packages/gateway/test/support/memory-group.ts
+++ b/packages/gateway/test/support/memory-group.ts
@@ -80,6 +80,12 @@
     this.cuts.add(`${left}|${right}`).add(`${right}|${left}`);
   }
 
+  /** Ends the cut between two parties. */
+  join(left: string, right: string): void {
+    this.cuts.delete(`${left}|${right}`);
+    this.cuts.delete(`${right}|${left}`);
+  }
+
   /** Ends all cuts; a primary that was replaced meanwhile learns of it. */
   heal(): void {
     this.cuts.clear();
@@ -192,6 +198,7 @@
       const isFollower = other !== target && this.reaches(target.id, other);
       if (!isFollower) continue;
       other.isPrimary = false;
+      other.term = target.term;
       const isAhead = comparePositions(other.position, target.position) > 0;
       if (isAhead) other.log = target.log.slice();
     }
