Take a recorded last position only for the time that it speaks of

Cause: the record of a change of primary carries the old primary's last position, which holds everything acknowledged until the next instance leads. A proxy observed it with the time at which the record arrived. One that learns the record late then takes the position for one that holds everything acknowledged until now, and serves reads with it for as long as the route's allowed age, at any instance that has the old term's log.

Change: the position is observed for the last time at which no other instance can have led: now, if the proxy's view of the old primary still counts (a change waits for it); otherwise the last answer of the store, or renewal while the view counted, that showed no target. A record behind an instance that was found to lead adds nothing.

Ruled out for that record: a view that counted too long (the instance was back from a crash and did not lead); a survey of replicas counts two answers and the highest of them.

--- a/packages/gateway/src/core/groups/database-group.ts
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -6,6 +6,7 @@
 } from '@sapphireglade/decisions';
 import {
   comparePositions,
+  elapsedMs,
   ObservedPositions,
   PositionSource,
   PrimaryPhase,
@@ -64,6 +65,10 @@
   private beganAtMs = steadyNow();
   private readonly recordChanges = new Subject<KnownRecord>();
   private known: KnownRecord | undefined;
+  /** Highest term in which an instance is known to have led. */
+  private ledTerm = 0;
+  /** When no other instance had led yet after the newest steady record. */
+  private unreplacedAt: ClockReading | undefined;
   private changeProgress: ChangeProgress = {
     beganAtMs: 0,
     isPlanned: false,
@@ -93,19 +98,46 @@
     if (this.known !== undefined && known.revision <= this.known.revision) {
       return;
     }
+    // As long as a view counts, no other instance is promoted.
+    const now = readClocks();
+    if (this.isSteady && this.confirmation.isValid(now)) {
+      this.noteUnreplaced(now);
+    }
     this.known = known;
     this.noteChange(known);
-    const {lastPosition} = known.record;
-    if (lastPosition !== undefined) {
-      this.positions.observe(
-        steadyNow(),
-        lastPosition,
-        PositionSource.Record,
-      );
+    const {term, lastPosition} = known.record;
+    // A record that is behind an instance found to lead knows nothing of its commits.
+    if (lastPosition !== undefined && term >= this.ledTerm) {
+      this.observeRecorded(lastPosition);
     }
+    this.ledTerm = Math.max(this.ledTerm, term);
     this.recordChanges.next(known);
   }
 
+  private get isSteady(): boolean {
+    return this.known?.record.phase === PrimaryPhase.Steady;
+  }
+
+  private noteUnreplaced(at: ClockReading): void {
+    const knownMs = this.unreplacedAt?.steadyMs ?? -Infinity;
+    if (at.steadyMs > knownMs) this.unreplacedAt = at;
+  }
+
+  /**
+   * Takes in the last position of a primary. It holds everything that was
+   * acknowledged until the next one led, which may be long ago by now.
+   */
+  private observeRecorded(position: LogPosition): void {
+    if (this.unreplacedAt === undefined) return;
+    const now = readClocks();
+    const sinceMs = elapsedMs(this.unreplacedAt, now);
+    this.positions.observe(
+      now.steadyMs - sinceMs,
+      position,
+      PositionSource.Record,
+    );
+  }
+
   /**
    * Takes in that an instance says it leads a higher term than is recorded.
    *
@@ -115,6 +147,7 @@
     if (this.known === undefined || term <= this.known.record.term) return;
     const record = {term, primary, phase: PrimaryPhase.Steady};
     this.known = {record, revision: this.known.revision};
+    this.ledTerm = term;
     this.confirmation.confirm(sentAt);
     this.recordChanges.next(this.known);
   }
@@ -135,14 +168,19 @@
       : {beganAtMs: nowMs, isPlanned, targetAtMs: undefined};
   }
 
-  /** Takes in that an answer proved the record to be the newest. */
+  /** Takes in that an answer of the store proved the record to be the newest. */
   confirm(sentAt: ClockReading): void {
     this.confirmation.confirm(sentAt);
+    const hasTarget = this.known?.record.target !== undefined;
+    if (!hasTarget) this.noteUnreplaced(sentAt);
   }
 
   /** Prolongs a view that still counted when the question was sent. */
   prolong(sentAt: ClockReading): void {
-    if (this.confirmation.isValid(sentAt)) this.confirmation.confirm(sentAt);
+    if (!this.confirmation.isValid(sentAt)) return;
+    this.confirmation.confirm(sentAt);
+    // A change goes on without a proxy that has let go.
+    if (this.isSteady) this.noteUnreplaced(sentAt);
   }
 
   /** Adds an instance. */
--- a/packages/gateway/test/groups/database-group.test.ts
+++ b/packages/gateway/test/groups/database-group.test.ts
@@ -7,12 +7,21 @@
 /** Position of the old primary's last acknowledged commit. */
 const LAST_OF_OLD_TERM = {term: 1, position: 202};
 
+/** Most by which the two clocks differ in rounding, in milliseconds. */
+const ROUNDING_MS = 5;
+
 const STEADY: PrimaryRecord = {
   term: 1,
   primary: 'old',
   phase: PrimaryPhase.Steady,
 };
 
+const ANNOUNCED: PrimaryRecord = {
+  term: 1,
+  primary: 'old',
+  phase: PrimaryPhase.Changing,
+};
+
 const TARGET_CHOSEN: PrimaryRecord = {
   term: 1,
   primary: 'old',
@@ -43,9 +52,63 @@
       const {positions} = group;
       const {steadyMs} = confirmedAt;
       expect(positions.positionFor(steadyMs + 1)).toEqual(undefined);
-      expect(positions.positionFor(steadyMs)?.position).toEqual(
+      expect(positions.positionFor(steadyMs - ROUNDING_MS)?.position).toEqual(
+        LAST_OF_OLD_TERM,
+      );
+    });
+
+    it('says nothing once another instance was found to lead', () => {
+      const group = new DatabaseGroup('ledger');
+      group.learnRecord({record: STEADY, revision: 10});
+      group.confirm(before(3_000));
+      group.learnLeader(2, 'new', before(0));
+
+      group.learnRecord({record: ANNOUNCED, revision: 11});
+      group.learnRecord({record: TARGET_CHOSEN, revision: 12});
+
+      expect(group.positions.newest).toEqual(undefined);
+    });
+
+    it('says nothing to a proxy that had let go before, however its lease is renewed', () => {
+      const group = new DatabaseGroup('ledger');
+      group.learnRecord({record: STEADY, revision: 10});
+      group.confirm(before(900));
+      group.learnRecord({record: ANNOUNCED, revision: 11});
+      const letGoAtMs = performance.now();
+      group.prolong(before(0));
+      group.learnRecord({record: TARGET_CHOSEN, revision: 12});
+
+      expect(group.positions.positionFor(letGoAtMs)).toEqual(undefined);
+    });
+  });
+
+  describe('a record of a change of primary that is learned while the view counts', () => {
+    it('holds everything that was acknowledged until now', () => {
+      const group = new DatabaseGroup('ledger');
+      group.learnRecord({record: STEADY, revision: 10});
+      group.confirm(before(500));
+      const learnedAtMs = performance.now();
+      group.learnRecord({record: ANNOUNCED, revision: 11});
+      group.learnRecord({record: TARGET_CHOSEN, revision: 12});
+
+      const found = group.positions.positionFor(learnedAtMs - ROUNDING_MS);
+      expect(found?.position).toEqual(LAST_OF_OLD_TERM);
+    });
+
+    it('holds it up to the last answer of the store that named no target', () => {
+      const group = new DatabaseGroup('ledger');
+      group.learnRecord({record: ANNOUNCED, revision: 11});
+      const confirmedAt = before(200);
+      group.confirm(confirmedAt);
+      group.learnRecord({record: TARGET_CHOSEN, revision: 12});
+      group.confirm(before(0));
+
+      const {positions} = group;
+      const {steadyMs} = confirmedAt;
+      expect(positions.positionFor(steadyMs - ROUNDING_MS)?.position).toEqual(
         LAST_OF_OLD_TERM,
       );
+      expect(positions.positionFor(steadyMs + 50)).toEqual(undefined);
     });
   });
 });
