Count an answer as the primary's only if the primary was asked

An answer of an instance that was asked as a replica, and that was recorded or found as the new primary before the answer arrived, made a position count as holding everything acknowledged until the question was sent, although the instance may have lagged then: a stale read at a replica is possible for as long as the route's allowed age.

Change: only questions sent since the primary in force is known count.

Two cases of database-group.test.ts fail before ("does not speak for the primary that it has become", "that it was found to be") and pass.

--- a/packages/gateway/src/core/groups/database-group.ts
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -65,6 +65,8 @@
   private beganAtMs = steadyNow();
   private readonly recordChanges = new Subject<KnownRecord>();
   private known: KnownRecord | undefined;
+  /** Since when the primary in force is known, in milliseconds of the steady clock. */
+  private primarySinceMs = Infinity;
   /** Highest term in which an instance is known to have led. */
   private ledTerm = 0;
   /** When no other instance had led yet after the newest steady record. */
@@ -111,6 +113,7 @@
       this.observeRecorded(lastPosition);
     }
     this.ledTerm = Math.max(this.ledTerm, term);
+    this.primarySinceMs = now.steadyMs;
     this.recordChanges.next(known);
   }
 
@@ -148,6 +151,7 @@
     const record = {term, primary, phase: PrimaryPhase.Steady};
     this.known = {record, revision: this.known.revision};
     this.ledTerm = term;
+    this.primarySinceMs = steadyNow();
     this.confirmation.confirm(sentAt);
     this.recordChanges.next(this.known);
   }
@@ -265,7 +269,10 @@
   /** Takes in a position that one instance showed. */
   private learnPosition(id: string, shown: ShownPosition): void {
     this.positions.seen(shown.position);
+    // One that was asked before may have lagged behind the primary of that time.
+    const wasPrimary = shown.sentAtMs >= this.primarySinceMs;
     const isFromPrimary =
+      wasPrimary &&
       this.known !== undefined &&
       this.known.record.phase === PrimaryPhase.Steady &&
       this.known.record.primary === id &&
--- a/packages/gateway/test/groups/database-group.test.ts
+++ b/packages/gateway/test/groups/database-group.test.ts
@@ -2,7 +2,9 @@
 import {PrimaryPhase} from '@sapphireglade/decisions';
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {DatabaseGroup} from '../../src/index.js';
+import {createSilentLogger} from '@sapphireglade/runtime';
+import {DatabaseGroup, InstancePool} from '../../src/index.js';
+import {MemoryConnector} from '../support/memory-connector.js';
 
 /** Position of the old primary's last acknowledged commit. */
 const LAST_OF_OLD_TERM = {term: 1, position: 202};
@@ -31,6 +33,31 @@
   lastPosition: LAST_OF_OLD_TERM,
 };
 
+const NEXT_STEADY: PrimaryRecord = {
+  term: 2,
+  primary: 'new',
+  phase: PrimaryPhase.Steady,
+};
+
+/** Adds an instance to a group and gives the pool that shows its positions. */
+function addInstance(group: DatabaseGroup, id: string): InstancePool {
+  const instance = {
+    id,
+    group: group.name,
+    host: 'memory',
+    port: 1,
+    availabilityZone: 'zone-0',
+    isLeaving: false,
+    claimsPrimary: false,
+    slots: 3,
+    bornAtMs: 1,
+  };
+  const connector = new MemoryConnector('proxy', new Map());
+  const pool = new InstancePool(instance, connector, createSilentLogger());
+  group.addMember({instance, pool});
+  return pool;
+}
+
 /** What the clocks showed a while ago, in milliseconds. */
 function before(milliseconds: number): ClockReading {
   return {
@@ -82,6 +109,39 @@
     });
   });
 
+  describe('an answer of an instance that was asked as a replica', () => {
+    it('does not speak for the primary that it has become', () => {
+      const group = new DatabaseGroup('ledger');
+      const pool = addInstance(group, 'new');
+      group.learnRecord({record: STEADY, revision: 10});
+      group.confirm(before(0));
+      const askedAtMs = performance.now();
+
+      group.learnRecord({record: NEXT_STEADY, revision: 14});
+      group.confirm(before(0));
+      pool.positions$.next({
+        sentAtMs: askedAtMs,
+        position: {term: 1, position: 150},
+      });
+      expect(group.positions.newest).toEqual(undefined);
+
+      const position = {term: 2, position: 203};
+      pool.positions$.next({sentAtMs: performance.now(), position});
+      expect(group.positions.newest?.position).toEqual(position);
+    });
+
+    it('does not speak for the primary that it was found to be', () => {
+      const group = new DatabaseGroup('ledger');
+      const pool = addInstance(group, 'new');
+      group.learnRecord({record: STEADY, revision: 10});
+      const askedAtMs = performance.now();
+      group.learnLeader(2, 'new', before(0));
+      const position = {term: 1, position: 150};
+      pool.positions$.next({sentAtMs: askedAtMs, position});
+      expect(group.positions.newest).toEqual(undefined);
+    });
+  });
+
   describe('a record of a change of primary that is learned while the view counts', () => {
     it('holds everything that was acknowledged until now', () => {
       const group = new DatabaseGroup('ledger');
