Keep the store's record apart from the primary that instances show

The other way round a record of the store that is behind the instance found to lead, as a late answer brings it, replaced that instance by an earlier primary and kept the confirmation of the found one's view: reads could run at a replaced primary for up to a second.

Change: a group keeps the store's newest record beside the one in force. The coordinator decides and writes by the store's; a steady record of a lower term than the instance found to lead changes nothing else; a change announced in it still takes the primary out of use. The coordinator orders by the record that it has announced.

taken-over-change.test.ts ("adopts it as well if this proxy has found it to lead by itself") and database-group.test.ts ("does not bring the replaced primary back") fail before.

--- a/packages/gateway/src/core/coordinator/coordinator-task.ts
+++ b/packages/gateway/src/core/coordinator/coordinator-task.ts
@@ -192,7 +192,7 @@
   }
 
   private neededWork(group: DatabaseGroup): (() => Promise<void>) | undefined {
-    const known = group.record;
+    const known = group.storedRecord;
     if (known === undefined) return () => this.establish(group);
     if (known.record.phase === PrimaryPhase.Changing) {
       return this.change(group, ChangeReason.Unfinished);
--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -1,5 +1,6 @@
 import type {
   LogPosition,
+  PrimaryRecord,
   ReplicationReport,
   PromotionCandidate,
 } from '@sapphireglade/decisions';
@@ -75,7 +76,7 @@
    * @throws SapphiregladeError if the store does not answer.
    */
   async run(): Promise<void> {
-    const known = this.group.record;
+    const known = this.group.storedRecord;
     if (known === undefined) throw new Error('The group has no record.');
     this.countStep('begun');
     this.log('A change of primary begins.', {reason: this.reason});
@@ -213,7 +214,8 @@
         if (!this.replicas(known).every(each => this.mayBeLeftAsIs(each))) {
           continue;
         }
-        if (await this.promote(choice.target, choice.position)) return;
+        const {target, position} = choice;
+        if (await this.promote(known.record, target, position)) return;
         known = await this.beginAgain(known);
       } else {
         if (choice.reason !== shownReason) {
@@ -245,12 +247,11 @@
 
   /** Orders the promotion with a token that was written for it. */
   private async promote(
+    old: PrimaryRecord,
     target: string,
     lastPosition: LogPosition,
   ): Promise<boolean> {
     const {context, group} = this;
-    const old = group.record?.record;
-    if (old === undefined) return false;
     const sentAt = readClocks();
     const {revision} = await writeRecord(context, group, {
       term: old.term,
--- a/packages/gateway/src/core/coordinator/record-writer.ts
+++ b/packages/gateway/src/core/coordinator/record-writer.ts
@@ -30,7 +30,7 @@
   const result = await context.store.transact({
     conditions: [
       {key: COORDINATOR_KEY, revision: context.coordinatorRevision()},
-      {key: recordKey(group.name), revision: group.record?.revision ?? 0},
+      {key: recordKey(group.name), revision: group.storedRecord?.revision ?? 0},
     ],
     puts: [
       {key: recordKey(group.name), value: JSON.stringify(record), leaseId: 0},
--- a/packages/gateway/src/core/groups/database-group.ts
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -64,6 +64,7 @@
   private removed: {readonly id: string; readonly atMs: number}[] = [];
   private beganAtMs = steadyNow();
   private readonly recordChanges = new Subject<KnownRecord>();
+  private stored: KnownRecord | undefined;
   private known: KnownRecord | undefined;
   /** Since when the primary in force is known, in milliseconds of the steady clock. */
   private primarySinceMs = Infinity;
@@ -85,11 +86,19 @@
     return this.recordChanges;
   }
 
-  /** The newest record of the primary. */
+  /**
+   * The record in force: the newest one of the store, unless an instance was
+   * found to lead a higher term.
+   */
   get record(): KnownRecord | undefined {
     return this.known;
   }
 
+  /** The newest record of the store. */
+  get storedRecord(): KnownRecord | undefined {
+    return this.stored;
+  }
+
   /** The instances that may be used. */
   get members(): ReadonlyMap<string, GroupMember> {
     return this.memberTable;
@@ -97,9 +106,14 @@
 
   /** Takes a record in unless a newer one is known. */
   learnRecord(known: KnownRecord): void {
-    if (this.known !== undefined && known.revision <= this.known.revision) {
+    if (this.stored !== undefined && known.revision <= this.stored.revision) {
       return;
     }
+    this.stored = known;
+    const {term, lastPosition, phase} = known.record;
+    // The store, or the answer, is behind what the instances have shown.
+    const isBehind = term < this.ledTerm;
+    if (isBehind && phase === PrimaryPhase.Steady) return;
     // As long as a view counts, no other instance is promoted.
     const now = readClocks();
     if (this.isSteady && this.confirmation.isValid(now)) {
@@ -107,9 +121,7 @@
     }
     this.known = known;
     this.noteChange(known);
-    const {term, lastPosition} = known.record;
-    // A record that is behind an instance found to lead knows nothing of its commits.
-    if (lastPosition !== undefined && term >= this.ledTerm) {
+    if (lastPosition !== undefined && !isBehind) {
       this.observeRecorded(lastPosition);
     }
     this.ledTerm = Math.max(this.ledTerm, term);
@@ -144,7 +156,7 @@
   /**
    * Takes in that an instance says it leads a higher term than is recorded.
    *
-   * It counts until the store shows a newer record.
+   * It counts until the store shows a change of primary or a term as high.
    */
   learnLeader(term: number, primary: string, sentAt: ClockReading): void {
     if (this.known === undefined || term <= this.known.record.term) return;
--- a/packages/gateway/test/groups/database-group.test.ts
+++ b/packages/gateway/test/groups/database-group.test.ts
@@ -3,7 +3,7 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {createSilentLogger} from '@sapphireglade/runtime';
-import {DatabaseGroup, InstancePool} from '../../src/index.js';
+import {DatabaseGroup, InstancePool, PrimaryProblem} from '../../src/index.js';
 import {MemoryConnector} from '../support/memory-connector.js';
 
 /** Position of the old primary's last acknowledged commit. */
@@ -109,6 +109,29 @@
     });
   });
 
+  describe('a record that is behind an instance found to lead', () => {
+    it('does not bring the replaced primary back', () => {
+      const group = new DatabaseGroup('ledger');
+      group.learnRecord({record: STEADY, revision: 10});
+      group.learnLeader(3, 'third', before(0));
+
+      group.learnRecord({record: NEXT_STEADY, revision: 14});
+
+      expect(group.record?.record.primary).toEqual('third');
+      expect(group.storedRecord?.revision).toEqual(14);
+    });
+
+    it('still takes the primary out of use if a change is announced', () => {
+      const group = new DatabaseGroup('ledger');
+      group.learnRecord({record: STEADY, revision: 10});
+      group.learnLeader(2, 'new', before(0));
+
+      group.learnRecord({record: {...ANNOUNCED, orders: 1}, revision: 13});
+
+      expect(group.usablePrimary()).toEqual(PrimaryProblem.Changing);
+    });
+  });
+
   describe('an answer of an instance that was asked as a replica', () => {
     it('does not speak for the primary that it has become', () => {
       const group = new DatabaseGroup('ledger');
--- a/packages/gateway/test/taken-over-change.test.ts
+++ b/packages/gateway/test/taken-over-change.test.ts
@@ -2,6 +2,7 @@
 import {PrimaryPhase} from '@sapphireglade/decisions';
 import type {PrimaryRecord} from '@sapphireglade/decisions';
 import {createSilentLogger} from '@sapphireglade/runtime';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
 import {
   ChangeReason,
@@ -12,6 +13,7 @@
   ConfigurationHolder,
   ControlConnections,
   COORDINATOR_KEY,
+  CoordinatorTask,
   DatabaseGroup,
   GatewayMetrics,
   InstanceDirectory,
@@ -22,6 +24,7 @@
   recordKey,
   Releases,
 } from '../src/index.js';
+import {readClocks} from '../src/core/time/index.js';
 import {MemoryConnector} from './support/memory-connector.js';
 import {MemoryGroup} from './support/memory-group.js';
 import {MemoryStore, MemoryStoreState} from './support/memory-store.js';
@@ -29,6 +32,9 @@
 const GROUP = 'ledger';
 const SELF = 'proxy-1';
 
+/** Long enough for a coordinator to look at its groups a few times, in milliseconds. */
+const SEVERAL_CHECKS_MS = 600;
+
 /** Keeps the orders, and carries them out. */
 class RecordedPromotions extends PromotionService {
   readonly orders: Promotion[] = [];
@@ -80,12 +86,21 @@
     state.put(COORDINATOR_KEY, SELF);
     const coordinatorRevision = state.revision;
     const connector = new MemoryConnector(SELF, new Map([[GROUP, group]]));
+    const configuration = new ConfigurationHolder(log);
+    configuration.offer({
+      version: 1,
+      routes: new Map(),
+      groups: new Map([
+        [GROUP, {name: GROUP, connectionLimit: 60, isReplicated: true}],
+      ]),
+      transactionIdleMs: 3_000,
+    });
     context = {
       self: SELF,
       store,
       directory,
       promotions,
-      configuration: new ConfigurationHolder(log),
+      configuration,
       members: new Members(log),
       knownProxies: new KnownProxies(),
       releases: new Releases(SELF, store, undefined as never, log),
@@ -139,6 +154,37 @@
     expect(view.record?.record.primary).toEqual(`${GROUP}-1`);
   });
 
+  it('adopts it as well if this proxy has found it to lead by itself', async () => {
+    leave({...announced, orders: 1, target: `${GROUP}-1`});
+    group.instances[0]!.isPrimary = false;
+    group.instances[1]!.isPrimary = true;
+    group.instances[1]!.term = 2;
+    view.learnLeader(2, `${GROUP}-1`, readClocks());
+    const coordinator = new CoordinatorTask({
+      context: {
+        ...context,
+        groups: {ensure: () => view} as never,
+        ownersOf: () => [],
+      },
+      key: {holder: SELF, revision: context.coordinatorRevision()} as never,
+      lease: undefined as never,
+      holder: SELF,
+      isConnected: () => true,
+      isInformed: () => true,
+      onNewsNeeded: () => undefined,
+    });
+    await coordinator.start();
+    await sleep(SEVERAL_CHECKS_MS);
+    await coordinator.stop(0);
+    const stored = state.items.get(recordKey(GROUP))?.value.toString();
+    expect(JSON.parse(stored ?? '{}')).toEqual({
+      term: 2,
+      primary: `${GROUP}-1`,
+      phase: PrimaryPhase.Steady,
+    });
+    expect(promotions.orders).toEqual([]);
+  });
+
   it('passes over the term that the earlier order may have begun', async () => {
     leave({...announced, orders: 1, target: `${GROUP}-1`});
     await goOn();
