Adopt the instance of the highest term in a change that was left unfinished

The first is told to step down by nobody but the other instance, within a second after they reach each other.

Change: the instance of the highest term is recorded. The case in taken-over-change.test.ts ("adopts the instance of the highest term if several lead") fails before.

--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -129,9 +129,9 @@
     const answers = await this.askAll(this.replicas(known), {
       kind: CommandKind.Status,
     });
-    const leader = answers.find(
-      ({isPrimary, term}) => isPrimary && term > known.record.term,
-    );
+    const [leader] = answers
+      .filter(({isPrimary, term}) => isPrimary && term > known.record.term)
+      .sort((left, right) => right.term - left.term);
     if (leader === undefined) return false;
     await this.settle(leader);
     return true;
--- a/packages/gateway/test/taken-over-change.test.ts
+++ b/packages/gateway/test/taken-over-change.test.ts
@@ -185,6 +185,16 @@
     expect(promotions.orders).toEqual([]);
   });
 
+  it('adopts the instance of the highest term if several lead', async () => {
+    leave({...announced, orders: 2, target: `${GROUP}-2`});
+    for (const [index, instance] of group.instances.entries()) {
+      instance.isPrimary = index > 0;
+      instance.term = index + 1;
+    }
+    await goOn();
+    expect(view.record?.record.primary).toEqual(`${GROUP}-2`);
+  });
+
   it('passes over the term that the earlier order may have begun', async () => {
     leave({...announced, orders: 1, target: `${GROUP}-1`});
     await goOn();
