Confirm views only by questions sent after this proxy was published

A change of primary waits for the proxies that the store names when it is announced. A new proxy confirmed its views by any answer that came once its key was published, also by one to a question sent before: a change announced between the question and the key does not wait for it, and the view counts for a second after the question.

view-lease.test.ts has the rule ("counts this proxy as known only to changes that begin after it was published"); the order of events in a whole fleet was not reproduced.

--- a/packages/gateway/src/core/membership/view-lease-task.ts
+++ b/packages/gateway/src/core/membership/view-lease-task.ts
@@ -51,6 +51,8 @@
  */
 export class ViewLeaseTask extends TaskLifecycle {
   private lease: ViewLease | undefined;
+  /** When the name of this proxy was first published, in milliseconds of the steady clock. */
+  private knownSinceMs = Infinity;
   private timer: NodeJS.Timeout | undefined;
   private isObtaining = false;
   private renewals = 0;
@@ -70,6 +72,14 @@
     return this.lease?.publishedAtMs !== undefined;
   }
 
+  /**
+   * Says whether every change of primary that a question has not shown waits
+   * for this proxy: the others knew of it when the question was sent.
+   */
+  wasPublishedBefore(sentAt: ClockReading): boolean {
+    return sentAt.steadyMs >= this.knownSinceMs;
+  }
+
   /** Takes in that the records were read by a question sent at a time. */
   recordsRead(sentAt: ClockReading): void {
     const publishedAtMs = this.lease?.publishedAtMs;
@@ -131,6 +141,7 @@
       });
       if (result.kind !== 'committed') return;
       lease.publishedAtMs = steadyNow();
+      this.knownSinceMs = Math.min(this.knownSinceMs, lease.publishedAtMs);
       this.options.onRecordsNeeded();
     } catch (error) {
       this.failed('The lease for views could not be obtained.', error);
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -139,8 +139,10 @@
       areNewsTold: () => this.news.isActive,
       onOwnConfirmed: sentAt => {
         this.viewLease.recordsRead(sentAt);
-        // Nobody waits for the views of a proxy that is not known yet.
-        const isKnown = this.viewLease.isPublished || knownProxies.has(name);
+        // Nobody waits for the views of a proxy that was not known then.
+        const isKnown =
+          this.viewLease.wasPublishedBefore(sentAt) ||
+          knownProxies.ranBefore(name).length > 0;
         if (isKnown) this.groups.confirmAll(sentAt);
       },
       log: loggers(LogPart.Store),
--- a/packages/gateway/test/view-lease.test.ts
+++ b/packages/gateway/test/view-lease.test.ts
@@ -24,16 +24,7 @@
     store = new MemoryStore(state);
     renewed = [];
     recordsNeeded = 0;
-    task = new ViewLeaseTask({
-      name: SELF,
-      store,
-      proxyCount: () => 9,
-      log: createSilentLogger(),
-      onRenewed: sentAt => renewed.push(sentAt),
-      onRecordsNeeded: () => {
-        recordsNeeded += 1;
-      },
-    });
+    task = createTask();
     await task.start();
     await untilPublished();
   });
@@ -44,10 +35,33 @@
     state.close();
   });
 
+  function createTask(): ViewLeaseTask {
+    return new ViewLeaseTask({
+      name: SELF,
+      store,
+      proxyCount: () => 9,
+      log: createSilentLogger(),
+      onRenewed: sentAt => renewed.push(sentAt),
+      onRecordsNeeded: () => {
+        recordsNeeded += 1;
+      },
+    });
+  }
+
   async function untilPublished(): Promise<void> {
     while (!task.isPublished) await sleep(5);
   }
 
+  /** Starts another task, and gives a time at which it was not published. */
+  async function publishedAnew(): Promise<ClockReading> {
+    await task.stop(0);
+    task = createTask();
+    await task.start();
+    const before = readClocks();
+    await untilPublished();
+    return before;
+  }
+
   function publishedLease(): number {
     const value = state.items.get(KNOWN_PREFIX + SELF)?.value;
     return Number(value?.toString());
@@ -70,6 +84,19 @@
     expect(renewed).toEqual([]);
   });
 
+  it('counts this proxy as known only to changes that begin after it was published', async () => {
+    const before = await publishedAnew();
+    expect(task.wasPublishedBefore(before)).toEqual(false);
+    expect(task.wasPublishedBefore(readClocks())).toEqual(true);
+  });
+
+  it('goes on to count it as known while it gets another lease', async () => {
+    const first = publishedLease();
+    state.endLease(first);
+    while (publishedLease() === first) await sleep(5);
+    expect(task.wasPublishedBefore(readClocks())).toEqual(true);
+  });
+
   it('prolongs views from the time at which a renewal was sent', async () => {
     const readAt = readClocks();
     task.recordsRead(readAt);
