Write the key of a proxy's view lease only over the one that it knows

What callers could see: reads and commits at a replaced primary for as long as the watch of one proxy is silent, because a change of primary ended another lease than the one in use.

If the first call got no answer, the proxy published a second lease and used it; the store may carry the first call out seconds later and names the older lease from then on. In the same way the farewell of a stopped process could take its next life off the list, for which no change waits then.

Change: the key is written and removed only if its revision is the one that this process wrote or follows; after a conflict the records are read anew first. The coordinator forgets departed proxies under the same condition.

--- a/packages/gateway/src/core/coordinator/coordinator-task.ts
+++ b/packages/gateway/src/core/coordinator/coordinator-task.ts
@@ -24,6 +24,9 @@
 /** How long a proxy may be away before it is taken as gone, in milliseconds; regions lose each other for an hour now and then. */
 const FORGET_AFTER_MS = 2 * 3_600_000;
 
+/** Most departed proxies that are removed by one call. */
+const MAXIMUM_FORGOTTEN = 20;
+
 /** What the task needs besides the context of a change. */
 export interface CoordinatorTaskOptions {
   readonly context: Omit<ChangeContext, 'coordinatorRevision'>;
@@ -118,11 +121,16 @@
     });
     if (gone.length === 0 || this.isForgetting) return;
     this.isForgetting = true;
+    // One that is back by now has written its key anew.
+    const conditions = gone.slice(0, MAXIMUM_FORGOTTEN).map(name => ({
+      key: KNOWN_PREFIX + name,
+      revision: knownProxies.revisionOf(name),
+    }));
     store
       .transact({
-        conditions: [],
+        conditions,
         puts: [],
-        removals: gone.slice(0, 20).map(name => KNOWN_PREFIX + name),
+        removals: conditions.map(({key}) => key),
       })
       .catch((error: Error) =>
         log.warn('Departed proxies could not be forgotten.', {
--- a/packages/gateway/src/core/membership/known-proxies.ts
+++ b/packages/gateway/src/core/membership/known-proxies.ts
@@ -4,6 +4,14 @@
 /** Prefix of the keys that name every proxy that may be running. */
 export const KNOWN_PREFIX = 'sapphireglade/known/';
 
+/** What the key of one proxy says. */
+interface KnownKey {
+  /** Lease under which the proxy acts on its views. */
+  readonly lease: number;
+  /** Revision at which the key was written. */
+  readonly revision: number;
+}
+
 /**
  * Every proxy that may be running, whether or not it reaches the store.
  *
@@ -14,8 +22,7 @@
 export class KnownProxies extends StoreSection {
   /** Names that were there when the keys were first read. */
   private earlierNames: readonly string[] | undefined;
-  /** Lease under which each proxy acts on its views, by name. */
-  private readonly leases = new Map<string, number>();
+  private readonly keys = new Map<string, KnownKey>();
 
   constructor() {
     super(KNOWN_PREFIX);
@@ -23,7 +30,7 @@
 
   /** Names of the proxies. */
   get names(): string[] {
-    return [...this.leases.keys()];
+    return [...this.keys.keys()];
   }
 
   /**
@@ -44,26 +51,32 @@
 
   /** Whether a proxy of this name may be running, by what the store says. */
   has(name: string): boolean {
-    return this.leases.has(name);
+    return this.keys.has(name);
   }
 
   /** The lease under which a proxy acts on its views, if it has published one. */
   leaseOf(name: string): number | undefined {
-    return this.leases.get(name);
+    return this.keys.get(name)?.lease;
+  }
+
+  /** Revision at which the key of a proxy was written; 0 if there is none. */
+  revisionOf(name: string): number {
+    return this.keys.get(name)?.revision ?? 0;
   }
 
   override replace(items: readonly StoredItem[]): void {
-    this.leases.clear();
+    this.keys.clear();
     for (const item of items) this.written(item);
     this.earlierNames ??= this.names;
   }
 
   override written(item: StoredItem): void {
     const name = item.key.slice(KNOWN_PREFIX.length);
-    this.leases.set(name, Number(item.value.toString('utf8')));
+    const lease = Number(item.value.toString('utf8'));
+    this.keys.set(name, {lease, revision: item.revision});
   }
 
   override removed(key: string): void {
-    this.leases.delete(key.slice(KNOWN_PREFIX.length));
+    this.keys.delete(key.slice(KNOWN_PREFIX.length));
   }
 }
--- a/packages/gateway/src/core/membership/view-lease-task.ts
+++ b/packages/gateway/src/core/membership/view-lease-task.ts
@@ -2,7 +2,7 @@
 import {SapphiregladeError} from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
 import {TaskLifecycle} from '@sapphireglade/runtime';
-import type {CoordinationStore} from '../store/index.js';
+import type {CoordinationStore, StoreTransaction} from '../store/index.js';
 import {readClocks, steadyNow} from '../time/index.js';
 import {KNOWN_PREFIX} from './known-proxies.js';
 
@@ -22,6 +22,8 @@
 export interface ViewLeaseOptions {
   readonly name: string;
   readonly store: CoordinationStore;
+  /** Revision at which the key of this proxy was written, as far as followed; 0 if there is none. */
+  readonly keyRevision: () => number;
   /** How many proxies hold such a lease. */
   readonly proxyCount: () => number;
   readonly log: Logger;
@@ -54,6 +56,8 @@
   /** When the name of this proxy was first published, in milliseconds of the steady clock. */
   private knownSinceMs = Infinity;
   private timer: NodeJS.Timeout | undefined;
+  /** Revision at which this process last wrote its key. */
+  private writtenRevision: number | undefined;
   private isObtaining = false;
   private renewals = 0;
   private isEnding = false;
@@ -98,7 +102,7 @@
     const {name, store, log} = this.options;
     try {
       await store.transact({
-        conditions: [],
+        conditions: [this.keyCondition],
         puts: [],
         removals: [KNOWN_PREFIX + name],
       });
@@ -110,6 +114,17 @@
     }
   }
 
+  /**
+   * That nobody has written the key since. A call that is carried out after its
+   * caller has given up must neither name an older lease nor take a later life
+   * of this proxy off the list: no change would wait for it then.
+   */
+  private get keyCondition(): StoreTransaction['conditions'][number] {
+    const {name, keyRevision} = this.options;
+    const revision = this.writtenRevision ?? keyRevision();
+    return {key: KNOWN_PREFIX + name, revision};
+  }
+
   private tick(): void {
     if (this.isEnding) return;
     const {lease} = this;
@@ -136,10 +151,15 @@
       };
       this.lease = lease;
       const result = await store.transact({
-        conditions: [],
+        conditions: [this.keyCondition],
         puts: [{key: KNOWN_PREFIX + name, value: String(leaseId), leaseId: 0}],
       });
-      if (result.kind !== 'committed') return;
+      if (result.kind !== 'committed') {
+        this.writtenRevision = undefined;
+        this.options.onRecordsNeeded();
+        return;
+      }
+      this.writtenRevision = result.revision;
       lease.publishedAtMs = steadyNow();
       this.knownSinceMs = Math.min(this.knownSinceMs, lease.publishedAtMs);
       this.options.onRecordsNeeded();
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -191,6 +191,7 @@
     this.viewLease = new ViewLeaseTask({
       name,
       store,
+      keyRevision: () => knownProxies.revisionOf(name),
       proxyCount: () => knownProxies.names.length,
       log: loggers(LogPart.Membership),
       onRenewed: sentAt => this.prolongViews(sentAt),
--- /dev/null
+++ b/packages/gateway/test/membership/late-store-calls.test.ts
@@ -0,0 +1,121 @@
+import type {ClockReading} from '@sapphireglade/decisions';
+import {ErrorKind, SapphiregladeError} from '@sapphireglade/decisions';
+import {createSilentLogger} from '@sapphireglade/runtime';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'earl';
+import type {StoreTransaction, TransactionResult} from '../../src/index.js';
+import {KNOWN_PREFIX, readClocks, ViewLeaseTask} from '../../src/index.js';
+import {MemoryStore, MemoryStoreState} from '../support/memory-store.js';
+
+const SELF = 'proxy-0';
+
+/** Longer than two renewals take, in milliseconds. */
+const RENEWALS_MS = 800;
+
+/** A store that leaves one transaction unanswered and carries it out later. */
+class LateStore extends MemoryStore {
+  isLateNext = false;
+  private late: StoreTransaction | undefined;
+
+  override async transact(
+    transaction: StoreTransaction,
+  ): Promise<TransactionResult> {
+    if (!this.isLateNext) return super.transact(transaction);
+    this.isLateNext = false;
+    this.late = transaction;
+    await sleep(50);
+    throw new SapphiregladeError(ErrorKind.StoreUnavailable, 'No answer.');
+  }
+
+  /** The call that got no answer is executed now. */
+  async executeLate(): Promise<void> {
+    const {late} = this;
+    if (late === undefined) throw new Error('Nothing is late.');
+    this.late = undefined;
+    await super.transact(late);
+  }
+
+  get hasLate(): boolean {
+    return this.late !== undefined;
+  }
+}
+
+describe('ViewLeaseTask before a store that executes unanswered calls late', () => {
+  let state: MemoryStoreState;
+  let store: LateStore;
+  let renewed: ClockReading[];
+  const tasks: ViewLeaseTask[] = [];
+
+  beforeEach(() => {
+    state = new MemoryStoreState();
+    store = new LateStore(state);
+    renewed = [];
+  });
+
+  afterEach(async () => {
+    for (const task of tasks.splice(0)) await task.stop(0);
+    state.close();
+  });
+
+  async function begin(): Promise<ViewLeaseTask> {
+    const task = new ViewLeaseTask({
+      name: SELF,
+      store,
+      keyRevision: () => state.items.get(KNOWN_PREFIX + SELF)?.revision ?? 0,
+      proxyCount: () => 9,
+      log: createSilentLogger(),
+      onRenewed: sentAt => renewed.push(sentAt),
+      onRecordsNeeded: () => undefined,
+    });
+    tasks.push(task);
+    await task.start();
+    return task;
+  }
+
+  async function untilPublished(task: ViewLeaseTask): Promise<void> {
+    while (!task.isPublished) await sleep(5);
+  }
+
+  /** Ends the lease that the store names, as a change of primary does. */
+  function endNamedLease(): void {
+    const value = state.items.get(KNOWN_PREFIX + SELF)?.value;
+    if (value !== undefined) state.endLease(Number(value.toString()));
+  }
+
+  it('prolongs nothing after the lease was ended that the store names, although an older one was published late', async () => {
+    store.isLateNext = true;
+    const task = await begin();
+    await untilPublished(task);
+    expect(store.hasLate).toEqual(true);
+    await store.executeLate();
+    task.recordsRead(readClocks());
+    await sleep(RENEWALS_MS);
+    expect(renewed.length > 0).toEqual(true);
+
+    endNamedLease();
+    // A renewal may be under way.
+    await sleep(50);
+    const count = renewed.length;
+    await sleep(RENEWALS_MS);
+    expect(renewed.length).toEqual(count);
+  });
+
+  it('prolongs nothing while the store does not name this proxy, because its earlier life was taken off the list late', async () => {
+    const earlier = await begin();
+    await untilPublished(earlier);
+    store.isLateNext = true;
+    await earlier.stop(0);
+    expect(store.hasLate).toEqual(true);
+    const task = await begin();
+    await untilPublished(task);
+    task.recordsRead(readClocks());
+    await store.executeLate();
+    // A renewal may be under way.
+    await sleep(50);
+    const count = renewed.length;
+    await sleep(RENEWALS_MS);
+    const isNamed = state.items.has(KNOWN_PREFIX + SELF);
+    expect(isNamed || renewed.length === count).toEqual(true);
+  });
+});
--- a/packages/gateway/test/view-lease.test.ts
+++ b/packages/gateway/test/view-lease.test.ts
@@ -39,6 +39,7 @@
     return new ViewLeaseTask({
       name: SELF,
       store,
+      keyRevision: () => state.items.get(KNOWN_PREFIX + SELF)?.revision ?? 0,
       proxyCount: () => 9,
       log: createSilentLogger(),
       onRenewed: sentAt => renewed.push(sentAt),
