Take a repeated announcement for no proof that nobody else has led

A proxy that read this took it for proof that no other instance had led until then, although the first target may have led and acknowledged commits; the last position of the second order was then taken as fresher than it is. Change: a record with orders proves nothing of that kind. The case in database-group.test.ts ("says nothing of the time after an instance was ordered to lead before") fails before.

--- a/packages/gateway/src/core/groups/database-group.ts
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -187,8 +187,9 @@
   /** Takes in that an answer of the store proved the record to be the newest. */
   confirm(sentAt: ClockReading): void {
     this.confirmation.confirm(sentAt);
-    const hasTarget = this.known?.record.target !== undefined;
-    if (!hasTarget) this.noteUnreplaced(sentAt);
+    const {target, orders = 0} = this.known?.record ?? {};
+    const mayBeReplaced = target !== undefined || orders > 0;
+    if (!mayBeReplaced) this.noteUnreplaced(sentAt);
   }
 
   /** Prolongs a view that still counted when the question was sent. */
--- a/packages/gateway/test/groups/database-group.test.ts
+++ b/packages/gateway/test/groups/database-group.test.ts
@@ -84,6 +84,20 @@
       );
     });
 
+    it('says nothing of the time after an instance was ordered to lead before', () => {
+      const group = new DatabaseGroup('ledger');
+      const confirmedAt = before(4_000);
+      group.learnRecord({record: STEADY, revision: 10});
+      group.confirm(confirmedAt);
+      group.learnRecord({record: {...ANNOUNCED, orders: 1}, revision: 14});
+      group.confirm(before(100));
+
+      group.learnRecord({record: {...TARGET_CHOSEN, orders: 2}, revision: 15});
+
+      const {steadyMs} = confirmedAt;
+      expect(group.positions.positionFor(steadyMs + 1)).toEqual(undefined);
+    });
+
     it('says nothing once another instance was found to lead', () => {
       const group = new DatabaseGroup('ledger');
       group.learnRecord({record: STEADY, revision: 10});
