Do not take a lower position of the same primary for fresh

Change: it is left out; answers that overtake each other on two connections lose an observation by that, no more. The case in database-group.test.ts ("a recorded primary that shows a lower position than before") fails before.

--- a/packages/gateway/src/core/groups/database-group.ts
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -68,6 +68,8 @@
   private known: KnownRecord | undefined;
   /** Since when the primary in force is known, in milliseconds of the steady clock. */
   private primarySinceMs = Infinity;
+  /** Highest position that the primary in force has shown since. */
+  private primaryShown: LogPosition | undefined;
   /** Highest term in which an instance is known to have led. */
   private ledTerm = 0;
   /** When no other instance had led yet after the newest steady record. */
@@ -126,6 +128,7 @@
     }
     this.ledTerm = Math.max(this.ledTerm, term);
     this.primarySinceMs = now.steadyMs;
+    this.primaryShown = undefined;
     this.recordChanges.next(known);
   }
 
@@ -164,6 +167,7 @@
     this.known = {record, revision: this.known.revision};
     this.ledTerm = term;
     this.primarySinceMs = steadyNow();
+    this.primaryShown = undefined;
     this.confirmation.confirm(sentAt);
     this.recordChanges.next(this.known);
   }
@@ -291,9 +295,15 @@
       this.known.record.primary === id &&
       shown.position.term <= this.known.record.term &&
       this.confirmation.isValid(readClocks());
-    if (isFromPrimary) {
-      this.positions.observe(shown.sentAtMs, shown.position);
-    }
+    if (!isFromPrimary) return;
+    // A primary that shows less than before has lost its log.
+    const {primaryShown} = this;
+    const isLess =
+      primaryShown !== undefined &&
+      comparePositions(shown.position, primaryShown) < 0;
+    if (isLess) return;
+    this.primaryShown = shown.position;
+    this.positions.observe(shown.sentAtMs, shown.position);
   }
 
   /** The position that every read must at least have, if any is known. */
--- a/packages/gateway/test/groups/database-group.test.ts
+++ b/packages/gateway/test/groups/database-group.test.ts
@@ -146,6 +146,25 @@
     });
   });
 
+  describe('a recorded primary that shows a lower position than before', () => {
+    it('does not speak for what was acknowledged meanwhile', () => {
+      const group = new DatabaseGroup('ledger');
+      const pool = addInstance(group, 'old');
+      group.learnRecord({record: STEADY, revision: 10});
+      group.confirm(before(0));
+      const sentAtMs = performance.now();
+      pool.positions$.next({sentAtMs, position: LAST_OF_OLD_TERM});
+      const emptied = {
+        sentAtMs: sentAtMs + 50,
+        position: {term: 0, position: 0},
+      };
+      pool.positions$.next(emptied);
+
+      const found = group.positions.positionFor(sentAtMs + 25);
+      expect(found?.position).toEqual(undefined);
+    });
+  });
+
   describe('an answer of an instance that was asked as a replica', () => {
     it('does not speak for the primary that it has become', () => {
       const group = new DatabaseGroup('ledger');
