--- a/packages/gateway/src/core/groups/database-group.ts
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -64,7 +64,12 @@
   private removed: {readonly id: string; readonly atMs: number}[] = [];
   private beganAtMs = steadyNow();
   private readonly recordChanges = new Subject<KnownRecord>();
+  private stored: KnownRecord | undefined;
   private known: KnownRecord | undefined;
+  /** Since when the primary in force is known, in milliseconds of the steady clock. */
+  private primarySinceMs = Infinity;
+  /** Highest position that the primary in force has shown since. */
+  private primaryShown: LogPosition | undefined;
   /** Highest term in which an instance is known to have led. */
   private ledTerm = 0;
   /** When no other instance had led yet after the newest steady record. */
@@ -83,11 +88,19 @@
     return this.recordChanges;
   }
 
-  /** The newest record of the primary. */
+  /**
+   * The record in force: the newest one of the store, unless an instance was
+   * found to lead a higher term.
+   */
   get record(): KnownRecord | undefined {
     return this.known;
   }
 
+  /** The newest record of the store. */
+  get storedRecord(): KnownRecord | undefined {
+    return this.stored;
+  }
+
   /** The instances that may be used. */
   get members(): ReadonlyMap<string, GroupMember> {
     return this.memberTable;
@@ -95,9 +108,14 @@
 
   /** Takes a record in unless a newer one is known. */
   learnRecord(known: KnownRecord): void {
-    if (this.known !== undefined && known.revision <= this.known.revision) {
+    if (this.stored !== undefined && known.revision <= this.stored.revision) {
       return;
     }
+    this.stored = known;
+    const {term, lastPosition, phase} = known.record;
+    // The store, or the answer, is behind what the instances have shown.
+    const isBehind = term < this.ledTerm;
+    if (isBehind && phase === PrimaryPhase.Steady) return;
     // As long as a view counts, no other instance is promoted.
     const now = readClocks();
     if (this.isSteady && this.confirmation.isValid(now)) {
@@ -105,12 +123,12 @@
     }
     this.known = known;
     this.noteChange(known);
-    const {term, lastPosition} = known.record;
-    // A record that is behind an instance found to lead knows nothing of its commits.
-    if (lastPosition !== undefined && term >= this.ledTerm) {
+    if (lastPosition !== undefined && !isBehind) {
       this.observeRecorded(lastPosition);
     }
     this.ledTerm = Math.max(this.ledTerm, term);
+    this.primarySinceMs = now.steadyMs;
+    this.primaryShown = undefined;
     this.recordChanges.next(known);
   }
 
@@ -141,13 +159,15 @@
   /**
    * Takes in that an instance says it leads a higher term than is recorded.
    *
-   * It counts until the store shows a newer record.
+   * It counts until the store shows a change of primary or a term as high.
    */
   learnLeader(term: number, primary: string, sentAt: ClockReading): void {
     if (this.known === undefined || term <= this.known.record.term) return;
     const record = {term, primary, phase: PrimaryPhase.Steady};
     this.known = {record, revision: this.known.revision};
     this.ledTerm = term;
+    this.primarySinceMs = steadyNow();
+    this.primaryShown = undefined;
     this.confirmation.confirm(sentAt);
     this.recordChanges.next(this.known);
   }
@@ -171,8 +191,9 @@
   /** Takes in that an answer of the store proved the record to be the newest. */
   confirm(sentAt: ClockReading): void {
     this.confirmation.confirm(sentAt);
-    const hasTarget = this.known?.record.target !== undefined;
-    if (!hasTarget) this.noteUnreplaced(sentAt);
+    const {target, orders = 0} = this.known?.record ?? {};
+    const mayBeReplaced = target !== undefined || orders > 0;
+    if (!mayBeReplaced) this.noteUnreplaced(sentAt);
   }
 
   /** Prolongs a view that still counted when the question was sent. */
@@ -265,15 +286,24 @@
   /** Takes in a position that one instance showed. */
   private learnPosition(id: string, shown: ShownPosition): void {
     this.positions.seen(shown.position);
+    // One that was asked before may have lagged behind the primary of that time.
+    const wasPrimary = shown.sentAtMs >= this.primarySinceMs;
     const isFromPrimary =
+      wasPrimary &&
       this.known !== undefined &&
       this.known.record.phase === PrimaryPhase.Steady &&
       this.known.record.primary === id &&
       shown.position.term <= this.known.record.term &&
       this.confirmation.isValid(readClocks());
-    if (isFromPrimary) {
-      this.positions.observe(shown.sentAtMs, shown.position);
-    }
+    if (!isFromPrimary) return;
+    // A primary that shows less than before has lost its log.
+    const {primaryShown} = this;
+    const isLess =
+      primaryShown !== undefined &&
+      comparePositions(shown.position, primaryShown) < 0;
+    if (isLess) return;
+    this.primaryShown = shown.position;
+    this.positions.observe(shown.sentAtMs, shown.position);
   }
 
   /** The position that every read must at least have, if any is known. */
