Hold the old primary as well once an instance was ordered to lead

The first target may lead unseen by the coordinator and acknowledge commits with the old primary, which has stepped down, is not held, and follows it. The second order then promoted a third instance that has "all that the old primary had": an acknowledged commit is lost.

Change: once an instance was ordered, every instance of the group is told to step down and held, the old primary too, and is a candidate; all but one must report, counting an old primary that is gone (a commit lies on two instances, whichever led).

--- a/packages/decisions/src/core/primary-change/choose-target.ts
+++ b/packages/decisions/src/core/primary-change/choose-target.ts
@@ -14,14 +14,22 @@
 
 /** What is known when a target is chosen. */
 export interface TargetInputs {
-  /** Replicas that have not been removed from the directory. */
+  /**
+   * Replicas that have not been removed from the directory; once an instance
+   * was ordered to lead, the old primary as well, because it may have followed.
+   */
   readonly replicas: readonly PromotionCandidate[];
   /** What the old primary said after it stepped down, if it did. */
   readonly oldPrimary: ReplicationReport | undefined;
   /** Whether commits wait for a replica; otherwise any may be lost. */
   readonly isReplicated: boolean;
+  /** Instances that may hold commits and are not among the replicas, once an instance was ordered to lead. */
+  readonly absentSinceOrder?: number | undefined;
 }
 
+/** Instances that hold an acknowledged commit: its primary and one replica. */
+const COPIES = 2;
+
 /**
  * Chooses the instance that leads next.
  *
@@ -31,6 +39,9 @@
  * only safe if the old primary itself has stepped down and the target has all
  * that the old primary had.
  *
+ * Once an instance was ordered to lead, it may have acknowledged commits with
+ * any other one, the old primary included. Then all but one have to report.
+ *
  * @param inputs - What is known.
  * @returns The target, or why the change has to wait.
  */
@@ -40,6 +51,11 @@
   if (best === undefined) return wait('no replica has reported');
   if (reported.length === inputs.replicas.length) return promote(best);
   if (!inputs.isReplicated) return promote(best);
+  if (inputs.absentSinceOrder !== undefined) {
+    const silent = inputs.replicas.length - reported.length;
+    const isSafe = silent + inputs.absentSinceOrder < COPIES;
+    return isSafe ? promote(best) : wait('two instances are out of reach');
+  }
   const old = inputs.oldPrimary;
   if (old === undefined) return wait('a replica is out of reach');
   const hasAll = comparePositions(best.report.received, old.received) >= 0;
--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -80,8 +80,8 @@
     if (known === undefined) throw new Error('The group has no record.');
     this.countStep('begun');
     this.log('A change of primary begins.', {reason: this.reason});
-    if (await this.adoptExistingPrimary(known)) return;
     this.failedOrders = known.record.orders ?? 0;
+    if (await this.adoptExistingPrimary(known)) return;
     try {
       const announced = await this.announce(known);
       if (this.reason === ChangeReason.Leaving) {
@@ -168,6 +168,13 @@
     const missing = this.replicas(known).filter(
       instance => !this.isHeld(instance),
     );
+    // One that was ordered to lead does not stop by being held.
+    if (this.wasOrdered) {
+      await this.askAll(missing, {
+        kind: CommandKind.StepDown,
+        term: this.nextTerm(known),
+      });
+    }
     const reports = await this.askAll(missing, {
       kind: CommandKind.HoldTerm,
       term: this.nextTerm(known),
@@ -208,6 +215,7 @@
         replicas: this.candidates(known),
         oldPrimary: this.oldReport,
         isReplicated: this.isReplicated,
+        absentSinceOrder: this.absentSinceOrder(known),
       });
       if (choice.kind === 'promote') {
         await this.awaitViews();
@@ -222,7 +230,8 @@
           shownReason = choice.reason;
           this.log('The change of primary waits.', {waitsFor: choice.reason});
         }
-        if (this.oldReport === undefined) await this.stepDown(known);
+        const isAsked = this.oldReport !== undefined || this.wasOrdered;
+        if (!isAsked) await this.stepDown(known);
       }
       await sleep(ASK_AGAIN_MS);
       this.checkStillCoordinating();
@@ -237,6 +246,7 @@
   private beginAgain(known: KnownRecord): Promise<KnownRecord> {
     this.failedOrders += 1;
     this.reports.clear();
+    this.oldReport = undefined;
     return this.announce(known);
   }
 
@@ -323,11 +333,26 @@
     return reports.filter(report => report !== undefined);
   }
 
-  /** Every instance that may hold acknowledged commits, but the old primary. */
+  /**
+   * Every instance that may hold acknowledged commits, but the old primary
+   * unless it may have followed another one since.
+   */
   private replicas(known: KnownRecord): RegisteredInstance[] {
-    return this.context.directory
-      .ofGroup(this.group.name)
-      .filter(({id}) => id !== known.record.primary);
+    const instances = this.context.directory.ofGroup(this.group.name);
+    if (this.wasOrdered) return instances;
+    return instances.filter(({id}) => id !== known.record.primary);
+  }
+
+  /** Whether an instance may have led since the old primary. */
+  private get wasOrdered(): boolean {
+    return this.failedOrders > 0;
+  }
+
+  /** Counts the old primary if an instance may have led since, and it is gone. */
+  private absentSinceOrder(known: KnownRecord): number | undefined {
+    if (!this.wasOrdered) return undefined;
+    const old = this.context.directory.find(known.record.primary);
+    return Number(old === undefined);
   }
 
   /** A replica that has started again since it was held is held anew first. */
--- /dev/null
+++ b/packages/gateway/test/coordinator/repeated-order.test.ts
@@ -0,0 +1,130 @@
+import type {PrimaryRecord} from '@sapphireglade/decisions';
+import {PrimaryPhase} from '@sapphireglade/decisions';
+import {createSilentLogger} from '@sapphireglade/runtime';
+import {describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'earl';
+import {
+  ChangeReason,
+  PrimaryChange,
+} from '../../src/core/coordinator/primary-change.js';
+import type {ChangeContext, Promotion} from '../../src/index.js';
+import {
+  ConfigurationHolder,
+  ControlConnections,
+  COORDINATOR_KEY,
+  DatabaseGroup,
+  GatewayMetrics,
+  InstanceDirectory,
+  KnownProxies,
+  Members,
+  PromotionAnswer,
+  PromotionService,
+  recordKey,
+  Releases,
+} from '../../src/index.js';
+import {MemoryConnector} from '../support/memory-connector.js';
+import {MemoryGroup} from '../support/memory-group.js';
+import {MemoryStore, MemoryStoreState} from '../support/memory-store.js';
+
+const GROUP = 'ledger';
+const SELF = 'proxy-1';
+
+/** Long enough for two orders, in milliseconds. */
+const TWO_ORDERS_MS = 8_000;
+
+/** Carries orders out, and lets the test act on the first of them. */
+class StruckPromotions extends PromotionService {
+  readonly orders: Promotion[] = [];
+
+  constructor(
+    private readonly group: MemoryGroup,
+    private readonly onFirst: (target: string) => void,
+  ) {
+    super();
+  }
+
+  override promote(promotion: Promotion): Promise<PromotionAnswer> {
+    this.orders.push(promotion);
+    if (this.orders.length === 1) this.onFirst(promotion.instance);
+    this.group.promote(promotion.instance, promotion.fencingToken);
+    return Promise.resolve(PromotionAnswer.Accepted);
+  }
+}
+
+describe('a change of primary in which an instance was ordered twice', () => {
+  it('loses nothing that was acknowledged by the first target, which the coordinator cannot reach', async () => {
+    const state = new MemoryStoreState();
+    const group = new MemoryGroup(GROUP, 3);
+    const [old, first, other] = group.instances;
+    const view = new DatabaseGroup(GROUP);
+    const log = createSilentLogger();
+    const store = new MemoryStore(state);
+    const directory = new InstanceDirectory(log);
+    for (const {id} of group.instances) {
+      directory.register({
+        id,
+        group: GROUP,
+        host: 'memory',
+        port: 1,
+        availabilityZone: 'zone-0',
+        isLeaving: false,
+        claimsPrimary: false,
+        slots: 3,
+        bornAtMs: 1,
+      });
+    }
+    state.put(COORDINATOR_KEY, SELF);
+    let coordinatorRevision = state.revision;
+    const promotions = new StruckPromotions(group, target => {
+      expect(target).toEqual(first!.id);
+      group.cut(SELF, first!.id);
+      group.cut(first!.id, other!.id);
+    });
+    const connector = new MemoryConnector(SELF, new Map([[GROUP, group]]));
+    const context = {
+      self: SELF,
+      store,
+      directory,
+      promotions,
+      configuration: new ConfigurationHolder(log),
+      members: new Members(log),
+      knownProxies: new KnownProxies(),
+      releases: new Releases(SELF, store, undefined as never, log),
+      control: new ControlConnections(connector, log),
+      coordinatorRevision: () => coordinatorRevision,
+      followedRevision: () => state.revision,
+      metrics: new GatewayMetrics(),
+      log,
+    } as Partial<ChangeContext> as ChangeContext;
+    const record: PrimaryRecord = {
+      term: 1,
+      primary: old!.id,
+      phase: PrimaryPhase.Steady,
+    };
+    state.put(recordKey(GROUP), JSON.stringify(record));
+    view.learnRecord({record, revision: state.revision});
+
+    const change = new PrimaryChange(context, view, ChangeReason.Unusable)
+      .run()
+      .catch((error: Error) => error);
+    try {
+      while (!first!.isPrimary) await sleep(5);
+      // The old primary has stepped down, is not held, and follows.
+      const entry = await group.commit(first!, 'write');
+      expect(entry !== undefined).toEqual(true);
+      group.acknowledged.set('write', {
+        atMs: performance.now(),
+        position: entry!.position,
+      });
+      await sleep(TWO_ORDERS_MS);
+    } finally {
+      coordinatorRevision = 0;
+      await change;
+      context.control.closeAll();
+      group.close();
+      state.close();
+    }
+    expect(group.lost).toEqual([]);
+  });
+});
