Forget observed positions after a suspension of the machine

A proxy that wakes after seconds took a position from before as a moment old, and served reads with it at replicas that lag.

Change: where the time of day has run ahead of the steady clock, what was observed before is forgotten, and answers to questions from before are not taken in. A time of day that jumps ahead has the same effect and costs a question to the primary; one that is set back has none.

Two cases of observed-positions.test.ts; the first fails before (nothing forgot).

--- a/packages/decisions/src/core/instance-choice/observed-positions.ts
+++ b/packages/decisions/src/core/instance-choice/observed-positions.ts
@@ -1,11 +1,15 @@
 import type {LogPosition} from '../groups/index.js';
 import {comparePositions} from '../groups/index.js';
+import type {ClockReading} from '../primary-change/index.js';
 import type {ObservedPosition} from './types.js';
 import {PositionSource} from './types.js';
 
 /** Least distance between two kept observations, in milliseconds. */
 const RESOLUTION_MS = 20;
 
+/** Least suspension that makes times of the steady clock count as wrong, in milliseconds. */
+const SUSPENSION_MS = 15;
+
 /** Most bounds that are kept; one is enough for the reads of its time. */
 const MAXIMUM_BOUNDS = 8;
 
@@ -24,6 +28,9 @@
   /** What all replicas together showed, where the primary could not be asked. */
   private bounds: ObservedPosition[] = [];
   private highest: LogPosition | undefined;
+  private lastReading: ClockReading | undefined;
+  /** Times of the steady clock before this one are longer ago than they seem. */
+  private comparableFromMs = -Infinity;
 
   /** The highest position that any instance has shown. */
   get highestSeen(): LogPosition | undefined {
@@ -43,6 +50,24 @@
     this.highest = position;
   }
 
+  /**
+   * Forgets what was observed before a suspension of the machine, during which
+   * the steady clock stands still. The time of day may jump as well; then
+   * positions are only asked for anew.
+   *
+   * @param now - What the clocks show.
+   */
+  passTime(now: ClockReading): void {
+    const last = this.lastReading;
+    this.lastReading = now;
+    if (last === undefined) return;
+    const steadyMs = now.steadyMs - last.steadyMs;
+    if (now.wallMs - last.wallMs - steadyMs < SUSPENSION_MS) return;
+    this.comparableFromMs = now.steadyMs;
+    this.observations = [];
+    this.bounds = [];
+  }
+
   /**
    * Takes a position in that the primary showed, or that was recorded of it.
    *
@@ -56,6 +81,7 @@
     source: PositionSource = PositionSource.Primary,
   ): void {
     this.seen(position);
+    if (sentAtMs < this.comparableFromMs) return;
     const last = this.observations.at(-1);
     if (last !== undefined && sentAtMs <= last.sentAtMs) return;
     const previous = this.observations.at(-2);
@@ -78,6 +104,7 @@
    * @param position - The position.
    */
   bound(askedAtMs: number, position: LogPosition): void {
+    if (askedAtMs < this.comparableFromMs) return;
     const source = PositionSource.Survey;
     this.bounds.push({sentAtMs: askedAtMs, position, source});
     this.bounds = this.bounds.slice(-MAXIMUM_BOUNDS);
--- a/packages/decisions/test/instance-choice/observed-positions.test.ts
+++ b/packages/decisions/test/instance-choice/observed-positions.test.ts
@@ -53,6 +53,33 @@
     });
   });
 
+  it('forgets what was observed before the machine was suspended', () => {
+    const positions = new ObservedPositions();
+    const position = {term: 1, position: 5};
+    positions.passTime({steadyMs: 1_000, wallMs: 50_000});
+    positions.observe(1_000, position);
+    positions.bound(1_000, position);
+    positions.passTime({steadyMs: 1_010, wallMs: 53_000});
+    expect(positions.positionFor(900)).toEqual(undefined);
+
+    // Answers to questions that were sent before it say as little.
+    positions.observe(1_005, position);
+    positions.bound(1_005, position);
+    expect(positions.positionFor(900)).toEqual(undefined);
+    positions.observe(1_011, position);
+    expect(positions.positionFor(900)?.position).toEqual(position);
+  });
+
+  it('keeps what was observed while both clocks ran, or the time of day was set back', () => {
+    const positions = new ObservedPositions();
+    const position = {term: 1, position: 5};
+    positions.passTime({steadyMs: 1_000, wallMs: 50_000});
+    positions.observe(1_000, position);
+    positions.passTime({steadyMs: 3_000, wallMs: 52_000});
+    positions.passTime({steadyMs: 3_010, wallMs: 48_000});
+    expect(positions.positionFor(900)?.position).toEqual(position);
+  });
+
   it('keeps the highest position of any instance', () => {
     const positions = new ObservedPositions();
     positions.seen({term: 2, position: 1});
--- a/packages/gateway/src/core/groups/commit-surveys.ts
+++ b/packages/gateway/src/core/groups/commit-surveys.ts
@@ -65,7 +65,7 @@
     const {current} = this.configuration;
     const isReplicated = current?.groups.get(group.name)?.isReplicated === true;
     const bound = commitBound({received, missing, isReplicated});
-    if (bound !== undefined) group.positions.bound(sentAtMs, bound);
+    if (bound !== undefined) group.learnBound(sentAtMs, bound);
     else this.failedAtMs.set(group, steadyNow());
     this.log.info('Replicas were asked what has been acknowledged.', {
       group: group.name,
--- a/packages/gateway/src/core/groups/database-group.ts
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -2,6 +2,7 @@
   ClockReading,
   InstanceOption,
   LogPosition,
+  ObservedPosition,
   ViewConfirmation,
 } from '@sapphireglade/decisions';
 import {
@@ -148,6 +149,7 @@
   private observeRecorded(position: LogPosition): void {
     if (this.unreplacedAt === undefined) return;
     const now = readClocks();
+    this.positions.passTime(now);
     const sinceMs = elapsedMs(this.unreplacedAt, now);
     this.positions.observe(
       now.steadyMs - sinceMs,
@@ -285,6 +287,7 @@
 
   /** Takes in a position that one instance showed. */
   private learnPosition(id: string, shown: ShownPosition): void {
+    this.positions.passTime(readClocks());
     this.positions.seen(shown.position);
     // One that was asked before may have lagged behind the primary of that time.
     const wasPrimary = shown.sentAtMs >= this.primarySinceMs;
@@ -306,6 +309,23 @@
     this.positions.observe(shown.sentAtMs, shown.position);
   }
 
+  /**
+   * Finds the position that makes a replica fresh enough.
+   *
+   * @param notBeforeMs - Commits acknowledged before this time of the steady
+   *   clock must be held.
+   */
+  freshPosition(notBeforeMs: number): ObservedPosition | undefined {
+    this.positions.passTime(readClocks());
+    return this.positions.positionFor(notBeforeMs);
+  }
+
+  /** Takes in a position that holds what was acknowledged before a survey. */
+  learnBound(askedAtMs: number, position: LogPosition): void {
+    this.positions.passTime(readClocks());
+    this.positions.bound(askedAtMs, position);
+  }
+
   /** The position that every read must at least have, if any is known. */
   floorWith(position: LogPosition | undefined): LogPosition | undefined {
     const newest = this.positions.newest?.position;
--- a/packages/gateway/src/core/sessions/instance-selection.ts
+++ b/packages/gateway/src/core/sessions/instance-selection.ts
@@ -85,7 +85,7 @@
   if (route.consistency === ReadConsistency.Primary) return undefined;
   const notBeforeMs =
     startedAtMs - Math.max(0, route.maximumStalenessMs - STALENESS_MARGIN_MS);
-  return group.positions.positionFor(notBeforeMs);
+  return group.freshPosition(notBeforeMs);
 }
 
 /** The newer of two positions, if any is known. */
