Do not confirm a found primary by a store that does not name it

A change that is announced anew waits for proxies that have let go only until proofs have run out, so the view could outlive the next promotion.

Change: answers and renewals confirm a view only if the store names the primary in force; otherwise only proofs by the instances do. The case in database-group.test.ts ("is not confirmed by answers and renewals of the store") fails before.

--- a/packages/gateway/src/core/groups/database-group.ts
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -192,12 +192,25 @@
 
   /** Takes in that an answer of the store proved the record to be the newest. */
   confirm(sentAt: ClockReading): void {
-    this.confirmation.confirm(sentAt);
+    if (!this.isFound) this.confirmation.confirm(sentAt);
     const {target, orders = 0} = this.known?.record ?? {};
     const mayBeReplaced = target !== undefined || orders > 0;
     if (!mayBeReplaced) this.noteUnreplaced(sentAt);
   }
 
+  /** Takes in that the lease for views was renewed. */
+  renewed(sentAt: ClockReading): void {
+    if (!this.isFound) this.prolong(sentAt);
+  }
+
+  /**
+   * Whether the instances show another primary than the store. A change that
+   * is announced anew does not wait for a lease then, only for proofs to run out.
+   */
+  private get isFound(): boolean {
+    return this.known !== this.stored;
+  }
+
   /** Prolongs a view that still counted when the question was sent. */
   prolong(sentAt: ClockReading): void {
     if (!this.confirmation.isValid(sentAt)) return;
--- a/packages/gateway/src/core/groups/group-registry.ts
+++ b/packages/gateway/src/core/groups/group-registry.ts
@@ -92,7 +92,7 @@
 
   /** Prolongs every view that still counted when the question was sent. */
   prolongAll(sentAt: ClockReading): void {
-    for (const group of this.groups.values()) group.prolong(sentAt);
+    for (const group of this.groups.values()) group.renewed(sentAt);
   }
 
   /** Brings pools and shares in line with what is declared, registered and owned. */
--- a/packages/gateway/test/groups/database-group.test.ts
+++ b/packages/gateway/test/groups/database-group.test.ts
@@ -116,7 +116,7 @@
       group.confirm(before(900));
       group.learnRecord({record: ANNOUNCED, revision: 11});
       const letGoAtMs = performance.now();
-      group.prolong(before(0));
+      group.renewed(before(0));
       group.learnRecord({record: TARGET_CHOSEN, revision: 12});
 
       expect(group.positions.positionFor(letGoAtMs)).toEqual(undefined);
@@ -165,6 +165,24 @@
     });
   });
 
+  describe('an instance found to lead that the store does not name', () => {
+    it('is not confirmed by answers and renewals of the store', () => {
+      const group = new DatabaseGroup('ledger');
+      group.learnRecord({record: {...ANNOUNCED, orders: 1}, revision: 13});
+      const provenAt = before(700);
+      group.learnLeader(2, 'new', provenAt);
+
+      group.confirm(before(100));
+      group.renewed(before(0));
+      const {confirmation} = group;
+      const ageMs = confirmation.ageMs(before(0));
+      expect(ageMs >= 700 - ROUNDING_MS).toEqual(true);
+
+      group.prolong(before(50));
+      expect(confirmation.ageMs(before(0)) < 700).toEqual(true);
+    });
+  });
+
   describe('an answer of an instance that was asked as a replica', () => {
     it('does not speak for the primary that it has become', () => {
       const group = new DatabaseGroup('ledger');
