Take no instance of a lower term than one that has led for the primary

The case in database-group.test.ts ("does not let an earlier one be found to lead again") fails before.

--- a/packages/gateway/src/core/groups/database-group.ts
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -165,6 +165,7 @@
    */
   learnLeader(term: number, primary: string, sentAt: ClockReading): void {
     if (this.known === undefined || term <= this.known.record.term) return;
+    if (term < this.ledTerm) return;
     const record = {term, primary, phase: PrimaryPhase.Steady};
     this.known = {record, revision: this.known.revision};
     this.ledTerm = term;
--- a/packages/gateway/test/groups/database-group.test.ts
+++ b/packages/gateway/test/groups/database-group.test.ts
@@ -135,6 +135,17 @@
       expect(group.storedRecord?.revision).toEqual(14);
     });
 
+    it('does not let an earlier one be found to lead again', () => {
+      const group = new DatabaseGroup('ledger');
+      group.learnRecord({record: STEADY, revision: 10});
+      group.learnLeader(3, 'third', before(0));
+      group.learnRecord({record: {...ANNOUNCED, orders: 1}, revision: 13});
+
+      group.learnLeader(2, 'new', before(0));
+
+      expect(group.usablePrimary()).toEqual(PrimaryProblem.Changing);
+    });
+
     it('still takes the primary out of use if a change is announced', () => {
       const group = new DatabaseGroup('ledger');
       group.learnRecord({record: STEADY, revision: 10});
