Keep the logs of the processes of a failed test

Change: under the test runner the folder of a fleet stays until the verdict on its test file is known. The runner removes those of files that passed and prints the path of the others. A stand-in that is not up shows the end of its log, as a proxy does, and the test of the zone shows what was seen last. No bound and no check of a test changes.

--- a/packages/proxy/test/process/cut-off-zone.test.ts
+++ b/packages/proxy/test/process/cut-off-zone.test.ts
@@ -1,5 +1,5 @@
 import {after, before, describe, it} from 'node:test';
-import type {AnswerError} from '@sapphireglade/protocol';
+import type {AnswerError, ZoneInForce} from '@sapphireglade/protocol';
 import {Fleet, waitUntil} from '@sapphireglade/stand-ins';
 import {expect} from 'earl';
 import {
@@ -43,14 +43,7 @@
     await cut(fleet);
     const revision = await changeAllowedAge(fleet, from, 1_111);
     await waitUntilApplied(fleet, outside, revision);
-    await waitUntil(
-      'the zone is unconfirmed at the others',
-      async () => {
-        const zone = await zoneAt(fleet, from);
-        return zone?.unconfirmedSince !== null && zone?.revision === 1;
-      },
-      SHOWN_TIMEOUT_MS,
-    );
+    await expectUnconfirmed(fleet, from);
     for (const vm of inside) await expectRead(fleet, vm);
 
     await fleet.relayControl.put('/conditions', {});
@@ -63,6 +56,24 @@
   });
 });
 
+/** A proxy outside shows the zone as unconfirmed, with what it had. */
+async function expectUnconfirmed(fleet: Fleet, vm: string): Promise<void> {
+  let seen: ZoneInForce | undefined;
+  try {
+    await waitUntil(
+      'the zone is unconfirmed at the others',
+      async () => {
+        seen = await zoneAt(fleet, vm);
+        return seen?.unconfirmedSince !== null && seen?.revision === 1;
+      },
+      SHOWN_TIMEOUT_MS,
+    );
+  } catch (error) {
+    const {message} = error as Error;
+    throw new Error(`${message} ${JSON.stringify(seen)}`, {cause: error});
+  }
+}
+
 /** Lets every byte between the zone and the others vanish, both ways. */
 async function cut(fleet: Fleet): Promise<void> {
   const others = fleet.plan.deployment.zones
@@ -78,9 +89,7 @@
 async function zoneAt(
   fleet: Fleet,
   vm: string,
-): Promise<
-  {revision: number | null; unconfirmedSince: string | null} | undefined
-> {
+): Promise<ZoneInForce | undefined> {
   const {zones} = await operatorOf(fleet, vm).status();
   return zones.find(({zone}) => zone === CUT_ZONE);
 }
--- a/packages/stand-ins/src/core/fleet/fleet.ts
+++ b/packages/stand-ins/src/core/fleet/fleet.ts
@@ -1,13 +1,11 @@
-import {mkdtempSync, rmSync} from 'node:fs';
-import {tmpdir} from 'node:os';
-import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {request} from 'undici';
 import {CallerClient} from './caller-client.js';
 import {ControlClient} from './control-client.js';
 import type {Deployment} from './deployment-schema.js';
+import {createFleetFolder, removeFleetFolder} from './fleet-folder.js';
 import {FleetProcess} from './fleet-process.js';
-import type {FleetPlan, PlannedProcess} from './fleet-plan.js';
+import type {FleetPlan, PlannedInstance, PlannedProcess} from './fleet-plan.js';
 import {FLEET_PORTS, planFleet} from './fleet-plan.js';
 import {createResources, keyOf} from './fleet-resources.js';
 import {
@@ -63,7 +61,7 @@
     const network = await LoopbackNetwork.reserve();
     const usesRelay = options.usesRelay ?? false;
     const plan = planFleet(options.deployment, network, usesRelay);
-    const folder = mkdtempSync(join(tmpdir(), 'sapphireglade-'));
+    const folder = createFleetFolder('sapphireglade-');
     const fleet = new Fleet(plan, network, options, folder);
     try {
       await fleet.startPlatform();
@@ -148,26 +146,17 @@
   /** Waits until a proxy takes requests. */
   async waitUntilReady(vm: string): Promise<void> {
     const origin = this.proxyOrigin(vm, 'caller');
-    try {
-      await waitUntil(
-        `${vm} is ready`,
-        () => isOk(`${origin}/readyz`),
-        READY_TIMEOUT_MS,
-      );
-    } catch (error) {
-      const log = this.process(vm).readLog();
-      throw new Error(`${(error as Error).message}\n${log}`, {cause: error});
-    }
+    await this.waitUntilOk(vm, `${vm} is ready`, `${origin}/readyz`);
   }
 
-  /** Ends every process and removes the settings and logs. */
+  /** Ends every process and removes the settings and logs, unless they are kept. */
   async stop(): Promise<void> {
     await Promise.all(this.clients.map(client => client.close()));
     await Promise.all([...this.processes.values()].map(child => child.kill()));
     this.guard.close();
     this.network.release();
     if (this.options.keepsFolder === true) return;
-    rmSync(this.folder, {recursive: true, force: true});
+    removeFleetFolder(this.folder);
   }
 
   private async startPlatform(): Promise<void> {
@@ -176,25 +165,42 @@
     this.startStandIn('store', storeSettings(plan));
     this.startStandIn('vm-list', vmListSettings(plan));
     for (const instance of plan.instances) {
-      const name = `${instance.group}/${instance.name}`;
       const settings = instanceSettings(plan, instance);
-      this.startStandIn('instance', settings, name);
+      this.startStandIn('instance', settings, processOf(instance));
     }
-    const platform = [plan.store, plan.vmList, ...plan.instances];
-    await Promise.all(platform.map(planned => this.waitForStandIn(planned)));
+    await Promise.all([
+      this.waitForStandIn('store', plan.store),
+      this.waitForStandIn('vm-list', plan.vmList),
+      ...plan.instances.map(instance =>
+        this.waitForStandIn(processOf(instance), instance),
+      ),
+    ]);
     await seedConfiguration(
       originOf(plan.store.address, FLEET_PORTS.service),
       createResources(plan),
     );
   }
 
-  private async waitForStandIn(planned: PlannedProcess): Promise<void> {
+  private async waitForStandIn(
+    name: string,
+    planned: PlannedProcess,
+  ): Promise<void> {
     const origin = originOf(planned.address, FLEET_PORTS.control);
-    await waitUntil(
-      `${planned.name} is up`,
-      () => isOk(`${origin}/faults`),
-      READY_TIMEOUT_MS,
-    );
+    await this.waitUntilOk(name, `${name} is up`, `${origin}/faults`);
+  }
+
+  /** Waits until a process answers; the error shows the end of its log. */
+  private async waitUntilOk(
+    name: string,
+    what: string,
+    url: string,
+  ): Promise<void> {
+    try {
+      await waitUntil(what, () => isOk(url), READY_TIMEOUT_MS);
+    } catch (error) {
+      const log = this.process(name).readLog();
+      throw new Error(`${(error as Error).message}\n${log}`, {cause: error});
+    }
   }
 
   private async startProxies(): Promise<void> {
@@ -240,6 +246,11 @@
   }
 }
 
+/** Name of the process of an instance. */
+function processOf({group, name}: PlannedInstance): string {
+  return `${group}/${name}`;
+}
+
 function controlOf(
   planned: PlannedProcess | undefined,
   name: string,
--- a/packages/stand-ins/src/core/fleet/index.ts
+++ b/packages/stand-ins/src/core/fleet/index.ts
@@ -7,6 +7,7 @@
 export * from './load-deployment.js';
 export type {FleetPlan, PlannedInstance, PlannedProcess} from './fleet-plan.js';
 export {callersOf, FLEET_PORTS, planFleet} from './fleet-plan.js';
+export * from './fleet-folder.js';
 export {FleetProcess} from './fleet-process.js';
 export {createResources, FLEET_OPERATOR, keyOf} from './fleet-resources.js';
 export {listVms} from './fleet-settings.js';
--- a/packages/stand-ins/test/fleet.test.ts
+++ b/packages/stand-ins/test/fleet.test.ts
@@ -1,13 +1,18 @@
 import {spawn} from 'node:child_process';
 import {once} from 'node:events';
-import {describe, it} from 'node:test';
+import {existsSync, mkdtempSync, readdirSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {afterEach, describe, it} from 'node:test';
 import {expect} from 'earl';
 import {
+  createFleetFolder,
   deploymentSchema,
   loadExample,
   LoopbackNetwork,
   planFleet,
   ProcessGuard,
+  removeFleetFolder,
   runGuard,
   waitUntil,
 } from '../src/index.js';
@@ -68,6 +73,33 @@
   });
 });
 
+describe('the folder of a fleet', () => {
+  const variable = 'SAPPHIREGLADE_TEST_LOGS';
+  const before = process.env[variable];
+  afterEach(() => {
+    if (before === undefined) delete process.env[variable];
+    else process.env[variable] = before;
+  });
+
+  it('is removed with the fleet where no runner keeps logs', () => {
+    delete process.env[variable];
+    const folder = createFleetFolder('fleet-');
+    removeFleetFolder(folder);
+    expect(existsSync(folder)).toEqual(false);
+  });
+
+  it('stays under the test runner, with the name of the test file', () => {
+    const kept = mkdtempSync(join(tmpdir(), 'kept-'));
+    process.env[variable] = kept;
+    const folder = createFleetFolder('fleet-');
+    removeFleetFolder(folder);
+    const [name = ''] = readdirSync(kept);
+    rmSync(kept, {recursive: true});
+    expect(join(kept, name)).toEqual(folder);
+    expect(name.startsWith('fleet.test.js-')).toEqual(true);
+  });
+});
+
 describe('ProcessGuard', () => {
   it('ends the processes that still run when the launcher is gone', async () => {
     const child = spawn(process.execPath, [
--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -1,13 +1,20 @@
 /**
  * Runs every compiled test file with the test runner of Node.js. Failures
  * that KNOWN-RED.txt names by test name are printed and passed over; any other
- * failure ends the run with exit code 1.
+ * failure ends the run with exit code 1. The logs of the processes that a test
+ * file started are kept if a test of it failed.
  *
  * Usage: node scripts/run-tests.js [part of a file name ...]
  */
-import {existsSync, readdirSync, readFileSync} from 'node:fs';
-import {availableParallelism} from 'node:os';
-import {join} from 'node:path';
+import {
+  existsSync,
+  mkdtempSync,
+  readdirSync,
+  readFileSync,
+  rmSync,
+} from 'node:fs';
+import {availableParallelism, tmpdir} from 'node:os';
+import {basename, join} from 'node:path';
 import process from 'node:process';
 import {run} from 'node:test';
 import {spec} from 'node:test/reporters';
@@ -19,6 +26,9 @@
 const FILE_TIMEOUT_MS = 600_000;
 const MAXIMUM_CONCURRENCY = 3;
 
+/** Tells the test files where the logs of their processes are kept. */
+const LOGS_VARIABLE = 'SAPPHIREGLADE_TEST_LOGS';
+
 const filters = process.argv.slice(2);
 const files = findTests().filter(
   file => filters.length === 0 || filters.some(part => file.includes(part)),
@@ -30,8 +40,12 @@
 
 const knownRed = readKnownRed();
 const passedOver = [];
+const failedFiles = new Set();
 let unexpected = 0;
 
+const logFolder = mkdtempSync(join(tmpdir(), 'sapphireglade-tests-'));
+process.env[LOGS_VARIABLE] = logFolder;
+
 const stream = run({
   files,
   concurrency: Math.min(MAXIMUM_CONCURRENCY, availableParallelism()),
@@ -41,6 +55,7 @@
   const isSuite =
     event.details.type === 'suite' ||
     event.details.error?.failureType === 'subtestsFailed';
+  failedFiles.add(basename(event.file ?? event.name));
   if (isSuite) return;
   if (knownRed.has(event.name)) {
     passedOver.push(event.name);
@@ -50,6 +65,7 @@
 });
 stream.on('close', () => {
   for (const name of passedOver) console.log(`Known red, passed over: ${name}`);
+  keepLogsOfFailed();
   process.exitCode = unexpected === 0 ? 0 : 1;
 });
 stream.compose(spec).pipe(process.stdout);
@@ -71,6 +87,18 @@
     .sort();
 }
 
+/** Removes the logs of the files that passed, and names the others. */
+function keepLogsOfFailed() {
+  for (const name of readdirSync(logFolder)) {
+    const isKept = [...failedFiles].some(file => name.startsWith(`${file}-`));
+    const folder = join(logFolder, name);
+    if (isKept)
+      console.log(`Logs of the processes of a failed test: ${folder}`);
+    else rmSync(folder, {recursive: true, force: true});
+  }
+  if (readdirSync(logFolder).length === 0) rmSync(logFolder, {recursive: true});
+}
+
 /** Reads the names of tests that KNOWN-RED.txt lists, one "test:" line each. */
 function readKnownRed() {
   const path = join(ROOT, 'KNOWN-RED.txt');
