Order the reports of a zone by the hybrid clock, not by the age they seem to have

Seen while the zone that is cut off was traced: six seconds after a cut two of the four proxies outside showed the zone at revision 0, the two others at revision 1.

Cause: a report travels with its age, and the time on the way is not in it. Of two reports the one that seemed younger won, so an older one that was longer on its way replaced a newer one, and two that crossed could keep each other young. The identifier that reports got in only told arrivals of one report apart. Change: a report carries the reading of its delegate's hybrid clock instead of the identifier. The later reading wins; of two arrivals of one report the older time stays. Why it works: the order is the same at all proxies and does not depend on the way. The clocks travel in every frame, so a delegate that heard of a report stamps its own above it.

Evidence: two new cases of in-force.test.ts failed before (the late report won; two that crossed did not settle on the newer one).

--- a/packages/decisions/src/core/configuration/in-force.ts
+++ b/packages/decisions/src/core/configuration/in-force.ts
@@ -1,4 +1,6 @@
 /** Aggregates which revision is in force in each availability zone. */
+import type {HybridTimestamp} from '../clock/index.js';
+import {compareTimestamps} from '../clock/index.js';
 
 /** Silence after which a proxy no longer counts as confirmed. */
 export const CONFIRMATION_TIMEOUT_MS = 6_000;
@@ -15,8 +17,12 @@
 
 /** What a zone's delegate knows of its zone. */
 export interface ZoneReport {
-  /** Tells this report from every other one of any process. */
-  readonly id: string;
+  /**
+   * Orders the reports of a zone; no two of one process have the same. A
+   * delegate that heard of a report stamps its own above it, whatever its wall
+   * clock shows, because these clocks travel in every frame.
+   */
+  readonly madeAt: HybridTimestamp;
   readonly zone: string;
   /** The delegate that made the report. */
   readonly delegate: string;
@@ -50,7 +56,7 @@
  * @param expected - The proxies of the zone, this one included.
  * @param reports - The latest report of each proxy, by name.
  * @param nowMs - Monotonic time, in milliseconds.
- * @param id - Identifier of the report.
+ * @param madeAt - The delegate's hybrid clock, advanced for the report.
  */
 export function summarizeZone(
   zone: string,
@@ -58,7 +64,7 @@
   expected: readonly ExpectedMember[],
   reports: ReadonlyMap<string, MemberReport>,
   nowMs: number,
-  id: string,
+  madeAt: HybridTimestamp,
 ): ZoneReport {
   const revisions: number[] = [];
   let silentMs = 0;
@@ -68,7 +74,7 @@
     silentMs = Math.max(silentMs, nowMs - (report?.atMs ?? sinceMs));
   }
   return {
-    id,
+    madeAt,
     zone,
     delegate,
     revision: revisions.length === 0 ? null : Math.min(...revisions),
@@ -82,17 +88,30 @@
  * durations, not times of day, so the clocks of two proxies never meet.
  *
  * The time on the way is not known, so each arrival makes a report seem younger
- * than it is. Of two arrivals of one report the older time is closer to the
- * truth; else proxies that tell it each other would keep it young for ever.
+ * than it is. The order of reports is therefore not that of their ages: an older
+ * one that was longer on its way would replace a newer one. Of two arrivals of
+ * one report the older time is closer to the truth; else proxies that tell it
+ * each other would keep it young for ever.
+ *
+ * @param known - What is known; nothing if this is the first.
+ * @param update - What arrived.
+ * @returns One of both.
  */
 export function newerKnowledge(
   known: ZoneKnowledge | undefined,
   update: ZoneKnowledge,
 ): ZoneKnowledge {
   if (known === undefined) return update;
-  const isSame = update.report.id === known.report.id;
-  const isNewer = update.atMs >= known.atMs;
-  return isSame === isNewer ? known : update;
+  const order = compareReports(update.report, known.report);
+  if (order === 0) return update.atMs < known.atMs ? update : known;
+  return order > 0 ? update : known;
+}
+
+/** Orders two reports of a zone; zero if they are the same. */
+function compareReports(left: ZoneReport, right: ZoneReport): number {
+  const order = compareTimestamps(left.madeAt, right.madeAt);
+  if (order !== 0 || left.delegate === right.delegate) return order;
+  return left.delegate < right.delegate ? -1 : 1;
 }
 
 /**
--- a/packages/decisions/test/configuration/in-force.test.ts
+++ b/packages/decisions/test/configuration/in-force.test.ts
@@ -1,6 +1,10 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import type {MemberReport, ZoneKnowledge} from '../../src/index.js';
+import type {
+  HybridTimestamp,
+  MemberReport,
+  ZoneKnowledge,
+} from '../../src/index.js';
 import {
   collectPage,
   CONFIRMATION_TIMEOUT_MS,
@@ -12,6 +16,7 @@
 } from '../../src/index.js';
 
 const NOW_MS = 100_000;
+const MADE_AT: HybridTimestamp = {wallMs: 1, counter: 0};
 const SILENT_MS = CONFIRMATION_TIMEOUT_MS + 1;
 const EXPECTED = ['a', 'b'].map(name => ({name, sinceMs: 0}));
 
@@ -45,9 +50,16 @@
   for (const {name, reports, ...expected} of cases) {
     it(`${name}`, () => {
       const byName = new Map(reports.map(entry => [entry.member, entry]));
-      const summary = summarizeZone('z', 'a', EXPECTED, byName, NOW_MS, 'r');
+      const summary = summarizeZone(
+        'z',
+        'a',
+        EXPECTED,
+        byName,
+        NOW_MS,
+        MADE_AT,
+      );
       expect(summary).toEqual({
-        id: 'r',
+        madeAt: MADE_AT,
         zone: 'z',
         delegate: 'a',
         members: 2,
@@ -63,7 +75,7 @@
       EXPECTED,
       new Map(['a', 'b'].map(name => [name, report(name, 5, 0)])),
       NOW_MS,
-      'r',
+      MADE_AT,
     );
     const knowledge = {report: summary, atMs: NOW_MS};
     const laterMs = NOW_MS + SILENT_MS;
@@ -78,9 +90,10 @@
 describe('knowledge of a zone that proxies pass on', () => {
   const members = new Map(['a', 'b'].map(name => [name, report(name, 5, 0)]));
 
-  /** A report that was made at a time. */
-  function madeAt(atMs: number, id: string): ZoneKnowledge {
-    const made = summarizeZone('z', 'a', EXPECTED, members, atMs, id);
+  /** A report that was made at a time, by one process unless others are named. */
+  function madeAt(atMs: number, delegate = 'a'): ZoneKnowledge {
+    const stamp = {wallMs: atMs, counter: 0};
+    const made = summarizeZone('z', delegate, EXPECTED, members, atMs, stamp);
     return {report: made, atMs};
   }
 
@@ -96,7 +109,7 @@
 
   it('does not grow younger on its way, however often it is passed on', () => {
     const wayMs = 400;
-    const first = madeAt(NOW_MS, 'r');
+    const first = madeAt(NOW_MS);
     let left = first;
     let right = passOn(first, NOW_MS, wayMs);
     const rounds = CONFIRMATION_TIMEOUT_MS / 1_000 + 1;
@@ -110,9 +123,43 @@
     expect(unconfirmedForMs(right, endMs)).toEqual(rounds * 1_000 - wayMs);
   });
 
+  it('is not replaced by an older report that was longer on its way', () => {
+    const older = madeAt(NOW_MS);
+    const newer = madeAt(NOW_MS + 5);
+    const late = passOn(older, NOW_MS + 10, 400);
+    expect(newerKnowledge(newer, late)).toEqual(newer);
+    expect(newerKnowledge(late, newer)).toEqual(newer);
+  });
+
+  it('does not stay young by two reports that cross again and again', () => {
+    const wayMs = 400;
+    let left = madeAt(NOW_MS);
+    let right = madeAt(NOW_MS + 5);
+    const newer = right;
+    const rounds = CONFIRMATION_TIMEOUT_MS / 1_000 + 1;
+    for (let round = 1; round <= rounds; round += 1) {
+      const sentAtMs = NOW_MS + round * 1_000 - wayMs;
+      const toLeft = passOn(right, sentAtMs, wayMs);
+      const toRight = passOn(left, sentAtMs, wayMs);
+      left = newerKnowledge(left, toLeft);
+      right = newerKnowledge(right, toRight);
+    }
+    const endMs = NOW_MS + rounds * 1_000;
+    expect([left.report, right.report]).toEqual([newer.report, newer.report]);
+    expect(unconfirmedForMs(left, endMs)).toEqual(rounds * 1_000 - 5 - wayMs);
+    expect(unconfirmedForMs(right, endMs)).toEqual(rounds * 1_000 - 5);
+  });
+
   it('gives way to another report that is newer, and to no older one', () => {
-    const first = madeAt(NOW_MS, 'r');
-    const second = madeAt(NOW_MS + 1, 's');
+    const first = madeAt(NOW_MS);
+    const second = madeAt(NOW_MS + 1);
+    expect(newerKnowledge(first, second)).toEqual(second);
+    expect(newerKnowledge(second, first)).toEqual(second);
+  });
+
+  it('is the same at all proxies where two delegates report at one time', () => {
+    const first = madeAt(NOW_MS, 'a');
+    const second = madeAt(NOW_MS, 'b');
     expect(newerKnowledge(first, second)).toEqual(second);
     expect(newerKnowledge(second, first)).toEqual(second);
   });
--- a/packages/protocol/src/core/frames/frame-schema.ts
+++ b/packages/protocol/src/core/frames/frame-schema.ts
@@ -1,6 +1,7 @@
 import {z} from 'zod';
 
-const clockSchema = z.object({
+/** Schema of a reading of a hybrid logical clock. */
+export const clockSchema = z.object({
   wallMs: z.number(),
   counter: z.int().min(0),
 });
--- a/packages/protocol/src/core/messages/configuration-messages.ts
+++ b/packages/protocol/src/core/messages/configuration-messages.ts
@@ -1,10 +1,11 @@
 import {changeRecordSchema, resourceSchema} from '@sapphireglade/decisions';
 import {z} from 'zod';
+import {clockSchema} from '../frames/index.js';
 import {vmSchema} from '../vm-list/index.js';
 
 /** Schema of what a delegate knows of its zone. */
 const zoneReportSchema = z.object({
-  id: z.string().max(100),
+  madeAt: clockSchema,
   zone: z.string(),
   delegate: z.string(),
   revision: z.int().min(0).nullable(),
--- a/packages/proxy/src/core/configuration/control-plane.ts
+++ b/packages/proxy/src/core/configuration/control-plane.ts
@@ -44,7 +44,7 @@
   ) {
     const {store, directory, holder, members, links} = parts;
     const {zone, vm} = context.settings;
-    this.zones = new ZoneTable(zone, vm);
+    this.zones = new ZoneTable(zone, vm, context.clock);
     this.reader = new HeadReader(store, holder);
     const election = new DelegateElection(context, store, members);
     const learner = new PeerLearner(holder, links);
--- a/packages/proxy/src/core/configuration/zone-table.ts
+++ b/packages/proxy/src/core/configuration/zone-table.ts
@@ -1,4 +1,3 @@
-import {randomUUID} from 'node:crypto';
 import type {
   ExpectedMember,
   MemberReport,
@@ -10,22 +9,22 @@
   unconfirmedForMs,
 } from '@sapphireglade/decisions';
 import type {AgedZoneReport, ZoneInForce} from '@sapphireglade/protocol';
+import type {ProcessClock} from '@sapphireglade/runtime';
 
 /** What this process knows of the revisions in force in every zone. */
 export class ZoneTable {
   private readonly reports = new Map<string, MemberReport>();
   private readonly zones = new Map<string, ZoneKnowledge>();
-  /** Tells the reports of this process from those of others. */
-  private readonly process = randomUUID();
-  private reportsMade = 0;
 
   /**
    * @param zone - The own zone.
    * @param self - Name of this proxy.
+   * @param clock - Stamps the reports that this proxy makes.
    */
   constructor(
     private readonly zone: string,
     private readonly self: string,
+    private readonly clock: Pick<ProcessClock, 'tick'>,
   ) {}
 
   /** Notes what a proxy of the own zone applies. */
@@ -53,9 +52,8 @@
       if (!names.has(name)) this.reports.delete(name);
     }
     const {zone, self, reports} = this;
-    this.reportsMade += 1;
-    const id = `${this.process}/${this.reportsMade}`;
-    const report = summarizeZone(zone, self, expected, reports, nowMs, id);
+    const madeAt = this.clock.tick();
+    const report = summarizeZone(zone, self, expected, reports, nowMs, madeAt);
     this.zones.set(zone, {report, atMs: nowMs});
   }
 
