Let a new delegate speak for its zone only once every proxy of it reported

The zone was shown as unconfirmed in time, at the wrong revision. It depends on load because proxies of one zone then start seconds apart and learn late who holds the lease.

Cause: a proxy that held itself for the delegate summed its zone up from whatever it had. Two proxies that hold themselves for the delegate for a second, until both know the holder of the lease, so contradicted each other; a cut in between left the wrong word standing. A proxy that reports to another forgets what others reported to it. Why it works: to claim a revision a delegate needs the report of the other would-be delegate, which with that report holds somebody else for the delegate and forgets what it had. So a later claim rests on later reports, and only a proxy that restarts can be behind.

--- a/packages/decisions/src/core/configuration/in-force.ts
+++ b/packages/decisions/src/core/configuration/in-force.ts
@@ -48,35 +48,53 @@
   readonly sinceMs: number;
 }
 
+/** Who speaks for a zone. */
+export interface ZoneRole {
+  readonly zone: string;
+  /** The proxy that makes the reports. */
+  readonly delegate: string;
+  /** Monotonic time since which the proxies report to it, in milliseconds. */
+  readonly sinceMs: number;
+}
+
 /**
  * Makes the report of a zone.
  *
- * @param zone - The zone.
- * @param delegate - The proxy that makes the report.
+ * A new delegate waits for the word of every proxy, as long as silence is
+ * allowed. Until then it would vouch for proxies that it never heard, and its
+ * report would replace that of a delegate that did.
+ *
+ * @param role - Who makes the report.
  * @param expected - The proxies of the zone, this one included.
- * @param reports - The latest report of each proxy, by name.
+ * @param reports - The latest report of each proxy to this delegate, by name.
  * @param nowMs - Monotonic time, in milliseconds.
  * @param madeAt - The delegate's hybrid clock, advanced for the report.
+ * @returns The report; nothing while the delegate is new in its role and has not
+ *   heard every proxy.
  */
 export function summarizeZone(
-  zone: string,
-  delegate: string,
+  role: ZoneRole,
   expected: readonly ExpectedMember[],
   reports: ReadonlyMap<string, MemberReport>,
   nowMs: number,
   madeAt: HybridTimestamp,
-): ZoneReport {
+): ZoneReport | undefined {
+  const isNewInRole = nowMs - role.sinceMs <= CONFIRMATION_TIMEOUT_MS;
+  if (isNewInRole && expected.some(({name}) => !reports.has(name))) {
+    return undefined;
+  }
   const revisions: number[] = [];
   let silentMs = 0;
   for (const {name, sinceMs} of expected) {
     const report = reports.get(name);
     if (report !== undefined) revisions.push(report.revision);
-    silentMs = Math.max(silentMs, nowMs - (report?.atMs ?? sinceMs));
+    const heardAtMs = report?.atMs ?? Math.max(sinceMs, role.sinceMs);
+    silentMs = Math.max(silentMs, nowMs - heardAtMs);
   }
   return {
     madeAt,
-    zone,
-    delegate,
+    zone: role.zone,
+    delegate: role.delegate,
     revision: revisions.length === 0 ? null : Math.min(...revisions),
     members: expected.length,
     unconfirmedForMs: silentMs > CONFIRMATION_TIMEOUT_MS ? silentMs : null,
--- a/packages/decisions/test/configuration/in-force.test.ts
+++ b/packages/decisions/test/configuration/in-force.test.ts
@@ -4,6 +4,8 @@
   HybridTimestamp,
   MemberReport,
   ZoneKnowledge,
+  ZoneReport,
+  ZoneRole,
 } from '../../src/index.js';
 import {
   collectPage,
@@ -17,6 +19,7 @@
 
 const NOW_MS = 100_000;
 const MADE_AT: HybridTimestamp = {wallMs: 1, counter: 0};
+const ROLE: ZoneRole = {zone: 'z', delegate: 'a', sinceMs: 0};
 const SILENT_MS = CONFIRMATION_TIMEOUT_MS + 1;
 const EXPECTED = ['a', 'b'].map(name => ({name, sinceMs: 0}));
 
@@ -49,16 +52,7 @@
   ];
   for (const {name, reports, ...expected} of cases) {
     it(`${name}`, () => {
-      const byName = new Map(reports.map(entry => [entry.member, entry]));
-      const summary = summarizeZone(
-        'z',
-        'a',
-        EXPECTED,
-        byName,
-        NOW_MS,
-        MADE_AT,
-      );
-      expect(summary).toEqual({
+      expect(summarize(ROLE, reports)).toEqual({
         madeAt: MADE_AT,
         zone: 'z',
         delegate: 'a',
@@ -69,14 +63,7 @@
   }
 
   it('turns unconfirmed when the zone itself is silent', () => {
-    const summary = summarizeZone(
-      'z',
-      'a',
-      EXPECTED,
-      new Map(['a', 'b'].map(name => [name, report(name, 5, 0)])),
-      NOW_MS,
-      MADE_AT,
-    );
+    const summary = summaryOf(ROLE, [report('a', 5, 0), report('b', 5, 0)]);
     const knowledge = {report: summary, atMs: NOW_MS};
     const laterMs = NOW_MS + SILENT_MS;
     expect(unconfirmedForMs(knowledge, NOW_MS)).toEqual(null);
@@ -87,13 +74,42 @@
   });
 });
 
+describe('the report of a new delegate', () => {
+  const role = {...ROLE, sinceMs: NOW_MS - CONFIRMATION_TIMEOUT_MS};
+
+  it('is not made while a proxy may yet report', () => {
+    expect(summarize(role, [report('a', 5, 0)])).toEqual(undefined);
+  });
+
+  it('is made once every proxy has reported', () => {
+    const reports = [report('a', 5, 0), report('b', 4, 0)];
+    expect(summaryOf(role, reports).revision).toEqual(4);
+  });
+
+  it('is made without a proxy that stays silent, which is unconfirmed', () => {
+    const longer = {...role, sinceMs: role.sinceMs - 1};
+    const summary = summaryOf(longer, [report('a', 5, 0)]);
+    expect(summary.unconfirmedForMs).toEqual(SILENT_MS);
+  });
+
+  it('does not wait for a proxy that is listed later', () => {
+    const earlier = {...role, sinceMs: 0};
+    const expected = EXPECTED.map(member => ({...member, sinceMs: NOW_MS - 1}));
+    const reports = new Map([['a', report('a', 5, 0)]]);
+    const made = summarizeZone(earlier, expected, reports, NOW_MS, MADE_AT);
+    expect([made?.revision, made?.unconfirmedForMs]).toEqual([5, null]);
+  });
+});
+
 describe('knowledge of a zone that proxies pass on', () => {
   const members = new Map(['a', 'b'].map(name => [name, report(name, 5, 0)]));
 
   /** A report that was made at a time, by one process unless others are named. */
   function madeAt(atMs: number, delegate = 'a'): ZoneKnowledge {
     const stamp = {wallMs: atMs, counter: 0};
-    const made = summarizeZone('z', delegate, EXPECTED, members, atMs, stamp);
+    const role = {...ROLE, delegate};
+    const made = summarizeZone(role, EXPECTED, members, atMs, stamp);
+    if (made === undefined) throw new Error('No report was made.');
     return {report: made, atMs};
   }
 
@@ -186,6 +202,25 @@
   });
 });
 
+/** The report that a delegate makes now, if it makes one. */
+function summarize(
+  role: ZoneRole,
+  reports: readonly MemberReport[],
+): ZoneReport | undefined {
+  const byName = new Map(reports.map(entry => [entry.member, entry]));
+  return summarizeZone(role, EXPECTED, byName, NOW_MS, MADE_AT);
+}
+
+/** The report that a delegate makes now. */
+function summaryOf(
+  role: ZoneRole,
+  reports: readonly MemberReport[],
+): ZoneReport {
+  const made = summarize(role, reports);
+  if (made === undefined) throw new Error('No report was made.');
+  return made;
+}
+
 function report(
   member: string,
   revision: number,
--- a/packages/proxy/src/core/configuration/zone-reporter.ts
+++ b/packages/proxy/src/core/configuration/zone-reporter.ts
@@ -60,7 +60,7 @@
 
   /** Asks the delegate what it knows of every zone. */
   async refreshZones(): Promise<void> {
-    const target = chooseReportTarget(this.targets());
+    const target = this.chooseTarget();
     if (target === undefined) this.summarize();
     else await this.exchange(target, true);
   }
@@ -73,7 +73,8 @@
     const {holder, members, election, zones} = this.parts;
     const now = performance.now();
     members.take({type: 'peer-heard', name: peer.process, boot: peer.boot});
-    if (peer.zone === this.context.settings.zone) {
+    const isOfOwnZone = peer.zone === this.context.settings.zone;
+    if (isOfOwnZone && this.chooseTarget() === undefined) {
       zones.noteMember(peer.process, report.revision, now);
     }
     zones.noteZones(report.zones, now);
@@ -119,7 +120,7 @@
 
   protected async onTurn(): Promise<number> {
     this.parts.members.publish();
-    const target = chooseReportTarget(this.targets());
+    const target = this.chooseTarget();
     if (target === undefined) await this.exchangeWithZones();
     else await this.exchange(target, false);
     return withJitter(REPORT_INTERVAL_MS);
@@ -198,9 +199,11 @@
     }
   }
 
+  /** Sums the zone up; without a list it is not known who belongs to it. */
   private summarize(): void {
     const {zone, vm} = this.context.settings;
     const {zones, members, holder} = this.parts;
+    if (members.digest === '') return;
     const now = performance.now();
     zones.noteMember(vm, holder.revision, now);
     zones.summarize(members.expected(zone), now);
@@ -208,17 +211,23 @@
 
   /** The report of the own zone, if this proxy speaks for it. */
   private vouchedZones(): AgedZoneReport[] {
-    const target = chooseReportTarget(this.targets());
-    return target === undefined
+    return this.chooseTarget() === undefined
       ? this.parts.zones.ownZone(performance.now())
       : [];
   }
 
   private knownZones(): AgedZoneReport[] {
-    if (chooseReportTarget(this.targets()) === undefined) this.summarize();
+    if (this.chooseTarget() === undefined) this.summarize();
     return this.parts.zones.aged(performance.now());
   }
 
+  /** To whom to report; nobody if this proxy speaks for its zone. */
+  private chooseTarget(): string | undefined {
+    const target = chooseReportTarget(this.targets());
+    if (target !== undefined) this.parts.zones.yieldRole();
+    return target;
+  }
+
   private targets(): ReportTargets {
     const {zone, vm} = this.context.settings;
     const {members, election} = this.parts;
--- a/packages/proxy/src/core/configuration/zone-table.ts
+++ b/packages/proxy/src/core/configuration/zone-table.ts
@@ -15,6 +15,7 @@
 export class ZoneTable {
   private readonly reports = new Map<string, MemberReport>();
   private readonly zones = new Map<string, ZoneKnowledge>();
+  private speaksSinceMs: number | undefined;
 
   /**
    * @param zone - The own zone.
@@ -42,7 +43,17 @@
   }
 
   /**
-   * Sums up the own zone, as its delegate.
+   * Forgets what proxies of the own zone reported, because another proxy speaks
+   * for the zone and they report to that one from now on.
+   */
+  yieldRole(): void {
+    this.reports.clear();
+    this.speaksSinceMs = undefined;
+  }
+
+  /**
+   * Sums up the own zone, as its delegate; what was known stays while proxies
+   * of the zone are yet to report.
    *
    * @param expected - The proxies of the zone, this one included.
    */
@@ -51,10 +62,12 @@
     for (const name of this.reports.keys()) {
       if (!names.has(name)) this.reports.delete(name);
     }
-    const {zone, self, reports} = this;
+    this.speaksSinceMs ??= nowMs;
+    const {zone, self: delegate, reports, speaksSinceMs: sinceMs} = this;
+    const role = {zone, delegate, sinceMs};
     const madeAt = this.clock.tick();
-    const report = summarizeZone(zone, self, expected, reports, nowMs, madeAt);
-    this.zones.set(zone, {report, atMs: nowMs});
+    const report = summarizeZone(role, expected, reports, nowMs, madeAt);
+    if (report !== undefined) this.zones.set(zone, {report, atMs: nowMs});
   }
 
   /** What is known of all zones, with its age. */
