--- a/packages/proxy/src/core/configuration/zone-table.ts
+++ b/packages/proxy/src/core/configuration/zone-table.ts
@@ -1,4 +1,3 @@
-import {randomUUID} from 'node:crypto';
 import type {
   ExpectedMember,
   MemberReport,
@@ -10,22 +9,23 @@
   unconfirmedForMs,
 } from '@sapphireglade/decisions';
 import type {AgedZoneReport, ZoneInForce} from '@sapphireglade/protocol';
+import type {ProcessClock} from '@sapphireglade/runtime';
 
 /** What this process knows of the revisions in force in every zone. */
 export class ZoneTable {
   private readonly reports = new Map<string, MemberReport>();
   private readonly zones = new Map<string, ZoneKnowledge>();
-  /** Tells the reports of this process from those of others. */
-  private readonly process = randomUUID();
-  private reportsMade = 0;
+  private speaksSinceMs: number | undefined;
 
   /**
    * @param zone - The own zone.
    * @param self - Name of this proxy.
+   * @param clock - Stamps the reports that this proxy makes.
    */
   constructor(
     private readonly zone: string,
     private readonly self: string,
+    private readonly clock: Pick<ProcessClock, 'tick'>,
   ) {}
 
   /** Notes what a proxy of the own zone applies. */
@@ -43,7 +43,17 @@
   }
 
   /**
-   * Sums up the own zone, as its delegate.
+   * Forgets what proxies of the own zone reported, because another proxy speaks
+   * for the zone and they report to that one from now on.
+   */
+  yieldRole(): void {
+    this.reports.clear();
+    this.speaksSinceMs = undefined;
+  }
+
+  /**
+   * Sums up the own zone, as its delegate; what was known stays while proxies
+   * of the zone are yet to report.
    *
    * @param expected - The proxies of the zone, this one included.
    */
@@ -52,11 +62,12 @@
     for (const name of this.reports.keys()) {
       if (!names.has(name)) this.reports.delete(name);
     }
-    const {zone, self, reports} = this;
-    this.reportsMade += 1;
-    const id = `${this.process}/${this.reportsMade}`;
-    const report = summarizeZone(zone, self, expected, reports, nowMs, id);
-    this.zones.set(zone, {report, atMs: nowMs});
+    this.speaksSinceMs ??= nowMs;
+    const {zone, self: delegate, reports, speaksSinceMs: sinceMs} = this;
+    const role = {zone, delegate, sinceMs};
+    const madeAt = this.clock.tick();
+    const report = summarizeZone(role, expected, reports, nowMs, madeAt);
+    if (report !== undefined) this.zones.set(zone, {report, atMs: nowMs});
   }
 
   /** What is known of all zones, with its age. */
