Learn a link's way from news, so that its first statement is not taken for late

When a proxy stops owning a group because capacities change, its callers' first statements were refused with "The statement reached the owner after its time", open transactions were lost, and a write was left in doubt when the link closed.

Cause: an owner takes the time since a link was opened for the age of the first statement on it. News open links as well, but did not count as a message with a time: in a traced run the link had been open for 8966 ms with two questions for news, and a statement with 1000 ms left was taken to be 8966 ms old. So did every first statement on a link opened for news longer ago than the statement's time, whatever had made the proxy ask for news.

Change: questions for news say when they were sent, and the owner learns the way from them. One that comes later than 300 ms after the link was opened teaches nothing, because it may have waited in a frozen process; the old, stricter estimate holds then. Earlier versions leave the field out and ignore it.

Ruled out: requests that wait in the pool of a proxy that no longer owns the group (no refusal named the pool).

Red before: forwarding.test "serves the first statement, however long after the link opened".

--- a/packages/decisions/src/core/ownership/request-age.ts
+++ b/packages/decisions/src/core/ownership/request-age.ts
@@ -1,5 +1,8 @@
 import type {ClockReading} from '../primary-change/index.js';
 
+/** How long after a link was opened a message may come from which the way is learned, in milliseconds; a later one may have waited here. */
+const FIRST_MESSAGE_LIMIT_MS = 300;
+
 /** What one side's clocks showed, and what the other side's showed then. */
 interface ClockDifference {
   readonly steadyMs: number;
@@ -24,13 +27,27 @@
   /** @param openedAt - What the clocks here showed when the link was opened. */
   constructor(private readonly openedAt: ClockReading) {}
 
+  /**
+   * Learns how far the clocks are apart from a message that asks for nothing in
+   * time, so that a link may be opened long before its first request.
+   *
+   * @param sentAt - What the peer's clocks showed when it was sent.
+   * @param now - What the clocks here show.
+   */
+  learn(sentAt: ClockReading, now: ClockReading): void {
+    const isUnsure =
+      this.smallest === undefined &&
+      this.sinceOpened(now) > FIRST_MESSAGE_LIMIT_MS;
+    if (!isUnsure) this.estimate(sentAt, now);
+  }
+
   /**
    * Estimates the age of a request.
    *
    * @param sentAt - What the peer's clocks showed when it was sent.
    * @param now - What the clocks here show.
    * @returns The age in milliseconds; for the first request the time since the
-   *   link was opened, which is more.
+   *   link was opened, which is more, unless the way was learned before.
    */
   estimate(sentAt: ClockReading, now: ClockReading): number {
     const difference = {
@@ -39,10 +56,7 @@
     };
     if (this.smallest === undefined) {
       this.smallest = difference;
-      return Math.max(
-        now.steadyMs - this.openedAt.steadyMs,
-        now.wallMs - this.openedAt.wallMs,
-      );
+      return this.sinceOpened(now);
     }
     const {smallest} = this;
     this.smallest = {
@@ -55,4 +69,11 @@
       difference.wallMs - smallest.wallMs,
     );
   }
+
+  private sinceOpened(now: ClockReading): number {
+    return Math.max(
+      now.steadyMs - this.openedAt.steadyMs,
+      now.wallMs - this.openedAt.wallMs,
+    );
+  }
 }
--- a/packages/decisions/test/ownership/request-age.test.ts
+++ b/packages/decisions/test/ownership/request-age.test.ts
@@ -44,6 +44,28 @@
     expect(age.estimate(peer(500), now)).toEqual(3_000);
   });
 
+  describe('that learned the way from another message', () => {
+    it('finds the age of a first request long after the link was opened', () => {
+      const age = new RequestAge(here(0));
+      age.learn(peer(10), here(12));
+      expect(age.estimate(peer(9_000), here(9_003))).toEqual(1);
+      expect(age.estimate(peer(9_100), here(12_102))).toEqual(3_000);
+    });
+
+    it('learns nothing if that message may have waited here as well', () => {
+      const age = new RequestAge(here(0));
+      age.learn(peer(10), here(3_000));
+      expect(age.estimate(peer(500), here(3_001))).toEqual(3_001);
+    });
+
+    it('goes on learning when the way is known', () => {
+      const age = new RequestAge(here(0));
+      age.learn(peer(10), here(50));
+      age.learn(peer(1_000), here(1_002));
+      expect(age.estimate(peer(2_000), here(2_010))).toEqual(8);
+    });
+  });
+
   it('takes a request as old rather than young when the time of day jumps', () => {
     const age = new RequestAge(here(0));
     age.estimate(peer(10), here(11));
--- a/packages/gateway/src/core/forwarding/forwarding-service.ts
+++ b/packages/gateway/src/core/forwarding/forwarding-service.ts
@@ -11,7 +11,7 @@
 import type {NewsDesk, NewsRequest} from '../news/index.js';
 import type {GroupOwnership} from '../ownership/index.js';
 import type {StatementRunner} from '../sessions/index.js';
-import {steadyNow} from '../time/index.js';
+import {readClocks, steadyNow} from '../time/index.js';
 import {ForwardingRunner} from './forwarding-runner.js';
 import {OwnedGroupRunner} from './owned-group-runner.js';
 import {OwnerDesk} from './owner-desk.js';
@@ -138,7 +138,10 @@
     const peer = this.links.chooseAny(groups);
     if (peer === undefined) return undefined;
     const deadlineMs = steadyNow() + NEWS_DEADLINE_MS;
-    const result = await peer.ask(() => request, deadlineMs);
+    const result = await peer.ask(
+      () => ({...request, sentAt: readClocks()}),
+      deadlineMs,
+    );
     return result.kind === 'answered' ? result.body : undefined;
   }
 
--- a/packages/gateway/src/core/forwarding/owner-desk.ts
+++ b/packages/gateway/src/core/forwarding/owner-desk.ts
@@ -102,7 +102,7 @@
     link: Link,
   ): Promise<ForwardedAnswer | NewsAnswer> {
     const news = newsRequestSchema.safeParse(body);
-    if (news.success) return this.tellNews(news.data);
+    if (news.success) return this.tellNews(news.data, link);
     const parsed = forwardedSchema.safeParse(body);
     if (!parsed.success) {
       this.options.log.warn('Another proxy sent a malformed request.', {
@@ -135,7 +135,13 @@
     }
   }
 
-  private tellNews(request: NewsRequest): ForwardedAnswer | NewsAnswer {
+  private tellNews(
+    request: NewsRequest,
+    link: Link,
+  ): ForwardedAnswer | NewsAnswer {
+    // The first statement on the link may come long after it was opened.
+    const {sentAt} = request;
+    if (sentAt) this.guestsOf(link).age.learn(sentAt, readClocks());
     try {
       return this.options.news.answer(request);
     } catch (error) {
--- a/packages/gateway/src/core/news/messages.ts
+++ b/packages/gateway/src/core/news/messages.ts
@@ -20,6 +20,8 @@
     members: z.number().optional(),
     configuration: z.number().optional(),
   }),
+  /** What the clocks of the sender showed; earlier versions leave it out. */
+  sentAt: z.object({steadyMs: z.number(), wallMs: z.number()}).optional(),
 });
 
 /** A request for news. */
--- a/packages/gateway/test/forwarding/forwarding.test.ts
+++ b/packages/gateway/test/forwarding/forwarding.test.ts
@@ -261,6 +261,30 @@
     });
   });
 
+  describe('a link that was opened for news', () => {
+    beforeEach(() => {
+      owners = ['left'];
+      entry.configuration.offer({
+        version: 1,
+        routes: new Map(),
+        groups: new Map([
+          [GROUP, {name: GROUP, connectionLimit: 9, isReplicated: true}],
+        ]),
+        transactionIdleMs: 1_000,
+      });
+    });
+
+    it('serves the first statement, however long after the link opened', async () => {
+      const known = {members: undefined, configuration: undefined};
+      await entry.service.askNews({kind: 'news', known});
+      await sleep(300);
+      const read = requestOf('r1', true);
+      const urgent = {...read, deadlineMs: performance.now() + 250};
+      expect(await remote.run(urgent)).toEqual(REPLY);
+      expect(left.runner.ran.length).toEqual(1);
+    });
+  });
+
   describe('an owner that was frozen', () => {
     it('does not run what came after its time, nor what is behind it', async () => {
       const write = requestOf('w1', false);
--- a/packages/gateway/test/support/linked-proxy.ts
+++ b/packages/gateway/test/support/linked-proxy.ts
@@ -82,6 +82,7 @@
     {mirror: new StoreMirror('members/'), revision: () => this.followed},
     {mirror: new StoreMirror('configuration'), revision: () => this.followed},
   );
+  readonly configuration = new ConfigurationHolder(createSilentLogger());
   readonly service: ForwardingService;
 
   constructor(
@@ -100,7 +101,7 @@
       listen: {host: '127.0.0.1', port: 0},
       ownership,
       members,
-      configuration: new ConfigurationHolder(createSilentLogger()),
+      configuration: this.configuration,
       primaryZoneOf: () => this.primaryZone,
       local: this.runner,
       news: this.news,
