Read the log level at each line

The level was copied into each part's logger when it was made, so that it could not change while a process runs.

Change: the factory reads the level from its options at each line. Ruled out: setting the level of the library's loggers, because each part has a copy.

Red with the old logger: logger.test, 3 of 4 (nothing but errors was written).

--- a/packages/runtime/src/core/logging/logger.ts
+++ b/packages/runtime/src/core/logging/logger.ts
@@ -16,7 +16,7 @@
 
 /** What the log of a process needs to know. */
 export interface LoggingOptions {
-  /** How much is logged. */
+  /** How much is logged; read at each line, so that it may change. */
   readonly level: LogLevel;
   /** How lines are written. */
   readonly format: LogFormat;
@@ -42,16 +42,24 @@
   const write =
     options.write ?? ((line: string) => process.stderr.write(line + '\n'));
   const consola = createConsola({
-    level: CONSOLA_LEVELS[options.level],
+    level: CONSOLA_LEVELS[LogLevel.Debug],
     reporters: [createReporter(options, write)],
   });
+  const isLogged = (level: LogLevel): boolean =>
+    CONSOLA_LEVELS[level] <= CONSOLA_LEVELS[options.level];
   return part => {
     const tagged = consola.withTag(part);
     return {
       error: (sentence, fields) => tagged.error(sentence, fields ?? {}),
-      warn: (sentence, fields) => tagged.warn(sentence, fields ?? {}),
-      info: (sentence, fields) => tagged.info(sentence, fields ?? {}),
-      debug: (sentence, fields) => tagged.debug(sentence, fields ?? {}),
+      warn: (sentence, fields) => {
+        if (isLogged(LogLevel.Warning)) tagged.warn(sentence, fields ?? {});
+      },
+      info: (sentence, fields) => {
+        if (isLogged(LogLevel.Information)) tagged.info(sentence, fields ?? {});
+      },
+      debug: (sentence, fields) => {
+        if (isLogged(LogLevel.Debug)) tagged.debug(sentence, fields ?? {});
+      },
     };
   };
 }
