Plan ownership anew when a proxy publishes another capacity

A record of a proxy that was listed before told nobody of a change, so that another capacity counted only once some proxy came or left.

Change: the list of members tells of another capacity too, without a line "joined". Other suspects still plan nothing anew.

Red with the old list: members.test, 2 of 8 ("another capacity", written and in a list).

--- a/packages/gateway/src/core/membership/members.ts
+++ b/packages/gateway/src/core/membership/members.ts
@@ -18,6 +18,15 @@
   suspects: z.array(z.string()),
 });
 
+/** What a record says that was not known before. */
+interface MemberNews {
+  readonly name: string;
+  /** Whether the proxy, or this start of it, was not listed. */
+  readonly hasJoined: boolean;
+  /** Whether a listed proxy can carry more or less than before. */
+  readonly carriesOther: boolean;
+}
+
 /** The live proxies, as the store lists them. */
 export class Members extends StoreSection {
   private readonly live = new Map<string, MemberRecord>();
@@ -60,33 +69,38 @@
       if (!present.has(key)) this.removed(key);
     }
     // A list is one line; hundreds of them would push out what led to it.
-    const joined = items.flatMap(item => this.take(item) ?? []);
-    if (joined.length === 0) return;
-    this.log.info('Proxies joined.', {
-      count: joined.length,
-      members: joined.join(' '),
-    });
-    this.changes.next();
+    const news = items.flatMap(item => this.take(item) ?? []);
+    const joined = news.filter(({hasJoined}) => hasJoined);
+    if (joined.length > 0) {
+      this.log.info('Proxies joined.', {
+        count: joined.length,
+        members: joined.map(({name}) => name).join(' '),
+      });
+    }
+    if (news.some(isOfNote)) this.changes.next();
   }
 
   override written(item: StoredItem): void {
-    const member = this.take(item);
-    if (member === undefined) return;
-    this.log.info('A proxy joined.', {member});
+    const news = this.take(item);
+    if (news === undefined || !isOfNote(news)) return;
+    if (news.hasJoined) this.log.info('A proxy joined.', {member: news.name});
     this.changes.next();
   }
 
-  /** Takes a record in, and gives the name of a proxy that was not listed before. */
-  private take(item: StoredItem): string | undefined {
+  /** Takes a record in. */
+  private take(item: StoredItem): MemberNews | undefined {
     const record = parseMember(item.value);
     if (record === undefined) {
       this.log.error('A member record cannot be read.', {key: item.key});
       return undefined;
     }
-    const known = this.live.get(record.name);
-    this.live.set(record.name, record);
-    this.departures.delete(record.name);
-    return known?.incarnation === record.incarnation ? undefined : record.name;
+    const {name, incarnation, capacity} = record;
+    const known = this.live.get(name);
+    this.live.set(name, record);
+    this.departures.delete(name);
+    const hasJoined = known?.incarnation !== incarnation;
+    const carriesOther = !hasJoined && known.capacity !== capacity;
+    return {name, hasJoined, carriesOther};
   }
 
   override removed(key: string): void {
@@ -98,6 +112,11 @@
   }
 }
 
+/** Whether ownership has to be planned anew. */
+function isOfNote({hasJoined, carriesOther}: MemberNews): boolean {
+  return hasJoined || carriesOther;
+}
+
 /** Reads a member record, or says that it is none. */
 function parseMember(value: Buffer): MemberRecord | undefined {
   try {
--- /dev/null
+++ b/packages/gateway/test/members.test.ts
@@ -0,0 +1,57 @@
+import {beforeEach, describe, it} from 'node:test';
+import {createSilentLogger} from '@sapphireglade/runtime';
+import {expect} from 'earl';
+import type {StoredItem} from '../src/index.js';
+import {MEMBER_PREFIX, Members} from '../src/index.js';
+
+const RECORD = {
+  name: 'proxy-1',
+  incarnation: 'first',
+  availabilityZone: 'zone-0',
+  peerAddress: '127.0.0.1:1',
+  capacity: 1,
+  suspects: [] as string[],
+};
+
+/** What a proxy publishes. */
+function itemOf(changed: Partial<typeof RECORD>): StoredItem {
+  const record = {...RECORD, ...changed};
+  return {
+    key: MEMBER_PREFIX + record.name,
+    value: Buffer.from(JSON.stringify(record)),
+    revision: 1,
+    leaseId: 0,
+  };
+}
+
+describe('Members', () => {
+  let members: Members;
+  let changes: number;
+
+  beforeEach(() => {
+    members = new Members(createSilentLogger());
+    members.written(itemOf({}));
+    changes = 0;
+    members.changes$.subscribe(() => (changes += 1));
+  });
+
+  const cases: ReadonlyArray<
+    [name: string, changed: Partial<typeof RECORD>, changes: number]
+  > = [
+    ['the same again', {}, 0],
+    ['other suspects', {suspects: ['ledger']}, 0],
+    ['another capacity', {capacity: 2}, 1],
+    ['another start of its process', {incarnation: 'second'}, 1],
+  ];
+  for (const [name, changed, expected] of cases) {
+    it(`tells of ${expected} changes when a proxy publishes ${name}`, () => {
+      members.written(itemOf(changed));
+      expect(changes).toEqual(expected);
+    });
+
+    it(`tells of ${expected} changes when a list has ${name}`, () => {
+      members.replace([itemOf(changed)]);
+      expect(changes).toEqual(expected);
+    });
+  }
+});
