Take changed settings over while the gateway runs

SIGHUP read the file and named what had changed; everything took effect at the next start, a file that changed without a signal was not noticed, and a signal during the start ended the process.

- One row for each setting says whether it takes effect while running or at the next start; the decision over two sets of settings is pure.
While running: logLevel, capacity (in the next renewal of the member's lease), store.address and promotion.address (each call asks for the address), configurationWithinMs, maximumCallers (only new callers are turned away), stopGraceS.
Name, zone, regions and listen.* wait, and one line names them.
- A task reads the file 50 ms after a signal, once for all signals until then, and looks every two seconds whether its time of change or size differ.
A file that cannot be read or is not valid keeps all old settings, with one error line that names the field; it is tried again at each look and complained about again only on a signal or for another reason.
- SIGHUP is caught before the rest of the program is loaded.
- The platform's adapters ask for addresses and are told of the limit; they decide nothing.

Ruled out: reading at once and ignoring signals for a while after, which loses the last one; inotify, which the users' machines lack; waking the member's lease at a change, which would make hundreds of proxies write in the same moment; taking regions over, on which links and ownership are built.

--- a/packages/gateway/src/core/doors/caller-door.ts
+++ b/packages/gateway/src/core/doors/caller-door.ts
@@ -11,6 +11,9 @@
   /** Begins to accept callers. */
   abstract listen(openSession: SessionFactory): Promise<void>;
 
+  /** Sets how many callers may be connected; those over a lower limit stay. */
+  abstract limit(maximumCallers: number): void;
+
   /** Accepts no more callers and lets each session go when it is idle. */
   abstract drain(): void;
 
--- a/packages/gateway/src/core/membership/member-task.ts
+++ b/packages/gateway/src/core/membership/member-task.ts
@@ -27,7 +27,7 @@
   /** Where this proxy accepts links from the others. */
   readonly peerAddress: () => string;
   /** What this VM can carry, compared with the others. */
-  readonly capacity: number;
+  readonly capacity: () => number;
   /** Whether this proxy owns any group. */
   readonly ownsAny: () => boolean;
   /** Called when what this proxy says of itself was written. */
@@ -115,7 +115,7 @@
       incarnation,
       availabilityZone: this.options.availabilityZone,
       peerAddress: this.options.peerAddress(),
-      capacity: this.options.capacity,
+      capacity: this.options.capacity(),
       suspects: this.suspects,
     };
     const value = JSON.stringify(record);
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -31,7 +31,7 @@
 import {GroupOwnership} from '../ownership/index.js';
 import type {SessionContext} from '../sessions/index.js';
 import {CallerSession, StatementExecutor} from '../sessions/index.js';
-import type {GatewaySettings} from '../settings/index.js';
+import type {RunningSettings} from '../settings/index.js';
 import {StoreFollowers} from './store-followers.js';
 import {readClocks, within} from '../time/index.js';
 import type {GatewayAdapters} from './gateway-adapters.js';
@@ -81,12 +81,12 @@
   private isStopping = false;
 
   constructor(
-    private readonly settings: GatewaySettings,
+    private readonly settings: RunningSettings,
     private readonly adapters: GatewayAdapters,
     private readonly loggers: LoggerFactory,
   ) {
     const {store, connector, promotions} = adapters;
-    const {name, availabilityZone, capacity} = settings;
+    const {name, availabilityZone, listen} = settings.current;
     const {region, regionOf} = this;
     const failoverLog = loggers(LogPart.Failover);
     const knownProxies = new KnownProxies();
@@ -133,7 +133,7 @@
         new PrimaryRecords(this.groups, failoverLog),
       ],
       announced,
-      configurationWithinMs: settings.configurationWithinMs,
+      configurationWithinMs: () => settings.current.configurationWithinMs,
       isCoordinator: () => this.coordinator.isCoordinator,
       ownsAny: () => this.ownership.ownsAny,
       areNewsTold: () => this.news.isActive,
@@ -153,7 +153,7 @@
       },
       region,
       regionOf,
-      listen: addressOf(settings.listen.peers),
+      listen: addressOf(listen.peers),
       ownership: this.ownership,
       members: this.members,
       configuration: this.configuration,
@@ -176,7 +176,7 @@
       incarnation: this.incarnation,
       availabilityZone,
       peerAddress: () => this.forwarding.peerAddress,
-      capacity: carryingCapacity(capacity),
+      capacity: () => carryingCapacity(settings.current.capacity),
       ownsAny: () => this.ownership.ownsAny,
       onPublished: () => this.followers.own.refresh(),
       store,
@@ -221,17 +221,20 @@
     this.members.changes$
       .pipe(auditTime(RECONCILE_DELAY_MS))
       .subscribe(() => this.reconcile());
+    settings.changes$.subscribe(({maximumCallers}) =>
+      adapters.callerDoor.limit(maximumCallers),
+    );
   }
 
   /** Finds the region of an availability zone. */
   private get regionOf(): (zone: string) => string {
-    const {regions} = this.settings;
+    const {regions} = this.settings.current;
     return zone => regions[zone] ?? zone;
   }
 
   /** Region of this VM. */
   private get region(): string {
-    return this.regionOf(this.settings.availabilityZone);
+    return this.regionOf(this.settings.current.availabilityZone);
   }
 
   /** Whether this proxy can serve callers. */
@@ -279,7 +282,7 @@
 
   /** Starts everything; callers are accepted at once, the balancer is told when. */
   async start(): Promise<void> {
-    const {availabilityZone, name} = this.settings;
+    const {availabilityZone, name} = this.settings.current;
     const log = this.loggers(LogPart.Process);
     const context: SessionContext = {
       configuration: this.configuration,
@@ -338,7 +341,7 @@
     await sleep(BALANCER_DELAY_MS);
     this.adapters.callerDoor.drain();
     this.forwarding.drain();
-    const graceMs = this.settings.stopGraceS * 1_000;
+    const graceMs = this.settings.current.stopGraceS * 1_000;
     await this.awaitCallers(beganAtMs + graceMs * TRANSACTION_PART);
     this.adapters.callerDoor.endOpenTransactions();
     this.forwarding.endGuestTransactions();
--- a/packages/gateway/src/core/process/store-followers.ts
+++ b/packages/gateway/src/core/process/store-followers.ts
@@ -48,7 +48,7 @@
   readonly ownSections: readonly StoreSection[];
   readonly announced: AnnouncedSections;
   /** Within which time a configuration has to be in force, in milliseconds. */
-  readonly configurationWithinMs: number;
+  readonly configurationWithinMs: () => number;
   readonly isCoordinator: () => boolean;
   /** Whether this proxy owns any group. */
   readonly ownsAny: () => boolean;
@@ -92,7 +92,7 @@
       watchWaitMs: () =>
         Math.max(
           MINIMUM_CONFIGURATION_WAIT_MS,
-          options.configurationWithinMs - CONFIGURATION_MARGIN_MS,
+          options.configurationWithinMs() - CONFIGURATION_MARGIN_MS,
         ),
       minimumIntervalMs: () => CONFIGURATION_INTERVAL_MS,
       isOccasional: () => false,
--- a/packages/gateway/src/core/settings/index.ts
+++ b/packages/gateway/src/core/settings/index.ts
@@ -1,2 +1,6 @@
-/** The settings of a gateway process. */
+/** The settings of a gateway process, and how they change while it runs. */
+export * from './running-settings.js';
+export * from './setting-effects.js';
+export * from './settings-change.js';
+export * from './settings-follower.js';
 export * from './settings-schema.js';
--- /dev/null
+++ b/packages/gateway/test/settings/settings-change.test.ts
@@ -0,0 +1,115 @@
+import {describe, it} from 'node:test';
+import {LogLevel} from '@sapphireglade/runtime';
+import {expect} from 'earl';
+import type {GatewaySettings} from '../../src/index.js';
+import {
+  decideSettingsChange,
+  RunningSettings,
+  SETTING_EFFECTS,
+  SettingEffect,
+} from '../../src/index.js';
+import {settingsOf} from '../support/memory-fleet.js';
+import {settingPaths} from '../support/setting-paths.js';
+
+const RUNNING = settingsOf('proxy-0');
+
+/** Another value of each setting. */
+const OTHERS: Readonly<Record<string, (settings: GatewaySettings) => void>> = {
+  name: settings => (settings.name = 'other'),
+  availabilityZone: settings => (settings.availabilityZone = 'zone-1'),
+  regions: settings => (settings.regions['zone-0'] = 'west'),
+  'listen.callers': ({listen}) => (listen.callers = 'other:1'),
+  'listen.readiness': ({listen}) => (listen.readiness = 'other:1'),
+  'listen.peers': ({listen}) => (listen.peers = 'other:1'),
+  'listen.metrics': ({listen}) => (listen.metrics = 'other:1'),
+  'capacity.processorShare': ({capacity}) => (capacity.processorShare = 0.5),
+  'capacity.processorCores': ({capacity}) => (capacity.processorCores = 2),
+  'capacity.linkMbps': ({capacity}) => (capacity.linkMbps = 7),
+  'capacity.memoryMb': ({capacity}) => (capacity.memoryMb = 7),
+  'store.address': ({store}) => (store.address = 'other:1'),
+  'promotion.address': ({promotion}) => (promotion.address = 'other:1'),
+  configurationWithinMs: settings => (settings.configurationWithinMs = 7),
+  maximumCallers: settings => (settings.maximumCallers = 7),
+  stopGraceS: settings => (settings.stopGraceS = 7),
+  logLevel: settings => (settings.logLevel = LogLevel.Debug),
+};
+
+/** Settings in which some differ from those that run. */
+function fileWith(paths: readonly string[]): GatewaySettings {
+  const file = structuredClone(RUNNING);
+  for (const path of paths) OTHERS[path]!(file);
+  return file;
+}
+
+/** The settings with one effect. */
+function pathsWith(effect: SettingEffect): string[] {
+  return settingPaths().filter(path => SETTING_EFFECTS[path] === effect);
+}
+
+describe('SETTING_EFFECTS', () => {
+  it('has one row for each setting of the schema', () => {
+    expect(Object.keys(SETTING_EFFECTS)).toEqual(settingPaths());
+  });
+});
+
+describe('decideSettingsChange', () => {
+  it('finds nothing in a file that says the same', () => {
+    const change = decideSettingsChange(RUNNING, fileWith([]));
+    expect(change.settings).toEqual(RUNNING);
+    expect(change.takenOver.size).toEqual(0);
+    expect(change.waiting).toEqual([]);
+  });
+
+  describe('with one setting changed', () => {
+    for (const path of pathsWith(SettingEffect.WhileRunning)) {
+      it(`takes ${path} over and nothing else`, () => {
+        const file = fileWith([path]);
+        const change = decideSettingsChange(RUNNING, file);
+        expect([...change.takenOver.keys()]).toEqual([path]);
+        expect(change.waiting).toEqual([]);
+        expect(change.settings).toEqual(file);
+      });
+    }
+
+    for (const path of pathsWith(SettingEffect.AtNextStart)) {
+      it(`lets ${path} wait for the next start`, () => {
+        const change = decideSettingsChange(RUNNING, fileWith([path]));
+        expect(change.takenOver.size).toEqual(0);
+        expect(change.waiting).toEqual([path]);
+        expect(change.settings).toEqual(RUNNING);
+      });
+    }
+  });
+
+  it('tells apart what is taken over and what waits if everything changed', () => {
+    const change = decideSettingsChange(RUNNING, fileWith(settingPaths()));
+    const applied = pathsWith(SettingEffect.WhileRunning);
+    expect([...change.takenOver.keys()]).toEqual(applied);
+    expect(change.waiting).toEqual(pathsWith(SettingEffect.AtNextStart));
+    expect(change.settings).toEqual(fileWith(applied));
+  });
+
+  it('leaves the settings that run as they are', () => {
+    const before = structuredClone(RUNNING);
+    decideSettingsChange(RUNNING, fileWith(settingPaths()));
+    expect(RUNNING).toEqual(before);
+  });
+
+  it('lets a setting wait no longer once the file has the old value again', () => {
+    const {settings} = decideSettingsChange(RUNNING, fileWith(['name']));
+    expect(decideSettingsChange(settings, RUNNING).waiting).toEqual([]);
+  });
+});
+
+describe('RunningSettings', () => {
+  it('tells of what was taken over, and not of what waits', () => {
+    const settings = new RunningSettings(RUNNING);
+    const told: GatewaySettings[] = [];
+    settings.changes$.subscribe(next => told.push(next));
+    settings.offer(fileWith(['name']));
+    expect(told).toEqual([]);
+    settings.offer(fileWith(['name', 'stopGraceS']));
+    expect(told).toEqual([fileWith(['stopGraceS'])]);
+    expect(settings.current).toEqual(fileWith(['stopGraceS']));
+  });
+});
--- a/packages/gateway/test/support/memory-fleet.ts
+++ b/packages/gateway/test/support/memory-fleet.ts
@@ -12,6 +12,7 @@
   PromotionAnswer,
   PromotionService,
   ReadinessDoor,
+  RunningSettings,
   StoreSection,
 } from '../../src/index.js';
 import type {InstanceDirectory, Promotion} from '../../src/index.js';
@@ -19,6 +20,9 @@
 import {MemoryGroup} from './memory-group.js';
 import {MemoryStore, MemoryStoreState} from './memory-store.js';
 
+/** Prefix under which the configuration is looked for. */
+export const CONFIGURATION_PREFIX = 'fixed/configuration';
+
 /** Name of the group that the fleet serves. */
 export const GROUP = 'ledger';
 
@@ -27,20 +31,28 @@
 
 /** A door without sockets. */
 class MemoryDoor extends CallerDoor {
-  override readonly openConnections = 0;
+  override openConnections = 0;
+  /** What a stopping proxy did. */
+  readonly events: string[] = [];
   openSession: SessionFactory | undefined;
+  /** Most callers, as it was last set while running. */
+  limitedTo: number | undefined;
 
   override listen(openSession: SessionFactory): Promise<void> {
     this.openSession = openSession;
     return Promise.resolve();
   }
 
+  override limit(maximumCallers: number): void {
+    this.limitedTo = maximumCallers;
+  }
+
   override drain(): void {
-    return undefined;
+    this.events.push('drain');
   }
 
   override endOpenTransactions(): void {
-    return undefined;
+    this.events.push('end transactions');
   }
 
   override close(): Promise<void> {
@@ -105,6 +117,8 @@
 export interface FleetProxy {
   readonly name: string;
   readonly gateway: GatewayProcess;
+  readonly settings: RunningSettings;
+  readonly door: MemoryDoor;
   readonly store: MemoryStore;
   readonly promotions: MemoryPromotions;
   readonly open: SessionFactory;
@@ -157,7 +171,7 @@
       readinessDoor: readiness,
       metricsDoor: undefined,
       sections: (configuration, directory) => ({
-        configuration: new FixedSection('fixed/configuration', () =>
+        configuration: new FixedSection(CONFIGURATION_PREFIX, () =>
           configuration.offer(CONFIGURATION),
         ),
         directory: new FixedSection('fixed/directory', () => {
@@ -166,14 +180,24 @@
         }),
       }),
     };
-    const gateway = new GatewayProcess(settingsOf(name), adapters, () =>
+    const settings = new RunningSettings(settingsOf(name));
+    const gateway = new GatewayProcess(settings, adapters, () =>
       createSilentLogger(),
     );
     await gateway.start();
     const open = door.openSession;
     if (open === undefined) throw new Error('The door was not opened.');
     const {isReady} = readiness;
-    this.proxies.push({name, gateway, store, promotions, open, isReady});
+    this.proxies.push({
+      name,
+      gateway,
+      settings,
+      door,
+      store,
+      promotions,
+      open,
+      isReady,
+    });
   }
 
   /** Announces that an instance is about to leave. */
@@ -224,7 +248,8 @@
   transactionIdleMs: 3_000,
 };
 
-function settingsOf(name: string): GatewaySettings {
+/** Settings of a proxy of the fleet. */
+export function settingsOf(name: string): GatewaySettings {
   return {
     name,
     availabilityZone: 'zone-0',
--- a/packages/gateway/test/support/memory-store.ts
+++ b/packages/gateway/test/support/memory-store.ts
@@ -99,6 +99,8 @@
 export class MemoryStore extends CoordinationStore {
   /** Whether calls of this client are lost. */
   isCut = false;
+  /** How long the last watch of each prefix waits, in milliseconds. */
+  readonly waitsMs = new Map<string, number>();
 
   constructor(private readonly state: MemoryStoreState) {
     super();
@@ -117,6 +119,7 @@
     afterRevision: number,
     waitMs: number,
   ): Promise<WatchResult> {
+    this.waitsMs.set(prefix, waitMs);
     await this.cross();
     const {state} = this;
     const endsAtMs = performance.now() + waitMs;
--- a/packages/stand-ins/src/core/fleet/fleet-process.ts
+++ b/packages/stand-ins/src/core/fleet/fleet-process.ts
@@ -28,6 +28,7 @@
 /** One process of a fleet, ended by its own process id only. */
 export class FleetProcess {
   private child: ChildProcess | undefined;
+  private settings: unknown;
 
   /**
    * @param specification - How it is started.
@@ -36,7 +37,9 @@
   constructor(
     private readonly specification: ProcessSpecification,
     private readonly onPid: (pid: number, isRunning: boolean) => void,
-  ) {}
+  ) {
+    this.settings = specification.settings;
+  }
 
   /** Name within the fleet. */
   get name(): string {
@@ -61,15 +64,14 @@
   /** Starts the process, again if it has ended. */
   start(): void {
     if (this.isRunning) return;
-    const {name, folder, program, command, settings} = this.specification;
-    const settingsFile = join(folder, `${fileName(name)}.json`);
-    writeFileSync(settingsFile, JSON.stringify(settings, null, 2));
+    const {name, program, command} = this.specification;
+    this.writeSettings(this.settings);
     const log = openSync(this.logFile, 'a');
     const nodeOptions = this.specification.nodeOptions ?? [];
     const commands = command === undefined ? [] : [command];
     const child = spawn(
       process.execPath,
-      [...nodeOptions, program, ...commands, '--settings', settingsFile],
+      [...nodeOptions, program, ...commands, '--settings', this.settingsFile],
       {stdio: ['ignore', log, log]},
     );
     closeSync(log);
@@ -80,6 +82,12 @@
     child.once('exit', () => this.onPid(pid, false));
   }
 
+  /** Writes other settings, which hold for the next start as well. */
+  writeSettings(settings: unknown): void {
+    this.settings = settings;
+    writeFileSync(this.settingsFile, JSON.stringify(settings, null, 2));
+  }
+
   /** Sends a signal, for example SIGSTOP. */
   signal(signal: NodeJS.Signals): void {
     this.child?.kill(signal);
@@ -102,6 +110,11 @@
     return readFileSync(this.logFile, 'utf8').slice(-length);
   }
 
+  private get settingsFile(): string {
+    const {folder, name} = this.specification;
+    return join(folder, `${fileName(name)}.json`);
+  }
+
   private get logFile(): string {
     const {folder, name} = this.specification;
     return join(folder, `${fileName(name)}.log`);
