Let a coordinator follow the store also if it owns no group

Cause: a proxy that owns nothing pauses its watches of the store and reads the directory only now and then. A coordinator for which that holds is never informed enough to act, and the lease for views, which it goes on renewing, keeps its key, so that no other proxy claims it.

Change: a proxy that coordinates, or whose claim may yet take effect, follows every part of the store itself and does not rely on news. A claim that was carried out counts at once, not when the watch tells of it.

--- a/packages/gateway/src/core/coordinator/coordinator-task.ts
+++ b/packages/gateway/src/core/coordinator/coordinator-task.ts
@@ -24,6 +24,9 @@
 /** How long a proxy may be away before it is taken as gone, in milliseconds; regions lose each other for an hour now and then. */
 const FORGET_AFTER_MS = 2 * 3_600_000;
 
+/** How long a claim that was not answered may yet be carried out, in milliseconds; stores execute lost calls seconds later. */
+const UNANSWERED_CLAIM_MS = 10_000;
+
 /** Most departed proxies that are removed by one call. */
 const MAXIMUM_FORGOTTEN = 20;
 
@@ -48,6 +51,8 @@
   private timer: NodeJS.Timeout | undefined;
   private vacantSinceMs: number | undefined;
   private isClaiming = false;
+  /** Until when an unanswered claim may take effect, in milliseconds of the steady clock. */
+  private unansweredUntilMs = -Infinity;
   private isForgetting = false;
   private readonly changing = new Set<string>();
   private readonly context: ChangeContext;
@@ -66,6 +71,12 @@
     return this.options.key.holder === this.options.holder;
   }
 
+  /** Whether this proxy coordinates, or may do so before it knows. */
+  get mayCoordinate(): boolean {
+    const isUnanswered = steadyNow() < this.unansweredUntilMs;
+    return this.isCoordinator || this.isClaiming || isUnanswered;
+  }
+
   protected override onStart(): Promise<void> {
     this.timer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
     return Promise.resolve();
@@ -160,7 +171,7 @@
   }
 
   private async claim(): Promise<void> {
-    const {context, holder, lease} = this.options;
+    const {context, holder, lease, key} = this.options;
     const {leaseId} = lease;
     if (leaseId === undefined) return;
     this.isClaiming = true;
@@ -169,10 +180,17 @@
         conditions: [{key: COORDINATOR_KEY, revision: 0}],
         puts: [{key: COORDINATOR_KEY, value: holder, leaseId}],
       });
+      if (result.kind === 'committed') {
+        // The watch that tells of it may be late, or nobody may be asking.
+        const {revision} = result;
+        const value = Buffer.from(holder);
+        key.written({key: COORDINATOR_KEY, value, revision, leaseId});
+      }
       context.log.info('This proxy asked to coordinate.', {
         result: result.kind,
       });
     } catch (error) {
+      this.unansweredUntilMs = steadyNow() + UNANSWERED_CLAIM_MS;
       context.log.warn('The coordinator key could not be written.', {
         error: String(error),
       });
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -134,7 +134,7 @@
       ],
       announced,
       configurationWithinMs: () => settings.current.configurationWithinMs,
-      isCoordinator: () => this.coordinator.isCoordinator,
+      isCoordinator: () => this.coordinator.mayCoordinate,
       ownsAny: () => this.ownership.ownsAny,
       areNewsTold: () => this.news.isActive,
       onOwnConfirmed: sentAt => {
@@ -165,7 +165,10 @@
       log: loggers(LogPart.Routing),
     });
     this.news = new NewsFollower({
-      mayRely: () => !this.ownership.ownsAny && !this.isStopping,
+      mayRely: () =>
+        !this.ownership.ownsAny &&
+        !this.isStopping &&
+        !this.coordinator.mayCoordinate,
       ask: request => this.forwarding.askNews(request),
       sections: {
         members: this.members,
--- a/packages/gateway/src/core/process/store-followers.ts
+++ b/packages/gateway/src/core/process/store-followers.ts
@@ -49,6 +49,7 @@
   readonly announced: AnnouncedSections;
   /** Within which time a configuration has to be in force, in milliseconds. */
   readonly configurationWithinMs: () => number;
+  /** Whether this proxy coordinates; it follows everything itself then. */
   readonly isCoordinator: () => boolean;
   /** Whether this proxy owns any group. */
   readonly ownsAny: () => boolean;
@@ -70,6 +71,7 @@
 
   constructor(options: StoreFollowersOptions) {
     const {store, log, ownsAny, isCoordinator, announced} = options;
+    const isTold = (): boolean => options.areNewsTold() && !isCoordinator();
     this.configurationMirror = new StoreMirror(announced.configuration.prefix);
     this.own = new StoreFollower({
       store,
@@ -81,7 +83,7 @@
         return ownsAny() ? OWNER_INTERVAL_MS : GUEST_INTERVAL_MS;
       },
       isOccasional: () => false,
-      isPaused: options.areNewsTold,
+      isPaused: isTold,
       sections: [...options.ownSections, this.memberMirror],
       log,
       onConfirmed: options.onOwnConfirmed,
@@ -96,7 +98,7 @@
         ),
       minimumIntervalMs: () => CONFIGURATION_INTERVAL_MS,
       isOccasional: () => false,
-      isPaused: options.areNewsTold,
+      isPaused: isTold,
       sections: [announced.configuration, this.configurationMirror],
       log,
       onConfirmed: () => undefined,
@@ -111,7 +113,7 @@
           ? OWNER_DIRECTORY_INTERVAL_MS
           : GUEST_DIRECTORY_INTERVAL_MS;
       },
-      isOccasional: () => !ownsAny(),
+      isOccasional: () => !ownsAny() && !isCoordinator(),
       isPaused: () => false,
       sections: [announced.directory],
       log,
--- /dev/null
+++ b/packages/gateway/test/coordinator/coordinator-that-owns-nothing.test.ts
@@ -0,0 +1,116 @@
+import {createSilentLogger} from '@sapphireglade/runtime';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'earl';
+import {StoreFollowers} from '../../src/core/process/store-followers.js';
+import type {ChangeContext} from '../../src/index.js';
+import {
+  ConfigurationHolder,
+  ControlConnections,
+  COORDINATOR_KEY,
+  CoordinatorKey,
+  CoordinatorTask,
+  KNOWN_PREFIX,
+  KnownProxies,
+  MEMBER_PREFIX,
+  Members,
+  StoreMirror,
+} from '../../src/index.js';
+import {MemoryConnector} from '../support/memory-connector.js';
+import {MemoryStore, MemoryStoreState} from '../support/memory-store.js';
+
+const SELF = 'proxy-0';
+
+/** Longer than reading every part of the store takes, in milliseconds. */
+const READ_MS = 1_500;
+
+describe('a coordinator that owns no group any more', () => {
+  let state: MemoryStoreState;
+  let store: MemoryStore;
+  const log = createSilentLogger();
+
+  beforeEach(() => {
+    state = new MemoryStoreState();
+    store = new MemoryStore(state);
+  });
+
+  afterEach(() => state.close());
+
+  describe('while other proxies tell it news', () => {
+    async function isInformed(isCoordinator: boolean): Promise<boolean> {
+      const followers = new StoreFollowers({
+        store,
+        ownSections: [],
+        announced: {
+          configuration: new StoreMirror('op/config'),
+          directory: new StoreMirror('servers/'),
+        },
+        configurationWithinMs: () => 3_000,
+        isCoordinator: () => isCoordinator,
+        ownsAny: () => false,
+        areNewsTold: () => true,
+        onOwnConfirmed: () => undefined,
+        log,
+      });
+      await followers.start();
+      await sleep(READ_MS);
+      const {isInformed} = followers;
+      await followers.stop();
+      return isInformed;
+    }
+
+    it('follows the store itself, so that it can replace primaries', async () => {
+      expect(await isInformed(true)).toEqual(true);
+    });
+
+    it('leaves that to others once it does not coordinate', async () => {
+      expect(await isInformed(false)).toEqual(false);
+    });
+  });
+
+  it('knows that it coordinates although no watch has told it yet', async () => {
+    const leaseId = state.grant(60_000);
+    const members = new Members(log);
+    const knownProxies = new KnownProxies();
+    const item = (key: string, value: string) => ({
+      key,
+      value: Buffer.from(value),
+      revision: 1,
+      leaseId: 0,
+    });
+    knownProxies.written(item(KNOWN_PREFIX + SELF, String(leaseId)));
+    const record = {
+      name: SELF,
+      incarnation: 'first',
+      availabilityZone: 'zone-0',
+      peerAddress: '127.0.0.1:1',
+      capacity: 1,
+      suspects: [],
+    };
+    members.written(item(MEMBER_PREFIX + SELF, JSON.stringify(record)));
+    const connector = new MemoryConnector(SELF, new Map());
+    const context = {
+      self: SELF,
+      store,
+      members,
+      knownProxies,
+      configuration: new ConfigurationHolder(log),
+      control: new ControlConnections(connector, log),
+      log,
+    } as Partial<ChangeContext> as ChangeContext;
+    const coordinator = new CoordinatorTask({
+      context,
+      key: new CoordinatorKey(),
+      lease: {leaseId} as never,
+      holder: `${SELF}/first`,
+      isConnected: () => true,
+      isInformed: () => false,
+      onNewsNeeded: () => undefined,
+    });
+    await coordinator.start();
+    while (!state.items.has(COORDINATOR_KEY)) await sleep(5);
+    await sleep(20);
+    expect(coordinator.isCoordinator).toEqual(true);
+    await coordinator.stop(0);
+  });
+});
