--- a/packages/gateway/test/coordinator/repeated-order.test.ts
+++ b/packages/gateway/test/coordinator/repeated-order.test.ts
@@ -1,6 +1,5 @@
 import type {PrimaryRecord} from '@sapphireglade/decisions';
 import {PrimaryPhase} from '@sapphireglade/decisions';
-import {createSilentLogger} from '@sapphireglade/runtime';
 import {describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
@@ -8,24 +7,16 @@
   ChangeReason,
   PrimaryChange,
 } from '../../src/core/coordinator/primary-change.js';
-import type {ChangeContext, Promotion} from '../../src/index.js';
+import type {Promotion} from '../../src/index.js';
 import {
-  ConfigurationHolder,
-  ControlConnections,
-  COORDINATOR_KEY,
   DatabaseGroup,
-  GatewayMetrics,
-  InstanceDirectory,
-  KnownProxies,
-  Members,
   PromotionAnswer,
   PromotionService,
   recordKey,
-  Releases,
 } from '../../src/index.js';
-import {MemoryConnector} from '../support/memory-connector.js';
+import {createChangeContext} from '../support/change-context.js';
 import {MemoryGroup} from '../support/memory-group.js';
-import {MemoryStore, MemoryStoreState} from '../support/memory-store.js';
+import {MemoryStoreState} from '../support/memory-store.js';
 
 const GROUP = 'ledger';
 const SELF = 'proxy-1';
@@ -58,45 +49,19 @@
     const group = new MemoryGroup(GROUP, 3);
     const [old, first, other] = group.instances;
     const view = new DatabaseGroup(GROUP);
-    const log = createSilentLogger();
-    const store = new MemoryStore(state);
-    const directory = new InstanceDirectory(log);
-    for (const {id} of group.instances) {
-      directory.register({
-        id,
-        group: GROUP,
-        host: 'memory',
-        port: 1,
-        availabilityZone: 'zone-0',
-        isLeaving: false,
-        claimsPrimary: false,
-        slots: 3,
-        bornAtMs: 1,
-      });
-    }
-    state.put(COORDINATOR_KEY, SELF);
-    let coordinatorRevision = state.revision;
+    let isCoordinating = true;
     const promotions = new StruckPromotions(group, target => {
       expect(target).toEqual(first!.id);
       group.cut(SELF, first!.id);
       group.cut(first!.id, other!.id);
     });
-    const connector = new MemoryConnector(SELF, new Map([[GROUP, group]]));
-    const context = {
+    const context = createChangeContext({
       self: SELF,
-      store,
-      directory,
+      state,
+      group,
       promotions,
-      configuration: new ConfigurationHolder(log),
-      members: new Members(log),
-      knownProxies: new KnownProxies(),
-      releases: new Releases(SELF, store, undefined as never, log),
-      control: new ControlConnections(connector, log),
-      coordinatorRevision: () => coordinatorRevision,
-      followedRevision: () => state.revision,
-      metrics: new GatewayMetrics(),
-      log,
-    } as Partial<ChangeContext> as ChangeContext;
+      isCoordinating: () => isCoordinating,
+    });
     const record: PrimaryRecord = {
       term: 1,
       primary: old!.id,
@@ -119,7 +84,7 @@
       });
       await sleep(TWO_ORDERS_MS);
     } finally {
-      coordinatorRevision = 0;
+      isCoordinating = false;
       await change;
       context.control.closeAll();
       group.close();
--- a/packages/gateway/test/groups/database-group.test.ts
+++ b/packages/gateway/test/groups/database-group.test.ts
@@ -4,6 +4,7 @@
 import {expect} from 'earl';
 import {createSilentLogger} from '@sapphireglade/runtime';
 import {DatabaseGroup, InstancePool, PrimaryProblem} from '../../src/index.js';
+import {registeredInstance} from '../support/change-context.js';
 import {MemoryConnector} from '../support/memory-connector.js';
 
 /** Position of the old primary's last acknowledged commit. */
@@ -41,17 +42,7 @@
 
 /** Adds an instance to a group and gives the pool that shows its positions. */
 function addInstance(group: DatabaseGroup, id: string): InstancePool {
-  const instance = {
-    id,
-    group: group.name,
-    host: 'memory',
-    port: 1,
-    availabilityZone: 'zone-0',
-    isLeaving: false,
-    claimsPrimary: false,
-    slots: 3,
-    bornAtMs: 1,
-  };
+  const instance = registeredInstance(id, group.name);
   const connector = new MemoryConnector('proxy', new Map());
   const pool = new InstancePool(instance, connector, createSilentLogger());
   group.addMember({instance, pool});
--- /dev/null
+++ b/packages/gateway/test/support/change-context.ts
@@ -0,0 +1,92 @@
+import {createSilentLogger} from '@sapphireglade/runtime';
+import type {
+  ChangeContext,
+  PromotionService,
+  RegisteredInstance,
+} from '../../src/index.js';
+import {
+  ConfigurationHolder,
+  ControlConnections,
+  COORDINATOR_KEY,
+  GatewayMetrics,
+  InstanceDirectory,
+  KnownProxies,
+  Members,
+  Releases,
+} from '../../src/index.js';
+import {MemoryConnector} from './memory-connector.js';
+import type {MemoryGroup} from './memory-group.js';
+import type {MemoryStoreState} from './memory-store.js';
+import {MemoryStore} from './memory-store.js';
+
+/** What a context is made from. */
+export interface ChangeContextOptions {
+  /** Name of the proxy that coordinates. */
+  readonly self: string;
+  readonly state: MemoryStoreState;
+  readonly group: MemoryGroup;
+  readonly promotions: PromotionService;
+  /** Whether the proxy still coordinates. */
+  readonly isCoordinating?: () => boolean;
+}
+
+/** What an instance in memory registers of itself. */
+export function registeredInstance(
+  id: string,
+  group: string,
+): RegisteredInstance {
+  return {
+    id,
+    group,
+    host: 'memory',
+    port: 1,
+    availabilityZone: 'zone-0',
+    isLeaving: false,
+    claimsPrimary: false,
+    slots: 3,
+    bornAtMs: 1,
+  };
+}
+
+/** Makes one proxy the coordinator of a group in memory. */
+export function createChangeContext({
+  self,
+  state,
+  group,
+  promotions,
+  isCoordinating = () => true,
+}: ChangeContextOptions): ChangeContext {
+  const log = createSilentLogger();
+  const store = new MemoryStore(state);
+  const directory = new InstanceDirectory(log);
+  for (const {id} of group.instances) {
+    directory.register(registeredInstance(id, group.name));
+  }
+  state.put(COORDINATOR_KEY, self);
+  const {revision} = state;
+  const configuration = new ConfigurationHolder(log);
+  configuration.offer({
+    version: 1,
+    routes: new Map(),
+    groups: new Map([
+      [group.name, {name: group.name, connectionLimit: 60, isReplicated: true}],
+    ]),
+    transactionIdleMs: 3_000,
+  });
+  const connector = new MemoryConnector(self, new Map([[group.name, group]]));
+  return {
+    self,
+    store,
+    directory,
+    promotions,
+    configuration,
+    members: new Members(log),
+    knownProxies: new KnownProxies(),
+    releases: new Releases(self, store, undefined as never, log),
+    control: new ControlConnections(connector, log),
+    coordinatorRevision: () => (isCoordinating() ? revision : 0),
+    followedRevision: () => state.revision,
+    metrics: new GatewayMetrics(),
+    log,
+  } as Partial<ChangeContext> as ChangeContext;
+}
--- a/packages/gateway/test/taken-over-change.test.ts
+++ b/packages/gateway/test/taken-over-change.test.ts
@@ -1,7 +1,6 @@
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {PrimaryPhase} from '@sapphireglade/decisions';
 import type {PrimaryRecord} from '@sapphireglade/decisions';
-import {createSilentLogger} from '@sapphireglade/runtime';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
 import {
@@ -10,24 +9,16 @@
 } from '../src/core/coordinator/primary-change.js';
 import type {ChangeContext, Promotion} from '../src/index.js';
 import {
-  ConfigurationHolder,
-  ControlConnections,
-  COORDINATOR_KEY,
   CoordinatorTask,
   DatabaseGroup,
-  GatewayMetrics,
-  InstanceDirectory,
-  KnownProxies,
-  Members,
   PromotionAnswer,
   PromotionService,
   recordKey,
-  Releases,
 } from '../src/index.js';
 import {readClocks} from '../src/core/time/index.js';
-import {MemoryConnector} from './support/memory-connector.js';
+import {createChangeContext} from './support/change-context.js';
 import {MemoryGroup} from './support/memory-group.js';
-import {MemoryStore, MemoryStoreState} from './support/memory-store.js';
+import {MemoryStoreState} from './support/memory-store.js';
 
 const GROUP = 'ledger';
 const SELF = 'proxy-1';
@@ -67,49 +58,7 @@
     group = new MemoryGroup(GROUP, 3);
     view = new DatabaseGroup(GROUP);
     promotions = new RecordedPromotions(group);
-    const log = createSilentLogger();
-    const store = new MemoryStore(state);
-    const directory = new InstanceDirectory(log);
-    for (const {id} of group.instances) {
-      directory.register({
-        id,
-        group: GROUP,
-        host: 'memory',
-        port: 1,
-        availabilityZone: 'zone-0',
-        isLeaving: false,
-        claimsPrimary: false,
-        slots: 3,
-        bornAtMs: 1,
-      });
-    }
-    state.put(COORDINATOR_KEY, SELF);
-    const coordinatorRevision = state.revision;
-    const connector = new MemoryConnector(SELF, new Map([[GROUP, group]]));
-    const configuration = new ConfigurationHolder(log);
-    configuration.offer({
-      version: 1,
-      routes: new Map(),
-      groups: new Map([
-        [GROUP, {name: GROUP, connectionLimit: 60, isReplicated: true}],
-      ]),
-      transactionIdleMs: 3_000,
-    });
-    context = {
-      self: SELF,
-      store,
-      directory,
-      promotions,
-      configuration,
-      members: new Members(log),
-      knownProxies: new KnownProxies(),
-      releases: new Releases(SELF, store, undefined as never, log),
-      control: new ControlConnections(connector, log),
-      coordinatorRevision: () => coordinatorRevision,
-      followedRevision: () => state.revision,
-      metrics: new GatewayMetrics(),
-      log,
-    } as Partial<ChangeContext> as ChangeContext;
+    context = createChangeContext({self: SELF, state, group, promotions});
   });
 
   afterEach(() => {
