Send no statement of a transaction that was rolled back meanwhile

Cause: while an owner replayed session values to the connection of a transaction, the link of its entry proxy ended; the rollback took the connection and sent ROLLBACK on it, after which the statement was sent on the same connection, which others may use by then.

Change: after the replay a transaction that has lost its connection sends nothing.

local-transaction.test.ts: before, the connection gets begin, set-value, rollback, statement; now the statement is not sent and the caller is told that nothing is kept.

--- a/packages/gateway/src/core/sessions/local-transaction.ts
+++ b/packages/gateway/src/core/sessions/local-transaction.ts
@@ -84,6 +84,8 @@
         deadlineMs,
       );
       if (failure !== undefined) throw this.broken(request, failure, false);
+      // A rollback may have come meanwhile; the connection is another's then.
+      if (this.bound !== bound) throw ended();
       const outcome = await attempt(
         bound.connection,
         toCommand(statement, undefined),
--- /dev/null
+++ b/packages/gateway/test/sessions/local-transaction.test.ts
@@ -0,0 +1,103 @@
+import {
+  ErrorKind,
+  SessionValues,
+  TransactionState,
+} from '@sapphireglade/decisions';
+import {createSilentLogger} from '@sapphireglade/runtime';
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {LocalTransaction} from '../../src/core/sessions/local-transaction.js';
+import type {
+  ExecutionRequest,
+  InstanceCommand,
+  InstanceReply,
+} from '../../src/index.js';
+import {
+  CommandKind,
+  InstanceConnection,
+  InstancePool,
+  PooledConnection,
+} from '../../src/index.js';
+import {registeredInstance} from '../support/change-context.js';
+import {MemoryConnector} from '../support/memory-connector.js';
+
+const REPLY: InstanceReply = {
+  rows: [],
+  signature: undefined,
+  refusal: undefined,
+  state: TransactionState.Open,
+  position: undefined,
+  report: undefined,
+};
+
+/** A connection that answers when the test says so. */
+class HeldConnection extends InstanceConnection {
+  override readonly isOpen = true;
+  override readonly greeting = REPLY;
+  readonly sent: InstanceCommand['kind'][] = [];
+  private readonly waiting: (() => void)[] = [];
+
+  override run(command: InstanceCommand): Promise<InstanceReply> {
+    this.sent.push(command.kind);
+    return new Promise(resolve => this.waiting.push(() => resolve(REPLY)));
+  }
+
+  override close(): void {
+    return undefined;
+  }
+
+  override onClosed(): void {
+    return undefined;
+  }
+
+  /** Answers everything that was sent. */
+  answer(): void {
+    for (const resolve of this.waiting.splice(0)) resolve();
+  }
+}
+
+describe('LocalTransaction', () => {
+  it('sends no statement after a rollback that came while session values were replayed', async () => {
+    const connection = new HeldConnection();
+    const pooled = new PooledConnection(connection, () => undefined);
+    const begun = pooled.run({
+      kind: CommandKind.Begin,
+      isReadOnly: true,
+      atLeast: undefined,
+    });
+    connection.answer();
+    await begun;
+    const log = createSilentLogger();
+    const instance = registeredInstance('ledger-0', 'ledger');
+    const connector = new MemoryConnector('proxy', new Map());
+    const pool = new InstancePool(instance, connector, log);
+    const transaction = new LocalTransaction({pool, connection: pooled}, log);
+    const values = new SessionValues();
+    values.set('name', 'value');
+    const running = transaction
+      .run({
+        statement: {
+          requestId: 'read',
+          isRead: true,
+          awaitsReplica: false,
+          text: 'FETCH',
+          prepared: undefined,
+          parameters: '',
+        },
+        values,
+        deadlineMs: performance.now() + 1_000,
+      } as Partial<ExecutionRequest> as ExecutionRequest)
+      .catch((error: Error) => error);
+    expect(connection.sent).toEqual([CommandKind.Begin, CommandKind.SetValue]);
+
+    transaction.rollBack();
+    connection.answer();
+
+    expect(await running).toHaveSubset({kind: ErrorKind.TransactionLost});
+    expect(connection.sent).toEqual([
+      CommandKind.Begin,
+      CommandKind.SetValue,
+      CommandKind.Rollback,
+    ]);
+  });
+});
