Wait for every instance once one was ordered to lead

Suspected, by reading: let a change in which an instance had been ordered go on with one instance out of reach, because a commit lies on two. A late promotion ends the hold of the others, so that the one out of reach may go on acknowledging with one whose report is old by then; the rule before it would have waited in that case.

Change: once an instance was ordered, all of them have to report, the old primary included. choose-target, repeated-order and taken-over tests pass (13).

--- a/packages/decisions/src/core/primary-change/choose-target.ts
+++ b/packages/decisions/src/core/primary-change/choose-target.ts
@@ -23,13 +23,10 @@
   readonly oldPrimary: ReplicationReport | undefined;
   /** Whether commits wait for a replica; otherwise any may be lost. */
   readonly isReplicated: boolean;
-  /** Instances that may hold commits and are not among the replicas, once an instance was ordered to lead. */
-  readonly absentSinceOrder?: number | undefined;
+  /** Whether an instance was ordered to lead since the old primary. */
+  readonly wasOrdered?: boolean | undefined;
 }
 
-/** Instances that hold an acknowledged commit: its primary and one replica. */
-const COPIES = 2;
-
 /**
  * Chooses the instance that leads next.
  *
@@ -40,7 +37,8 @@
  * that the old primary had.
  *
  * Once an instance was ordered to lead, it may have acknowledged commits with
- * any other one, the old primary included. Then all but one have to report.
+ * any other one, the old primary included. Then all of them have to report: a
+ * late promotion ends the hold of the others.
  *
  * @param inputs - What is known.
  * @returns The target, or why the change has to wait.
@@ -51,10 +49,8 @@
   if (best === undefined) return wait('no replica has reported');
   if (reported.length === inputs.replicas.length) return promote(best);
   if (!inputs.isReplicated) return promote(best);
-  if (inputs.absentSinceOrder !== undefined) {
-    const silent = inputs.replicas.length - reported.length;
-    const isSafe = silent + inputs.absentSinceOrder < COPIES;
-    return isSafe ? promote(best) : wait('two instances are out of reach');
+  if (inputs.wasOrdered === true) {
+    return wait('an instance that may have led or followed is out of reach');
   }
   const old = inputs.oldPrimary;
   if (old === undefined) return wait('a replica is out of reach');
--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -215,7 +215,7 @@
         replicas: this.candidates(known),
         oldPrimary: this.oldReport,
         isReplicated: this.isReplicated,
-        absentSinceOrder: this.absentSinceOrder(known),
+        wasOrdered: this.wasOrdered,
       });
       if (choice.kind === 'promote') {
         await this.awaitViews();
@@ -348,13 +348,6 @@
     return this.failedOrders > 0;
   }
 
-  /** Counts the old primary if an instance may have led since, and it is gone. */
-  private absentSinceOrder(known: KnownRecord): number | undefined {
-    if (!this.wasOrdered) return undefined;
-    const old = this.context.directory.find(known.record.primary);
-    return Number(old === undefined);
-  }
-
   /** A replica that has started again since it was held is held anew first. */
   private mayBeLeftAsIs(instance: RegisteredInstance): boolean {
     return !this.reports.has(instance.id) || this.isHeld(instance);
