Give log lines on single statements a budget of their own

Lines of the parts routing and caller-api now count against one budget, all others against another of the same size.

Test: a flood of lines on statements, then one on a promotion; with one budget the promotion's line is dropped.

--- a/packages/runtime/src/core/logging/logger.ts
+++ b/packages/runtime/src/core/logging/logger.ts
@@ -1,7 +1,8 @@
 import type {ConsolaReporter, LogObject} from 'consola';
 import {createConsola} from 'consola';
 import type {LogFields, Logger, LoggerFactory} from './types.js';
-import {LogFormat, LogLevel} from './types.js';
+import type {LineClass} from './non-blocking-log-writer.js';
+import {LogFormat, LogLevel, LogPart} from './types.js';
 
 /** The consola level for each log level. */
 const CONSOLA_LEVELS: Readonly<Record<LogLevel, number>> = {
@@ -14,6 +15,12 @@
 /** Types of log entries that take precedence over routine ones. */
 const URGENT_TYPES: ReadonlySet<string> = new Set(['error', 'fatal', 'warn']);
 
+/** Parts whose lines concern single statements. */
+const PER_STATEMENT_PARTS: ReadonlySet<string> = new Set([
+  LogPart.CallerApi,
+  LogPart.Routing,
+]);
+
 /** Options of a process's log. */
 export interface LoggingOptions {
   /** Least urgent level that is logged; read for each line, so that it may change. */
@@ -23,7 +30,7 @@
   /** Name of the process, added to each JSON line. */
   readonly process: string;
   /** Writes each formatted line; writes to standard error if omitted. */
-  readonly write?: (line: string, isRoutine: boolean) => void;
+  readonly write?: (line: string, lineClass: LineClass) => void;
 }
 
 /**
@@ -73,12 +80,15 @@
 /** Creates the reporter that formats log entries and writes them. */
 function createReporter(
   options: LoggingOptions,
-  write: (line: string, isRoutine: boolean) => void,
+  write: (line: string, lineClass: LineClass) => void,
 ): ConsolaReporter {
   const toLine = options.format === LogFormat.Json ? toJsonLine : toTextLine;
   return {
     log: entry =>
-      write(toLine(entry, options.process), !URGENT_TYPES.has(entry.type)),
+      write(toLine(entry, options.process), {
+        isRoutine: !URGENT_TYPES.has(entry.type),
+        isPerStatement: PER_STATEMENT_PARTS.has(entry.tag),
+      }),
   };
 }
 
--- a/packages/runtime/test/non-blocking-log-writer.test.ts
+++ b/packages/runtime/test/non-blocking-log-writer.test.ts
@@ -1,7 +1,16 @@
 import type {write} from 'node:fs';
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {NonBlockingLogWriter} from '../src/index.js';
+import type {LineClass} from '../src/index.js';
+import {
+  createLoggerFactory,
+  LogFormat,
+  LogLevel,
+  LogPart,
+  NonBlockingLogWriter,
+} from '../src/index.js';
+
+const ROUTINE: LineClass = {isRoutine: true, isPerStatement: false};
 
 type Callback = (error: NodeJS.ErrnoException | null, written: number) => void;
 
@@ -83,10 +92,11 @@
 
   it('writes urgent lines after routine ones have reached their rate limit', () => {
     const {output, reader, advance} = createWriter();
-    for (let index = 0; index < 150; index += 1) output.write('routine', true);
-    output.write('urgent', false);
+    for (let index = 0; index < 150; index += 1)
+      output.write('routine', ROUTINE);
+    output.write('urgent');
     advance(1_000);
-    output.write('routine', true);
+    output.write('routine', ROUTINE);
     reader.takeAll();
     const lines = reader.taken.trim().split('\n');
     expect(lines.filter(line => line === 'routine').length).toEqual(101);
@@ -100,4 +110,23 @@
     const lines = reader.taken.split('\n');
     expect(lines.filter(line => line === 'urgent').length).toEqual(300);
   });
+
+  it('writes what is decided for a group during a flood of lines on statements', () => {
+    const {output, reader} = createWriter();
+    const logFor = createLoggerFactory({
+      level: LogLevel.Information,
+      format: LogFormat.Json,
+      process: 'proxy-1',
+      write: (line, lineClass) => output.write(line, lineClass),
+    });
+    const statements = logFor(LogPart.Routing);
+    for (let index = 0; index < 400; index += 1) {
+      statements.info('An instance did not serve a statement.');
+      statements.warn('A request failed.');
+    }
+    logFor(LogPart.Failover).info('A promotion was ordered.');
+    reader.takeAll();
+    expect(reader.taken).toInclude('A promotion was ordered.');
+    expect(reader.taken.match(/A request failed/g)?.length).toEqual(250);
+  });
 });
