Keep a primary that only lacks a replica to confirm its commits

Callers saw writes held until their deadline, with an unknown outcome, and then a change of primary that could not help: a primary whose only other replica receives nothing was suspected because no commit was acknowledged.

Change: without confirmed commits a primary is suspected only if two other instances respond, one to lead and one to confirm. While commits stall, a CommitGate sends one each 500 ms to find out when replication works again, and refuses the others before they run with that time; reads go on.

--- a/packages/decisions/src/core/primary-change/replacement-decision.ts
+++ b/packages/decisions/src/core/primary-change/replacement-decision.ts
@@ -22,3 +22,20 @@
   if (tally.isPrimaryRemoved) return true;
   return tally.suspectingMembers * 2 > tally.members;
 }
+
+/** Fewest other instances that are needed to commit without the primary: a new primary and a replica that confirms. */
+const MINIMUM_OTHER_INSTANCES = 2;
+
+/**
+ * Decides whether another primary could commit where the present one cannot.
+ *
+ * A primary that answers but gets no commit confirmed either has lost its links
+ * to healthy replicas, or its replicas receive nothing. Replacing it helps only
+ * if two other instances remain: one to lead, and one to confirm its commits.
+ *
+ * @param otherInstances - Number of other instances of the group that answer.
+ * @returns Whether a primary without confirmed commits should be suspected.
+ */
+export function canAnotherPrimaryCommit(otherInstances: number): boolean {
+  return otherInstances >= MINIMUM_OTHER_INSTANCES;
+}
--- a/packages/gateway/src/core/pool/instance-pool.ts
+++ b/packages/gateway/src/core/pool/instance-pool.ts
@@ -1,5 +1,6 @@
 import type {SapphiregladeError} from '@sapphireglade/decisions';
 import {
+  CommitGate,
   ConnectionWaitQueue,
   HoldingTime,
   planSynchronization,
@@ -16,6 +17,7 @@
   InstanceReply,
 } from '../upstream/index.js';
 import {
+  awaitsReplica,
   isAcknowledgedCommit,
   unresponsiveSince,
   commitsStalledSince,
@@ -26,6 +28,7 @@
   noConnectionError,
   queueFullError,
 } from './pool-errors.js';
+import {PoolLog} from './pool-log.js';
 import {PooledConnection} from './pooled-connection.js';
 import {RoundTripEstimator} from './round-trip-estimator.js';
 import type {
@@ -34,8 +37,6 @@
   QueuedConnectionRequest,
 } from './types.js';
 
-const OVER_LIMIT_MESSAGE = 'An instance refused a connection over its limit.';
-
 /** Timeout for opening a connection, in milliseconds. */
 const OPEN_TIMEOUT_MS = 1_000;
 
@@ -65,6 +66,8 @@
   lastBehindAtMs = -Infinity;
   /** When the instance last failed to answer, in milliseconds. */
   lastFailedAtMs = -Infinity;
+  /** Decides whether commits are sent to the instance. */
+  readonly commitGate = new CommitGate();
   private readonly open = new Set<PooledConnection>();
   private readonly idle: PooledConnection[] = [];
   private readonly queue = new ConnectionWaitQueue<QueuedConnectionRequest>();
@@ -76,13 +79,16 @@
   private readonly roundTrip = new RoundTripEstimator();
   private unreachable: number | undefined;
   private readonly backoff = new ConnectionBackoff();
+  private readonly events: PoolLog;
   private isClosed = false;
 
   constructor(
     readonly endpoint: InstanceEndpoint,
     private readonly connector: InstanceConnector,
-    private readonly log: Logger,
-  ) {}
+    log: Logger,
+  ) {
+    this.events = new PoolLog(endpoint, log);
+  }
 
   /** Emits each position that the instance reports. */
   get positions$(): Subject<ReportedPosition> {
@@ -324,7 +330,7 @@
       return;
     }
     if (this.unreachable !== undefined) {
-      this.log.info('An instance can be reached again.', this.fields);
+      this.events.logReachable();
     }
     this.unreachable = undefined;
     this.backoff.recordSuccess();
@@ -339,18 +345,13 @@
     const wasOverLimit = this.backoff.isOverLimit;
     this.backoff.failed(error, nowMs);
     if (this.backoff.isOverLimit) {
-      const {fields, share} = this;
-      const detail = {...fields, open: this.open.size, share};
-      if (!wasOverLimit) this.log.info(OVER_LIMIT_MESSAGE, detail);
+      if (!wasOverLimit) this.events.logOverLimit(this.open.size, this.share);
       return;
     }
     this.lastFailedAtMs = nowMs;
     if (this.open.size > 0 || this.unreachable !== undefined) return;
     this.unreachable = nowMs;
-    this.log.warn('An instance cannot be reached.', {
-      ...this.fields,
-      error: error.message,
-    });
+    this.events.logUnreachable(error);
   }
 
   private rejectAll(reason: string): void {
@@ -364,6 +365,7 @@
     sentAtMs: number,
     command: InstanceCommand,
   ): void {
+    if (awaitsReplica(command)) this.commitGate.recordAnswered();
     if (isAcknowledgedCommit(command, reply))
       this.lastCommitAtMs = steadyNowMs();
     this.recordObservation(reply, sentAtMs);
@@ -378,7 +380,7 @@
   private onConnectionLost(connection: PooledConnection, reason: string): void {
     if (!this.open.has(connection)) return;
     this.lastFailedAtMs = steadyNowMs();
-    this.log.debug('A connection was lost.', {...this.fields, reason});
+    this.events.logConnectionLost(reason);
     this.removeConnection(connection);
     this.maintain();
   }
@@ -392,8 +394,4 @@
   private createConnectionError(reason: string): Error {
     return noConnectionError(this.endpoint, reason);
   }
-
-  private get fields(): Record<string, string> {
-    return {instance: this.endpoint.id, group: this.endpoint.group};
-  }
 }
--- a/packages/gateway/src/core/pool/instance-responsiveness.ts
+++ b/packages/gateway/src/core/pool/instance-responsiveness.ts
@@ -38,11 +38,15 @@
   return Math.max(Math.min(...unansweredSinceMs), lastCommitAtMs);
 }
 
+/** Returns whether the answer to a command waits for a replica. */
+export function awaitsReplica(command: InstanceCommand): boolean {
+  return 'awaitsReplica' in command && command.awaitsReplica;
+}
+
 /** Returns whether a reply acknowledges a commit that a replica has received. */
 export function isAcknowledgedCommit(
   command: InstanceCommand,
   reply: InstanceReply,
 ): boolean {
-  const isCommit = 'awaitsReplica' in command && command.awaitsReplica;
-  return isCommit && reply.refusal === undefined;
+  return awaitsReplica(command) && reply.refusal === undefined;
 }
--- a/packages/gateway/src/core/pool/pooled-connection.ts
+++ b/packages/gateway/src/core/pool/pooled-connection.ts
@@ -10,6 +10,7 @@
   InstanceReply,
 } from '../upstream/index.js';
 import {CommandKind, ConnectionLostError} from '../upstream/index.js';
+import {awaitsReplica} from './instance-responsiveness.js';
 
 /** Called with each reply, the time its command was sent, and the command. */
 export type ReplyListener = (
@@ -74,8 +75,10 @@
   async run(command: InstanceCommand): Promise<InstanceReply> {
     if (!this.isOpen) throw new ConnectionLostError('it is closed', false);
     const sentAtMs = steadyNowMs();
-    const awaitsReplica = 'awaitsReplica' in command && command.awaitsReplica;
-    this.outstandingCommands.push({sentAtMs, awaitsReplica});
+    this.outstandingCommands.push({
+      sentAtMs,
+      awaitsReplica: awaitsReplica(command),
+    });
     const reply = await this.connection.run(command);
     this.outstandingCommands.shift();
     this.lastReplyAtMs = steadyNowMs();
--- a/packages/gateway/src/core/primary-health/primary-health-check-task.ts
+++ b/packages/gateway/src/core/primary-health/primary-health-check-task.ts
@@ -1,4 +1,4 @@
-import {PrimaryPhase} from '@sapphireglade/decisions';
+import {canAnotherPrimaryCommit, PrimaryPhase} from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
 import {SupervisedTask} from '@sapphireglade/runtime';
 import type {DatabaseGroup, GroupRegistry} from '../groups/index.js';
@@ -61,7 +61,7 @@
       }
       const pool = primaryPool(group);
       if (pool === undefined) continue;
-      const reason = suspicionReason(pool, steadyNowMs());
+      const reason = suspicionReason(group, pool, steadyNowMs());
       if (reason !== undefined) {
         suspects.add(group.name);
         this.logNewSuspicion(group, pool, reason);
@@ -121,6 +121,7 @@
 
 /** Returns why a primary is suspected, or undefined if it is not. */
 function suspicionReason(
+  group: DatabaseGroup,
   pool: InstancePool,
   nowMs: number,
 ): string | undefined {
@@ -130,12 +131,32 @@
   }
   if (hasExceeded(unresponsiveSinceMs, nowMs, UNRESPONSIVE_LIMIT_MS))
     return 'it does not respond';
-  if (hasExceeded(commitsStalledSinceMs, nowMs, UNRESPONSIVE_LIMIT_MS)) {
+  const areCommitsStalled = hasExceeded(
+    commitsStalledSinceMs,
+    nowMs,
+    UNRESPONSIVE_LIMIT_MS,
+  );
+  const others = countRespondingInstances(group, pool, nowMs);
+  if (areCommitsStalled && canAnotherPrimaryCommit(others)) {
     return 'no commit is acknowledged';
   }
   return undefined;
 }
 
+/** Returns how many instances of the group respond, without the primary. */
+function countRespondingInstances(
+  {members}: DatabaseGroup,
+  primary: InstancePool,
+  nowMs: number,
+): number {
+  return [...members.values()].filter(
+    ({pool}) =>
+      pool !== primary &&
+      pool.unreachableSinceMs === undefined &&
+      !hasExceeded(pool.unresponsiveSinceMs, nowMs, UNRESPONSIVE_LIMIT_MS),
+  ).length;
+}
+
 function hasExceeded(
   sinceMs: number | undefined,
   nowMs: number,
--- a/packages/gateway/src/core/sessions/command-errors.ts
+++ b/packages/gateway/src/core/sessions/command-errors.ts
@@ -1,6 +1,9 @@
 import {ErrorKind, SapphiregladeError} from '@sapphireglade/decisions';
+import type {InstancePool} from '../pool/index.js';
+import {steadyNowMs} from '../time/index.js';
 import type {InstanceReply} from '../upstream/index.js';
 import type {UnansweredCommand} from './command-result.js';
+import type {RunnableStatement} from './runnable-statement.js';
 
 /** Delay after which a caller retries a temporary refusal, in milliseconds. */
 const RETRY_AFTER_MS = 50;
@@ -38,3 +41,25 @@
     retryAfterMs: RETRY_AFTER_MS,
   });
 }
+
+/**
+ * Returns the error for a commit that is not sent, because no commit on the
+ * instance is confirmed by a replica. Counts the commit as sent otherwise.
+ */
+export function refuseUnconfirmedCommit(
+  {commitGate, endpoint}: InstancePool,
+  {awaitsReplica}: RunnableStatement,
+): SapphiregladeError | undefined {
+  if (!awaitsReplica) return undefined;
+  const nowMs = steadyNowMs();
+  const retryAfterMs = commitGate.offer(nowMs);
+  if (retryAfterMs === undefined) {
+    commitGate.recordSent(nowMs);
+    return undefined;
+  }
+  return new SapphiregladeError(
+    ErrorKind.ConfirmationUnlikely,
+    `No replica of instance ${endpoint.id} confirms commits.`,
+    {retryAfterMs: Math.ceil(retryAfterMs)},
+  );
+}
--- a/packages/gateway/src/core/sessions/local-transaction.ts
+++ b/packages/gateway/src/core/sessions/local-transaction.ts
@@ -11,7 +11,11 @@
 import {CommandKind} from '../upstream/index.js';
 import type {UnansweredCommand} from './command-result.js';
 import {sendCommand, synchronizeSession} from './command-result.js';
-import {unansweredError, refusalError} from './command-errors.js';
+import {
+  refuseUnconfirmedCommit,
+  unansweredError,
+  refusalError,
+} from './command-errors.js';
 import {UpstreamTransaction} from './upstream-transaction.js';
 import type {ExecutionRequest} from './runnable-statement.js';
 import {toCommand} from './runnable-statement.js';
@@ -50,6 +54,17 @@
     request: ExecutionRequest,
     hasWritten: boolean,
   ): Promise<InstanceReply> {
+    const {bound: pending} = this;
+    const unconfirmed =
+      pending && refuseUnconfirmedCommit(pending.pool, request.statement);
+    if (unconfirmed !== undefined) {
+      this.rollBack();
+      throw new SapphiregladeError(
+        ErrorKind.TransactionLost,
+        `The transaction was rolled back: ${unconfirmed.message}`,
+        {retryAfterMs: unconfirmed.retryAfterMs, cause: unconfirmed},
+      );
+    }
     const reply = await this.send(request, hasWritten);
     if (reply.refusal !== undefined) throw refusalError(reply);
     const bound = this.detachConnection();
--- a/packages/gateway/src/core/sessions/statement-executor.ts
+++ b/packages/gateway/src/core/sessions/statement-executor.ts
@@ -12,7 +12,11 @@
 import {CommandKind} from '../upstream/index.js';
 import type {CommandResult, UnansweredCommand} from './command-result.js';
 import {sendCommand, synchronizeSession} from './command-result.js';
-import {unansweredError, refusalError} from './command-errors.js';
+import {
+  refuseUnconfirmedCommit,
+  unansweredError,
+  refusalError,
+} from './command-errors.js';
 import type {ExecutionTarget} from './instance-selection.js';
 import {isFreshnessUnknown, selectReadTargets} from './instance-selection.js';
 import {awaitPrimary} from './primary-wait.js';
@@ -165,6 +169,11 @@
       pool.release(bound.connection);
       return {error: primaryReplacedError(group), mayBeKept: false};
     }
+    const unconfirmed = refuseUnconfirmedCommit(pool, request.statement);
+    if (unconfirmed !== undefined) {
+      pool.release(bound.connection);
+      return {error: unconfirmed, mayBeKept: false};
+    }
     const outcome = await operation.run(target, bound);
     if (outcome.kind !== 'answered') {
       return this.discardConnection(bound, outcome, !operation.isRetryable);
