--- a/packages/decisions/src/core/primary-change/choose-target.ts
+++ b/packages/decisions/src/core/primary-change/choose-target.ts
@@ -7,8 +7,13 @@
   | {
       readonly kind: 'promote';
       readonly target: string;
-      /** Position of the target; includes every acknowledged commit. */
+      /** Position of the target; includes every commit that can still be kept. */
       readonly position: LogPosition;
+      /**
+       * Why acknowledged commits may be missing on the target. Undefined if the
+       * target certainly has all of them.
+       */
+      readonly unverified?: string;
     }
   | {readonly kind: 'wait'; readonly reason: string};
 
@@ -19,48 +24,70 @@
    * order they include the old primary, because it may have become a replica.
    */
   readonly replicas: readonly PromotionCandidate[];
-  /** Report of the old primary after it stepped down, if it did. */
-  readonly oldPrimary: ReplicationReport | undefined;
+  /** The old primary after it stepped down, if it did. */
+  readonly oldPrimary: PromotionCandidate | undefined;
+  /** Whether the old primary is still in the directory, so that it may report later. */
+  readonly mayOldPrimaryReport: boolean;
   /** Whether commits wait for a replica; without it any commit may be lost. */
   readonly hasSynchronousReplication: boolean;
   /** Whether a promotion was ordered since the term of the old primary. */
-  readonly wasPromotionOrdered?: boolean | undefined;
+  readonly wasPromotionOrdered: boolean;
+  /**
+   * Highest position at which a commit is known that may have been acknowledged:
+   * the start of the term, or the log of an instance that has lost it since.
+   */
+  readonly minimumPosition: LogPosition | undefined;
+  /**
+   * Instances that left the group with their logs during the term, and whose
+   * commits are not known to be included in {@link minimumPosition}.
+   */
+  readonly unverifiedDepartures: readonly string[];
 }
 
 /**
  * Chooses the instance to promote.
  *
- * An acknowledged commit is on the old primary and on at least one replica. If
- * every replica has reported, the one with the highest position has all of
- * them. If a replica is unreachable, it may be the only replica with a commit.
- * A target is then safe only if the old primary has stepped down and the target
- * has every entry that the old primary had.
+ * An acknowledged commit is on the old primary, and on at least one replica that
+ * received it during the term. Commits of earlier terms are on the old primary,
+ * and on the replicas that have reached the start of its term. Two proofs follow
+ * that a target has every acknowledged commit:
+ *
+ * - Every instance that may have confirmed a commit has reported, and the target
+ *   has the highest position and has reached the start of the term.
+ * - The old primary has stepped down with its log, and the target has every
+ *   entry of it. The old primary itself is such a target.
  *
  * After a promotion order, the ordered instance may have acknowledged commits
  * together with any other instance, including the old primary. All of them must
  * then report, because a promotion that takes effect late ends the term hold of
  * the others.
  *
+ * Without a proof the change waits as long as an instance may still report. If
+ * none can, the best one is promoted, and the choice says what is unverified.
+ *
  * @param inputs - Reports of the instances, and the state of the change.
  * @returns The target, or the reason why the change has to wait.
  */
 export function chooseTarget(inputs: TargetInputs): TargetChoice {
-  const reported = inputs.replicas.filter(hasReport);
-  const best = mostAdvancedCandidate(reported);
-  if (best === undefined) return waitChoice('no replica has reported');
-  if (reported.length === inputs.replicas.length) return promoteChoice(best);
-  if (!inputs.hasSynchronousReplication) return promoteChoice(best);
-  if (inputs.wasPromotionOrdered === true) {
-    return waitChoice(
-      'an instance that may have been primary or replica is unreachable',
+  const best = mostAdvancedCandidate(inputs.replicas.filter(hasReport));
+  if (best !== undefined && !inputs.hasSynchronousReplication) {
+    return promoteChoice(best);
+  }
+  if (best !== undefined && haveAllConfirmersReported(inputs, best)) {
+    return promoteChoice(best);
+  }
+  const oldPrimary = intactOldPrimary(inputs);
+  if (oldPrimary !== undefined) {
+    return promoteChoice(
+      best !== undefined && isAtLeast(best, oldPrimary.report.received)
+        ? best
+        : oldPrimary,
     );
   }
-  const oldPrimary = inputs.oldPrimary;
-  if (oldPrimary === undefined) return waitChoice('a replica is unreachable');
-  const hasEveryEntry =
-    comparePositions(best.report.received, oldPrimary.received) >= 0;
-  if (hasEveryEntry) return promoteChoice(best);
-  return waitChoice('a commit may exist only on the unreachable replica');
+  const pendingReport = reasonToWait(inputs);
+  if (pendingReport !== undefined) return waitChoice(pendingReport);
+  if (best === undefined) return waitChoice('no replica has reported');
+  return {...promoteChoice(best), unverified: describeMissingProof(inputs)};
 }
 
 /** A candidate whose report has arrived. */
@@ -69,9 +96,55 @@
 };
 
 function hasReport(
-  candidate: PromotionCandidate,
+  candidate: PromotionCandidate | undefined,
 ): candidate is ReportedCandidate {
-  return candidate.report !== undefined;
+  return candidate?.report !== undefined;
+}
+
+/** Returns whether the best candidate is ahead of every instance that may have confirmed a commit. */
+function haveAllConfirmersReported(
+  inputs: TargetInputs,
+  best: ReportedCandidate,
+): boolean {
+  return (
+    inputs.replicas.every(hasReport) &&
+    inputs.unverifiedDepartures.length === 0 &&
+    isAtLeast(best, inputs.minimumPosition)
+  );
+}
+
+/** Returns the old primary if its report proves that it has every acknowledged commit. */
+function intactOldPrimary({
+  oldPrimary,
+  minimumPosition,
+  wasPromotionOrdered,
+}: TargetInputs): ReportedCandidate | undefined {
+  if (wasPromotionOrdered || !hasReport(oldPrimary)) return undefined;
+  return isAtLeast(oldPrimary, minimumPosition) ? oldPrimary : undefined;
+}
+
+/** Returns the reason to wait for a further report, or undefined if none is expected. */
+function reasonToWait(inputs: TargetInputs): string | undefined {
+  const missing = inputs.replicas.filter(each => !hasReport(each));
+  if (missing.length > 0) {
+    const names = missing.map(({id}) => id).join(' ');
+    return inputs.wasPromotionOrdered
+      ? `an instance that may have been primary or replica is unreachable: ${names}`
+      : `a commit may exist only on an unreachable replica: ${names}`;
+  }
+  const isOldPrimaryExpected =
+    inputs.mayOldPrimaryReport &&
+    !inputs.wasPromotionOrdered &&
+    !hasReport(inputs.oldPrimary);
+  return isOldPrimaryExpected
+    ? `a commit may exist only on the old primary: ${describeMissingProof(inputs)}`
+    : undefined;
+}
+
+function describeMissingProof({unverifiedDepartures}: TargetInputs): string {
+  return unverifiedDepartures.length > 0
+    ? `instances left with their logs: ${unverifiedDepartures.join(' ')}`
+    : 'the instances that reported lack a commit that may be acknowledged';
 }
 
 /** Returns the highest position; on a tie, an instance that is not leaving. */
@@ -86,7 +159,19 @@
   )[0];
 }
 
-function promoteChoice({id, report}: ReportedCandidate): TargetChoice {
+function isAtLeast(
+  {report}: ReportedCandidate,
+  position: LogPosition | undefined,
+): boolean {
+  return (
+    position === undefined || comparePositions(report.received, position) >= 0
+  );
+}
+
+function promoteChoice({
+  id,
+  report,
+}: ReportedCandidate): Extract<TargetChoice, {kind: 'promote'}> {
   return {kind: 'promote', target: id, position: report.received};
 }
 
--- a/packages/decisions/src/core/primary-change/index.ts
+++ b/packages/decisions/src/core/primary-change/index.ts
@@ -1,5 +1,7 @@
 /** Decides when the primary of a group is replaced, and by which instance. */
 export * from './choose-target.js';
+export * from './departed-instances.js';
+export * from './held-reports.js';
 export * from './replacement-decision.js';
 export * from './types.js';
 export * from './view-freshness.js';
--- a/packages/decisions/src/core/primary-change/types.ts
+++ b/packages/decisions/src/core/primary-change/types.ts
@@ -36,6 +36,11 @@
    * chosen. No commit can be acknowledged until the target is primary.
    */
   readonly lastPosition?: LogPosition | undefined;
+  /**
+   * Position at which the term began, in a record of a steady group. An instance
+   * that has not reached it lacks acknowledged commits of earlier terms.
+   */
+  readonly initialPosition?: LogPosition | undefined;
 }
 
 /** Report of an instance after it was asked to stop replicating. */
--- a/packages/decisions/test/primary-change/choose-target.test.ts
+++ b/packages/decisions/test/primary-change/choose-target.test.ts
@@ -35,6 +35,23 @@
   isPrimaryReachable: fc.boolean(),
 });
 
+/** Inputs of a group in which no instance has left or lost its log. */
+const NOTHING_LOST = {
+  mayOldPrimaryReport: true,
+  hasSynchronousReplication: true,
+  wasPromotionOrdered: false,
+  minimumPosition: undefined,
+  unverifiedDepartures: [],
+} as const;
+
+function candidate(id: string, position?: number): PromotionCandidate {
+  return {
+    id,
+    isLeaving: false,
+    report: position === undefined ? undefined : report(id, position),
+  };
+}
+
 function report(id: string, position: number): ReplicationReport {
   return {
     id,
@@ -57,9 +74,13 @@
     }),
   );
   return {
+    ...NOTHING_LOST,
     replicas,
-    hasSynchronousReplication: true,
-    oldPrimary: logs.isPrimaryReachable ? report('p', logs.primary) : undefined,
+    oldPrimary: {
+      id: 'p',
+      isLeaving: false,
+      report: logs.isPrimaryReachable ? report('p', logs.primary) : undefined,
+    },
   };
 }
 
@@ -84,7 +105,7 @@
   logs: ActualLogs,
   choice: TargetChoice,
 ): boolean {
-  if (choice.kind === 'wait') return false;
+  if (choice.kind === 'wait' || choice.target === 'p') return false;
   const index = Number(choice.target.slice(1));
   const entries = Math.min(logs.replicas[index]?.entries ?? 0, logs.primary);
   return entries < acknowledged(logs);
@@ -128,27 +149,20 @@
   describe('once a promotion was ordered', () => {
     it('waits while any instance is unreachable, whatever the old primary reported', () => {
       const choice = chooseTarget({
-        hasSynchronousReplication: true,
-        oldPrimary: report('p', 3),
+        ...NOTHING_LOST,
+        oldPrimary: candidate('p', 3),
         wasPromotionOrdered: true,
-        replicas: [
-          {id: 'a', isLeaving: false, report: undefined},
-          {id: 'b', isLeaving: false, report: report('b', 3)},
-          {id: 'p', isLeaving: false, report: report('p', 3)},
-        ],
+        replicas: [candidate('a'), candidate('b', 3), candidate('p', 3)],
       });
       expect(choice.kind).toEqual('wait');
     });
 
     it('promotes the highest once all have reported, including the old primary', () => {
       const choice = chooseTarget({
-        hasSynchronousReplication: true,
-        oldPrimary: undefined,
+        ...NOTHING_LOST,
+        oldPrimary: candidate('p'),
         wasPromotionOrdered: true,
-        replicas: [
-          {id: 'b', isLeaving: false, report: report('b', 3)},
-          {id: 'p', isLeaving: false, report: report('p', 4)},
-        ],
+        replicas: [candidate('b', 3), candidate('p', 4)],
       });
       expect(choice).toEqual({
         kind: 'promote',
@@ -160,12 +174,9 @@
 
   it('prefers an active instance to an equal one that is leaving', () => {
     const choice = chooseTarget({
-      hasSynchronousReplication: true,
+      ...NOTHING_LOST,
       oldPrimary: undefined,
-      replicas: [
-        {id: 'a', isLeaving: true, report: report('a', 3)},
-        {id: 'b', isLeaving: false, report: report('b', 3)},
-      ],
+      replicas: [{...candidate('a', 3), isLeaving: true}, candidate('b', 3)],
     });
     expect(choice).toEqual({
       kind: 'promote',
@@ -173,4 +184,69 @@
       position: {term: 1, position: 3},
     });
   });
+
+  describe('when a replica that may have confirmed commits is gone', () => {
+    const left = {...NOTHING_LOST, unverifiedDepartures: ['gone']};
+
+    it('waits for the old primary while it may still report', () => {
+      const choice = chooseTarget({
+        ...left,
+        oldPrimary: candidate('p'),
+        replicas: [candidate('a', 3)],
+      });
+      expect(choice.kind).toEqual('wait');
+    });
+
+    it('promotes the old primary if only it has every entry', () => {
+      const choice = chooseTarget({
+        ...left,
+        oldPrimary: candidate('p', 4),
+        replicas: [candidate('a', 3)],
+      });
+      expect(choice).toEqual({
+        kind: 'promote',
+        target: 'p',
+        position: {term: 1, position: 4},
+      });
+    });
+
+    it('says what is unverified once the old primary is gone as well', () => {
+      const choice = chooseTarget({
+        ...left,
+        mayOldPrimaryReport: false,
+        oldPrimary: undefined,
+        replicas: [candidate('a', 3)],
+      });
+      expect(choice).toEqual({
+        kind: 'promote',
+        target: 'a',
+        position: {term: 1, position: 3},
+        unverified: 'instances left with their logs: gone',
+      });
+    });
+  });
+
+  describe('when the reported positions lack a commit that may be acknowledged', () => {
+    const minimumPosition = {term: 1, position: 5};
+
+    it('does not promote the replica that received nothing, although all have reported', () => {
+      const choice = chooseTarget({
+        ...NOTHING_LOST,
+        minimumPosition,
+        oldPrimary: candidate('p', 6),
+        replicas: [candidate('deaf', 2)],
+      });
+      expect(choice.kind === 'promote' && choice.target).toEqual('p');
+    });
+
+    it('does not trust an old primary that came back without its log', () => {
+      const choice = chooseTarget({
+        ...NOTHING_LOST,
+        minimumPosition,
+        oldPrimary: candidate('p', 0),
+        replicas: [candidate('a'), candidate('b', 2)],
+      });
+      expect(choice.kind).toEqual('wait');
+    });
+  });
 });
--- /dev/null
+++ b/packages/decisions/test/primary-change/target-under-faults.test.ts
@@ -0,0 +1,115 @@
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import type {TargetInputs} from '../../src/index.js';
+import type {InputFilter} from './group-under-faults.js';
+import {GroupUnderFaults} from './group-under-faults.js';
+
+const INDEX = fc.nat({max: 5});
+
+/** Events of a group; changes and writes are the most frequent. */
+const EVENT = fc.oneof(
+  {weight: 6, arbitrary: fc.constant({kind: 'write'} as const)},
+  {weight: 4, arbitrary: fc.constant({kind: 'change'} as const)},
+  {
+    weight: 3,
+    arbitrary: fc.record({kind: fc.constant('deaf' as const), index: INDEX}),
+  },
+  {
+    weight: 3,
+    arbitrary: fc.record({kind: fc.constant('crash' as const), index: INDEX}),
+  },
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      kind: fc.constant('restart' as const),
+      index: INDEX,
+      keepsLog: fc.boolean(),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({kind: fc.constant('leave' as const), index: INDEX}),
+  },
+  {weight: 1, arbitrary: fc.constant({kind: 'add'} as const)},
+);
+
+type GroupEvent =
+  typeof EVENT extends fc.Arbitrary<infer Event> ? Event : never;
+
+const HISTORY = fc.array(EVENT, {minLength: 5, maxLength: 40});
+
+function apply(group: GroupUnderFaults, event: GroupEvent): void {
+  switch (event.kind) {
+    case 'write':
+      return group.write();
+    case 'change':
+      return group.changePrimary();
+    case 'deaf':
+      return group.toggleDeaf(event.index);
+    case 'crash':
+      return group.crash(event.index);
+    case 'restart':
+      return group.restart(event.index, event.keepsLog);
+    case 'leave':
+      return group.leave(event.index);
+    case 'add':
+      return group.add();
+  }
+}
+
+/** Plays random histories; returns the groups in their last state. */
+function playHistories(runs: number, filter?: InputFilter): GroupUnderFaults[] {
+  return fc.sample(HISTORY, {seed: 26, numRuns: runs}).map(history => {
+    const group = new GroupUnderFaults(filter);
+    for (const event of history) apply(group, event);
+    return group;
+  });
+}
+
+function countLossy(groups: readonly GroupUnderFaults[]): number {
+  return groups.filter(({lost}) => lost.length > 0).length;
+}
+
+/** Filters that remove one thing that the choice relies on. */
+const BROKEN: ReadonlyArray<{
+  readonly name: string;
+  readonly filter: (inputs: TargetInputs) => TargetInputs;
+}> = [
+  {
+    name: 'counts "all that are left have reported" as a proof',
+    filter: inputs => ({...inputs, unverifiedDepartures: []}),
+  },
+  {
+    name: 'ignores the start of the term and what instances had before they lost their logs',
+    filter: inputs => ({...inputs, minimumPosition: undefined}),
+  },
+  {
+    name: 'ignores replicas that have not reported',
+    filter: inputs => ({
+      ...inputs,
+      replicas: inputs.replicas.filter(({report}) => report !== undefined),
+    }),
+  },
+];
+
+describe('chooseTarget in a group whose instances go deaf, crash, restart and leave', () => {
+  it('drops no acknowledged commit without saying so', () => {
+    const groups = playHistories(20_000);
+    expect(countLossy(groups)).toEqual(0);
+    expect(groups.some(({promotions}) => promotions > 2)).toEqual(true);
+  });
+
+  it('gives a verdict on most promotions', () => {
+    const groups = playHistories(5_000);
+    const total = groups.reduce((sum, {promotions}) => sum + promotions, 0);
+    const open = groups.reduce((sum, {unverified}) => sum + unverified, 0);
+    expect(open * 4 < total).toEqual(true);
+  });
+
+  for (const {name, filter} of BROKEN) {
+    it(`loses acknowledged commits if it ${name}`, () => {
+      expect(countLossy(playHistories(20_000, filter)) > 0).toEqual(true);
+    });
+  }
+});
--- a/packages/gateway/src/core/coordinator/coordinator-task.ts
+++ b/packages/gateway/src/core/coordinator/coordinator-task.ts
@@ -54,10 +54,11 @@
   /** Whether the store responds and the keys written by proxies are in sync. */
   readonly isConnected: () => boolean;
   /**
-   * Whether the directory is in sync as well; only the coordinator follows it
-   * that closely.
+   * Whether the directory is in sync as well, by a response that was requested
+   * after a time of the steady clock, in milliseconds. Before a proxy is the
+   * coordinator, it does not follow the directory that closely.
    */
-  readonly isUpToDate: () => boolean;
+  readonly isUpToDate: (sinceMs: number) => boolean;
   /** Called while the coordinator's state is out of date. */
   readonly onRefreshNeeded: () => void;
 }
@@ -69,6 +70,7 @@
 export class CoordinatorTask extends SupervisedTask {
   private timer: NodeJS.Timeout | undefined;
   private vacantSinceMs: number | undefined;
+  private coordinatorSinceMs: number | undefined;
   private isClaiming = false;
   /**
    * Time until which a claim without a response may still take effect, in
@@ -136,16 +138,20 @@
     if (!this.options.isConnected()) return;
     if (!this.isCoordinator) {
       this.options.context.control.closeAll();
+      this.coordinatorSinceMs = undefined;
       this.claimIfVacant();
       return;
     }
-    if (!this.options.isUpToDate()) {
+    this.coordinatorSinceMs ??= steadyNowMs();
+    if (!this.options.isUpToDate(this.coordinatorSinceMs)) {
       this.options.onRefreshNeeded();
       return;
     }
     const {groups, configuration} = this.options.context;
     for (const name of configuration.current?.groups.keys() ?? []) {
-      this.checkGroup(groups.getOrCreate(name));
+      const group = groups.getOrCreate(name);
+      this.checkGroup(group);
+      void this.context.departures.boundDepartures(group);
     }
     this.removeDepartedProxies();
   }
--- /dev/null
+++ b/packages/gateway/src/core/coordinator/group-departures.ts
@@ -0,0 +1,90 @@
+import {DepartedInstances, PrimaryPhase} from '@sapphireglade/decisions';
+import type {
+  InstanceDirectory,
+  RegisteredInstance,
+} from '../directory/index.js';
+import type {DatabaseGroup, GroupRegistry} from '../groups/index.js';
+import {CommandKind} from '../upstream/index.js';
+import type {ControlConnections} from './control-connections.js';
+
+/**
+ * Instances of each group that left during its current term, with what the
+ * coordinator learns from the primary about the commits that they may have
+ * confirmed.
+ */
+export class GroupDepartures {
+  private readonly departed = new Map<string, DepartedInstances>();
+  private readonly asking = new Set<string>();
+
+  private readonly groups: DatabaseGroup[] = [];
+
+  constructor(
+    private readonly directory: InstanceDirectory,
+    groups: Pick<GroupRegistry, 'onGroup'>,
+    private readonly control: ControlConnections,
+  ) {
+    groups.onGroup(group => {
+      this.groups.push(group);
+      group.records$.subscribe(() =>
+        this.update(group, directory.findByGroup(group.name)),
+      );
+    });
+    directory.changes$.subscribe(() => this.updateAll());
+  }
+
+  /** Returns the departures of a group. */
+  of(group: string): DepartedInstances {
+    const known = this.departed.get(group) ?? new DepartedInstances();
+    this.departed.set(group, known);
+    return known;
+  }
+
+  /**
+   * Asks the primary of a steady group for its position if an instance has left
+   * since the last question: the answer bounds what the instance confirmed.
+   */
+  async boundDepartures(group: DatabaseGroup): Promise<void> {
+    const departed = this.of(group.name);
+    const {unbounded} = departed;
+    const record = group.storedRecord?.record;
+    const canAsk =
+      unbounded.length > 0 &&
+      record?.phase === PrimaryPhase.Steady &&
+      !this.asking.has(group.name);
+    if (!canAsk) return;
+    const primary = this.directory.find(record.primary);
+    if (primary === undefined) return;
+    this.asking.add(group.name);
+    try {
+      const report = await this.control.sendCommand(primary, {
+        kind: CommandKind.Status,
+      });
+      const isInTerm =
+        report?.isPrimary === true && report.term === record.term;
+      if (isInTerm) departed.recordBound(unbounded, report.received);
+    } finally {
+      this.asking.delete(group.name);
+    }
+  }
+
+  /** Updates all groups in one pass over the directory. */
+  private updateAll(): void {
+    const byGroup = new Map<string, RegisteredInstance[]>();
+    for (const instance of this.directory.instances) {
+      const instances = byGroup.get(instance.group) ?? [];
+      byGroup.set(instance.group, instances);
+      instances.push(instance);
+    }
+    for (const group of this.groups)
+      this.update(group, byGroup.get(group.name) ?? []);
+  }
+
+  private update(
+    group: DatabaseGroup,
+    instances: readonly RegisteredInstance[],
+  ): void {
+    const record = group.storedRecord?.record;
+    if (record === undefined) return;
+    this.of(group.name).update(record.term, record.primary, instances);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/core/coordinator/held-instances.ts
@@ -0,0 +1,152 @@
+import type {ReplicationReport, TargetInputs} from '@sapphireglade/decisions';
+import {HeldReports, higherPosition} from '@sapphireglade/decisions';
+import type {RegisteredInstance} from '../directory/index.js';
+import type {VersionedPrimaryRecord} from '../groups/index.js';
+import {steadyNowMs} from '../time/index.js';
+import type {InstanceCommand} from '../upstream/index.js';
+import {CommandKind} from '../upstream/index.js';
+import type {PrimaryChangeContext} from './primary-change-context.js';
+
+/** The instances of a group that one change of primary holds or has stepped down, and what they reported. */
+export class HeldInstances {
+  private readonly replicaReports = new HeldReports();
+  /** Kept apart, because the old primary may have entries that no replica confirmed. */
+  private readonly oldPrimaryReport = new HeldReports();
+  private heldAtMs = steadyNowMs();
+
+  /**
+   * @param context - Dependencies of the change.
+   * @param group - Name of the group.
+   * @param orders - Returns the number of promotions that may have been ordered
+   *   without a new primary being observed.
+   */
+  constructor(
+    private readonly context: PrimaryChangeContext,
+    private readonly group: string,
+    private readonly orders: () => number,
+  ) {}
+
+  /** Steady-clock time of the last hold of an instance, in milliseconds. */
+  get lastHeldAtMs(): number {
+    return this.heldAtMs;
+  }
+
+  /** Returns every instance that may hold acknowledged commits. The old primary is included only if it may have followed another primary since. */
+  replicas({record}: VersionedPrimaryRecord): RegisteredInstance[] {
+    const instances = this.context.directory.findByGroup(this.group);
+    if (this.wasPromotionOrdered) return instances;
+    return instances.filter(({id}) => id !== record.primary);
+  }
+
+  /** Sends a command to several instances and returns the reports of those that respond. */
+  async sendToAll(
+    instances: readonly RegisteredInstance[],
+    command: InstanceCommand,
+  ): Promise<ReplicationReport[]> {
+    const reports = await Promise.all(
+      instances.map(each => this.context.control.sendCommand(each, command)),
+    );
+    return reports.filter(report => report !== undefined);
+  }
+
+  /** Stops replication on the replicas that are not held and stores their positions. */
+  async holdReplicas(known: VersionedPrimaryRecord): Promise<void> {
+    const missing = this.replicas(known).filter(
+      ({id, bornAtMs}) => !this.replicaReports.isHeld(id, bornAtMs),
+    );
+    const term = this.nextTerm(known);
+    // An instance that was ordered to lead is not stopped by a hold.
+    if (this.wasPromotionOrdered) {
+      await this.sendToAll(missing, {kind: CommandKind.StepDown, term});
+    }
+    const reports = await this.sendToAll(missing, {
+      kind: CommandKind.HoldTerm,
+      term,
+    });
+    if (reports.length > 0) this.heldAtMs = steadyNowMs();
+    for (const report of reports) {
+      const instance = missing.find(({id}) => id === report.id);
+      this.replicaReports.record(report, instance?.bornAtMs);
+    }
+  }
+
+  /** Steps the old primary down, if it is reachable and has not reported since it started. */
+  async stepDownOldPrimary(known: VersionedPrimaryRecord): Promise<void> {
+    const old = this.context.directory.find(known.record.primary);
+    if (old === undefined) return;
+    if (this.oldPrimaryReport.isHeld(old.id, old.bornAtMs)) return;
+    const [report] = await this.sendToAll([old], {
+      kind: CommandKind.StepDown,
+      term: this.nextTerm(known),
+    });
+    if (report === undefined) return;
+    this.oldPrimaryReport.record(report, old.bornAtMs);
+    this.heldAtMs = steadyNowMs();
+  }
+
+  /** Whether every instance that reported is still held; a restart requires a new hold. */
+  areIntact(known: VersionedPrimaryRecord): boolean {
+    const old = this.context.directory.find(known.record.primary);
+    const hasOldPrimaryRestarted =
+      old !== undefined && hasRestarted(this.oldPrimaryReport, old);
+    const hasReplicaRestarted = this.replicas(known).some(each =>
+      hasRestarted(this.replicaReports, each),
+    );
+    return !hasOldPrimaryRestarted && !hasReplicaRestarted;
+  }
+
+  /** Requires every instance to report again. */
+  clear(): void {
+    this.replicaReports.clear();
+    this.oldPrimaryReport.clear();
+  }
+
+  /** Returns what the choice of a target depends on. */
+  targetInputs(known: VersionedPrimaryRecord): TargetInputs {
+    const {primary, initialPosition} = known.record;
+    const {configuration, departures, directory} = this.context;
+    const departed = departures.of(this.group);
+    const old = directory.find(primary);
+    return {
+      replicas: this.replicas(known).map(({id, isLeaving}) => ({
+        id,
+        isLeaving,
+        report: this.replicaReports.find(id),
+      })),
+      oldPrimary: old && {
+        id: old.id,
+        isLeaving: old.isLeaving,
+        report: this.oldPrimaryReport.find(old.id),
+      },
+      mayOldPrimaryReport: old !== undefined,
+      hasSynchronousReplication:
+        configuration.current?.groups.get(this.group)
+          ?.hasSynchronousReplication ?? true,
+      wasPromotionOrdered: this.wasPromotionOrdered,
+      minimumPosition: [
+        departed.bound,
+        this.replicaReports.highestPosition,
+      ].reduce(higherPosition, initialPosition),
+      unverifiedDepartures: departed.unbounded
+        .filter(each => !this.replicaReports.hasReported(each))
+        .map(({id}) => id),
+    };
+  }
+
+  private get wasPromotionOrdered(): boolean {
+    return this.orders() > 0;
+  }
+
+  /** Returns the lowest term that no earlier promotion of this change can have started. */
+  private nextTerm({record}: VersionedPrimaryRecord): number {
+    return record.term + 1 + this.orders();
+  }
+}
+
+/** Returns whether an instance has restarted since it reported. */
+function hasRestarted(
+  reports: HeldReports,
+  {id, bornAtMs}: RegisteredInstance,
+): boolean {
+  return reports.find(id) !== undefined && !reports.isHeld(id, bornAtMs);
+}
--- a/packages/gateway/src/core/coordinator/index.ts
+++ b/packages/gateway/src/core/coordinator/index.ts
@@ -8,3 +8,4 @@
 export * from './view-revocation.js';
 export type {PrimaryChangeContext} from './primary-change-context.js';
 export * from './control-connections.js';
+export * from './group-departures.js';
--- a/packages/gateway/src/core/coordinator/primary-change-context.ts
+++ b/packages/gateway/src/core/coordinator/primary-change-context.ts
@@ -7,6 +7,7 @@
 import type {PrimaryReleases} from '../primary-health/index.js';
 import type {CoordinationStore} from '../store/index.js';
 import type {ControlConnections} from './control-connections.js';
+import type {GroupDepartures} from './group-departures.js';
 import type {PromotionService} from './promotion-service.js';
 
 /** Dependencies of a primary change. */
@@ -22,6 +23,8 @@
   readonly ownersOf: (group: string) => readonly string[];
   readonly releases: PrimaryReleases;
   readonly control: ControlConnections;
+  /** Instances that left during the current terms. */
+  readonly departures: GroupDepartures;
   readonly promotions: PromotionService;
   /**
    * Returns the revision at which this proxy became the coordinator; 0 if it is
--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -2,15 +2,19 @@
   LogPosition,
   PrimaryRecord,
   ReplicationReport,
-  PromotionCandidate,
+  TargetChoice,
+} from '@sapphireglade/decisions';
+import {
+  chooseTarget,
+  elapsedMs,
+  formatPosition,
+  PrimaryPhase,
 } from '@sapphireglade/decisions';
-import {chooseTarget, elapsedMs, PrimaryPhase} from '@sapphireglade/decisions';
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {RegisteredInstance} from '../directory/index.js';
 import type {DatabaseGroup, VersionedPrimaryRecord} from '../groups/index.js';
 import {readClocks, steadyNowMs} from '../time/index.js';
-import type {InstanceCommand} from '../upstream/index.js';
 import {CommandKind} from '../upstream/index.js';
+import {HeldInstances} from './held-instances.js';
 import type {PrimaryChangeContext} from './primary-change-context.js';
 import {PromotionResult} from './promotion-service.js';
 import {writePrimaryRecord} from './write-primary-record.js';
@@ -53,13 +57,8 @@
  * from it, and only then the replica with the highest position is promoted.
  */
 export class PrimaryChange {
-  private readonly reports = new Map<string, ReplicationReport>();
-  /** Start time of each held instance at the time of the hold. */
-  private readonly heldIncarnations = new Map<string, number | undefined>();
-  private oldPrimaryReport: ReplicationReport | undefined;
+  private readonly held: HeldInstances;
   private readonly beganAtMs = steadyNowMs();
-  /** Steady-clock time of the last hold of an instance, in milliseconds. */
-  private lastHeldAtMs = steadyNowMs();
   /** Number of promotions that may have been ordered without a new primary being observed. */
   private failedPromotions = 0;
   private revocation: ViewRevocation | undefined;
@@ -68,7 +67,13 @@
     private readonly context: PrimaryChangeContext,
     private readonly group: DatabaseGroup,
     private readonly reason: PrimaryChangeReason,
-  ) {}
+  ) {
+    this.held = new HeldInstances(
+      context,
+      group.name,
+      () => this.failedPromotions,
+    );
+  }
 
   /**
    * Executes the change.
@@ -87,11 +92,11 @@
       const announced = await this.announce(known);
       if (this.reason === PrimaryChangeReason.Leaving) {
         await this.awaitReleases(RELEASE_TIMEOUT_MS);
-        await this.stepDownOldPrimary(announced);
+        await this.held.stepDownOldPrimary(announced);
       } else {
         await Promise.all([
-          this.holdReplicas(announced),
-          this.stepDownOldPrimary(announced),
+          this.held.holdReplicas(announced),
+          this.held.stepDownOldPrimary(announced),
         ]);
       }
       await this.promoteUntilSuccess(announced);
@@ -131,14 +136,18 @@
   /** Completes the change if an earlier coordinator promoted an instance. */
   private async adoptPrimary(known: VersionedPrimaryRecord): Promise<boolean> {
     if (this.reason !== PrimaryChangeReason.Unfinished) return false;
-    const reports = await this.sendToAll(this.replicas(known), {
+    const reports = await this.held.sendToAll(this.held.replicas(known), {
       kind: CommandKind.Status,
     });
     const [leader] = reports
       .filter(({isPrimary, term}) => isPrimary && term > known.record.term)
       .sort((left, right) => right.term - left.term);
     if (leader === undefined) return false;
-    await this.completeChange(leader);
+    const {target, lastPosition} = known.record;
+    await this.completeChange(
+      leader,
+      leader.id === target ? lastPosition : undefined,
+    );
     return true;
   }
 
@@ -154,7 +163,7 @@
   private async awaitViewRevocation(): Promise<void> {
     const isRevoked = (): boolean =>
       this.revocation?.isComplete(
-        this.lastHeldAtMs,
+        this.held.lastHeldAtMs,
         this.failedPromotions > 0,
       ) === true;
     while (!isRevoked()) {
@@ -170,48 +179,6 @@
     return this.revocation?.silent ?? [];
   }
 
-  /** Stops replication on the replicas and stores their positions. */
-  private async holdReplicas(known: VersionedPrimaryRecord): Promise<void> {
-    const missing = this.replicas(known).filter(each => !this.isHeld(each));
-    // An instance that was ordered to lead is not stopped by a hold.
-    if (this.hasFailedPromotion) {
-      await this.sendToAll(missing, {
-        kind: CommandKind.StepDown,
-        term: this.nextTerm(known),
-      });
-    }
-    const reports = await this.sendToAll(missing, {
-      kind: CommandKind.HoldTerm,
-      term: this.nextTerm(known),
-    });
-    if (reports.length > 0) this.lastHeldAtMs = steadyNowMs();
-    for (const report of reports) {
-      this.reports.set(report.id, report);
-      const instance = missing.find(({id}) => id === report.id);
-      this.heldIncarnations.set(report.id, instance?.bornAtMs);
-    }
-  }
-
-  /** Whether an instance is still held. A restart clears the hold. */
-  private isHeld({id, bornAtMs}: RegisteredInstance): boolean {
-    return this.reports.has(id) && this.heldIncarnations.get(id) === bornAtMs;
-  }
-
-  /** Steps the old primary down, if it is reachable. */
-  private async stepDownOldPrimary(
-    known: VersionedPrimaryRecord,
-  ): Promise<void> {
-    const old = this.context.directory.find(known.record.primary);
-    if (old === undefined) return;
-    const [report] = await this.sendToAll([old], {
-      kind: CommandKind.StepDown,
-      term: this.nextTerm(known),
-    });
-    if (report === undefined) return;
-    this.oldPrimaryReport = report;
-    this.lastHeldAtMs = steadyNowMs();
-  }
-
   /** Chooses and promotes candidates until an instance leads. */
   private async promoteUntilSuccess(
     announced: VersionedPrimaryRecord,
@@ -219,19 +186,13 @@
     let known = announced;
     let loggedReason = '';
     for (;;) {
-      await this.holdReplicas(known);
-      const choice = chooseTarget({
-        replicas: this.candidates(known),
-        oldPrimary: this.oldPrimaryReport,
-        hasSynchronousReplication: this.hasSynchronousReplication,
-        wasPromotionOrdered: this.hasFailedPromotion,
-      });
+      await this.held.holdReplicas(known);
+      const choice = chooseTarget(this.held.targetInputs(known));
       if (choice.kind === 'promote') {
         await this.awaitViewRevocation();
-        if (!this.replicas(known).every(each => this.isHoldIntact(each))) {
-          continue;
-        }
-        const {target, position} = choice;
+        if (!this.held.areIntact(known)) continue;
+        const {target, position, unverified} = choice;
+        if (unverified !== undefined) this.reportUnverified(choice);
         if (await this.promote(known.record, target, position)) return;
         known = await this.restartChange(known);
       } else {
@@ -239,10 +200,8 @@
           loggedReason = choice.reason;
           this.log('The change of primary waits.', {waitsFor: choice.reason});
         }
-        const isOldPrimaryHandled =
-          this.oldPrimaryReport !== undefined || this.hasFailedPromotion;
-        if (!isOldPrimaryHandled) await this.stepDownOldPrimary(known);
       }
+      if (!this.hasFailedPromotion) await this.held.stepDownOldPrimary(known);
       await sleep(RETRY_DELAY_MS);
       this.assertStillCoordinator();
     }
@@ -259,16 +218,10 @@
     known: VersionedPrimaryRecord,
   ): Promise<VersionedPrimaryRecord> {
     this.failedPromotions += 1;
-    this.reports.clear();
-    this.oldPrimaryReport = undefined;
+    this.held.clear();
     return this.announce(known);
   }
 
-  /** Returns the lowest term that no earlier promotion of this change can have started. */
-  private nextTerm(known: VersionedPrimaryRecord): number {
-    return known.record.term + 1 + this.failedPromotions;
-  }
-
   /** Orders the promotion with a fencing token written for it. Returns whether the target leads. */
   private async promote(
     old: PrimaryRecord,
@@ -297,11 +250,17 @@
     this.log('A promotion was ordered.', {target, token: revision, answer});
     const isPossible =
       answer === PromotionResult.Accepted || answer === PromotionResult.Unknown;
-    return isPossible && (await this.awaitPromotion(target, old.term));
+    return (
+      isPossible && (await this.awaitPromotion(target, old.term, lastPosition))
+    );
   }
 
   /** Waits until the promoted instance is primary. Returns false after the time limit. */
-  private async awaitPromotion(id: string, oldTerm: number): Promise<boolean> {
+  private async awaitPromotion(
+    id: string,
+    oldTerm: number,
+    initialPosition: LogPosition,
+  ): Promise<boolean> {
     const deadlineMs = steadyNowMs() + PROMOTION_TIMEOUT_MS;
     while (steadyNowMs() < deadlineMs) {
       const endpoint = this.context.directory.find(id);
@@ -310,7 +269,7 @@
         kind: CommandKind.Status,
       });
       if (report?.isPrimary && report.term > oldTerm) {
-        await this.completeChange(report);
+        await this.completeChange(report, initialPosition);
         return true;
       }
       await sleep(POLL_INTERVAL_MS);
@@ -319,11 +278,15 @@
   }
 
   /** Records the new primary and lets the replicas replicate from it. */
-  private async completeChange(leader: ReplicationReport): Promise<void> {
+  private async completeChange(
+    leader: ReplicationReport,
+    initialPosition: LogPosition | undefined,
+  ): Promise<void> {
     await writePrimaryRecord(this.context, this.group, {
       term: leader.term,
       primary: leader.id,
       phase: PrimaryPhase.Steady,
+      initialPosition,
     });
     this.countStep('led');
     this.log('Another instance leads.', {
@@ -334,24 +297,7 @@
     const others = this.context.directory
       .findByGroup(this.group.name)
       .filter(({id}) => id !== leader.id);
-    await this.sendToAll(others, {kind: CommandKind.ReleaseTerm});
-  }
-
-  private async sendToAll(
-    instances: readonly RegisteredInstance[],
-    command: InstanceCommand,
-  ): Promise<ReplicationReport[]> {
-    const reports = await Promise.all(
-      instances.map(each => this.context.control.sendCommand(each, command)),
-    );
-    return reports.filter(report => report !== undefined);
-  }
-
-  /** Returns every instance that may hold acknowledged commits. The old primary is included only if it may have followed another primary since. */
-  private replicas(known: VersionedPrimaryRecord): RegisteredInstance[] {
-    const instances = this.context.directory.findByGroup(this.group.name);
-    if (this.hasFailedPromotion) return instances;
-    return instances.filter(({id}) => id !== known.record.primary);
+    await this.held.sendToAll(others, {kind: CommandKind.ReleaseTerm});
   }
 
   /** Whether another instance may have led after the old primary. */
@@ -359,23 +305,21 @@
     return this.failedPromotions > 0;
   }
 
-  /** Whether an instance that reported is still held; a restart requires a new hold. */
-  private isHoldIntact(instance: RegisteredInstance): boolean {
-    return !this.reports.has(instance.id) || this.isHeld(instance);
-  }
-
-  private candidates(known: VersionedPrimaryRecord): PromotionCandidate[] {
-    return this.replicas(known).map(({id, isLeaving}) => ({
-      id,
-      isLeaving,
-      report: this.reports.get(id),
-    }));
-  }
-
-  private get hasSynchronousReplication(): boolean {
-    const current = this.context.configuration.current;
-    return (
-      current?.groups.get(this.group.name)?.hasSynchronousReplication ?? true
+  /** Reports that acknowledged commits may be given up, because no instance that may have them can report any more. */
+  private reportUnverified({
+    target,
+    position,
+    unverified,
+  }: Extract<TargetChoice, {kind: 'promote'}>): void {
+    this.countStep('unverified');
+    this.context.log.error(
+      'The next primary may lack acknowledged commits, which no remaining instance has.',
+      {
+        group: this.group.name,
+        target,
+        position: formatPosition(position),
+        reason: unverified,
+      },
     );
   }
 
@@ -384,7 +328,7 @@
     throw new Error('This proxy no longer coordinates.');
   }
 
-  private countStep(step: 'begun' | 'ordered' | 'led'): void {
+  private countStep(step: 'begun' | 'ordered' | 'led' | 'unverified'): void {
     this.context.metrics.increment('sapphireglade_changes_of_primary_total', {
       step,
     });
--- a/packages/gateway/src/core/directory/instance-directory.ts
+++ b/packages/gateway/src/core/directory/instance-directory.ts
@@ -112,22 +112,31 @@
   }
 
   /**
-   * Removes the instances whose entries have been missing for the grace period.
+   * Removes the instances whose entries were still missing in a response that
+   * was requested after the grace period.
    *
-   * @param isStoreReachable - Whether a returning entry would be received.
+   * @param observedAtMs - When the newest response was requested, in
+   *   milliseconds of the steady clock; undefined while the store does not
+   *   respond.
    * @param isStale - Whether the directory is read from stale responses, so
-   *   that it would be received late.
+   *   that a returning entry would be received late.
+   * @returns Whether an instance is kept only until a newer response confirms
+   *   that its entry is still missing.
    */
-  removeMissing(isStoreReachable: boolean, isStale: boolean): void {
-    if (!isStoreReachable) {
+  removeMissing(observedAtMs: number | undefined, isStale: boolean): boolean {
+    if (observedAtMs === undefined) {
       this.restartGracePeriods();
-      return;
+      return false;
     }
     const graceMs = MISSING_GRACE_MS + (isStale ? STALE_READ_GRACE_MS : 0);
-    const missingBeforeMs = steadyNowMs() - graceMs;
+    let awaitsResponse = false;
     for (const [id, {missingSinceMs}] of this.entries) {
-      if (missingSinceMs === undefined || missingSinceMs > missingBeforeMs)
+      if (missingSinceMs === undefined) continue;
+      const removableAtMs = missingSinceMs + graceMs;
+      if (removableAtMs > observedAtMs) {
+        awaitsResponse ||= removableAtMs <= steadyNowMs();
         continue;
+      }
       this.entries.delete(id);
       this.zones += 1;
       this.log.warn('An instance was removed after its grace period.', {
@@ -135,6 +144,7 @@
       });
       this.changes.next();
     }
+    return awaitsResponse;
   }
 
   /**
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -1,5 +1,4 @@
 import {randomUUID} from 'node:crypto';
-import {setTimeout as sleep} from 'node:timers/promises';
 import type {ClockReading} from '@sapphireglade/decisions';
 import {vmCapacity} from '@sapphireglade/decisions';
 import type {LoggerFactory} from '@sapphireglade/runtime';
@@ -10,6 +9,7 @@
   ControlConnections,
   CoordinatorKey,
   CoordinatorTask,
+  GroupDepartures,
 } from '../coordinator/index.js';
 import {InstanceDirectory} from '../directory/index.js';
 import {ForwardingService} from '../forwarding/index.js';
@@ -38,6 +38,7 @@
 import type {RunningSettings} from '../settings/index.js';
 import {StoreWatchers} from './store-watchers.js';
 import {readClocks, withTimeout} from '../time/index.js';
+import {DEREGISTRATION_TIMEOUT_MS, drainCallers} from './drain-callers.js';
 import type {GatewayAdapters} from './gateway-adapters.js';
 
 /** Time for which changes of the member list are batched, in milliseconds; a fleet that starts together causes many. */
@@ -46,21 +47,6 @@
 /** Interval of housekeeping, in milliseconds. */
 const HOUSEKEEPING_INTERVAL_MS = 500;
 
-/** Time for which new callers are still served after a stop began, in milliseconds; the balancer probes once a second and needs two failed probes. */
-const BALANCER_DELAY_MS = 2_300;
-
-/** Fraction of the grace period in which open transactions may end. */
-const TRANSACTION_GRACE_FRACTION = 0.5;
-
-/** Fraction of the grace period after which the process stops in any case. */
-const FORCED_STOP_GRACE_FRACTION = 0.9;
-
-/** Timeout for removing this process from the store, in milliseconds; its leases expire anyway. */
-const DEREGISTRATION_TIMEOUT_MS = 250;
-
-/** Interval at which a stopping process checks for remaining callers, in milliseconds. */
-const STOP_POLL_MS = 50;
-
 /** A gateway process: creates, starts and stops all of its components. */
 export class GatewayProcess {
   private readonly configuration: LatestConfiguration;
@@ -211,6 +197,7 @@
       onRenewed: sentAt => this.extendViews(sentAt),
       onRecordsNeeded: () => this.storeWatchers.proxyKeys.refresh(),
     });
+    const control = new ControlConnections(connector, failoverLog);
     this.coordinator = new CoordinatorTask({
       context: {
         self: name,
@@ -222,7 +209,8 @@
         ownersOf: group => this.ownership.ownersOf(group),
         releases,
         knownProxies,
-        control: new ControlConnections(connector, failoverLog),
+        control,
+        departures: new GroupDepartures(this.directory, this.groups, control),
         promotions,
         followedRevision: () => this.storeWatchers.proxyKeys.revision,
         metrics: this.metrics,
@@ -232,7 +220,7 @@
       lease: this.viewLease,
       holder: `${name}/${this.incarnation}`,
       isConnected: () => this.storeWatchers.isConnected,
-      isUpToDate: () => this.storeWatchers.isDirectoryCurrent,
+      isUpToDate: sinceMs => this.storeWatchers.isDirectoryCurrent(sinceMs),
       onRefreshNeeded: () => this.storeWatchers.refreshDirectory(),
     });
     this.members.changes$
@@ -320,13 +308,23 @@
     await this.viewVerificationTask.start();
     await this.coordinator.start();
     this.housekeepingTimer = setInterval(() => {
-      const {isDirectoryReachable, isDirectoryStale} = this.storeWatchers;
-      this.directory.removeMissing(isDirectoryReachable, isDirectoryStale);
+      this.removeMissingInstances();
       this.reconcile();
     }, HOUSEKEEPING_INTERVAL_MS);
     log.info('The process started.', {name, zone: availabilityZone});
   }
 
+  private removeMissingInstances(): void {
+    const {directoryObservedAtMs, isDirectoryStale} = this.storeWatchers;
+    const awaitsResponse = this.directory.removeMissing(
+      directoryObservedAtMs,
+      isDirectoryStale,
+    );
+    // A change of primary may wait for the removal.
+    if (awaitsResponse && this.coordinator.isCoordinator)
+      this.storeWatchers.refreshDirectory();
+  }
+
   private async serveMetrics(): Promise<void> {
     registerGatewayGauges(this.metrics, {
       groups: this.groups,
@@ -350,34 +348,20 @@
       connections: this.adapters.callerServer.openConnections,
     });
     this.ownership.freeze();
-    // Other proxies take over the groups of this proxy while it still serves.
-    await withTimeout(
-      Promise.all([this.coordinator.stop(0), this.member.stop(0)]),
-      DEREGISTRATION_TIMEOUT_MS,
-    );
-    await sleep(BALANCER_DELAY_MS);
-    this.adapters.callerServer.drain();
-    this.forwarding.drain();
-    const graceMs = this.settings.current.stopGraceS * 1_000;
-    await this.waitForCallers(beganAtMs + graceMs * TRANSACTION_GRACE_FRACTION);
-    this.adapters.callerServer.endOpenTransactions();
-    this.forwarding.endForwardedTransactions();
-    await this.waitForCallers(beganAtMs + graceMs * FORCED_STOP_GRACE_FRACTION);
+    await drainCallers({
+      callerServer: this.adapters.callerServer,
+      forwarding: this.forwarding,
+      deregister: () =>
+        Promise.all([this.coordinator.stop(0), this.member.stop(0)]),
+      beganAtMs,
+      graceMs: this.settings.current.stopGraceS * 1_000,
+    });
     await this.shutDown();
     log.info('The process stopped.', {
       tookMs: Math.round(performance.now() - beganAtMs),
     });
   }
 
-  private async waitForCallers(deadlineMs: number): Promise<void> {
-    const {callerServer} = this.adapters;
-    const isServing = (): boolean =>
-      callerServer.openConnections + this.forwarding.activeForwardedCount > 0;
-    while (isServing() && performance.now() < deadlineMs) {
-      await sleep(STOP_POLL_MS);
-    }
-  }
-
   private async shutDown(): Promise<void> {
     clearInterval(this.housekeepingTimer);
     await this.adapters.callerServer.close();
--- a/packages/gateway/src/core/process/store-watchers.ts
+++ b/packages/gateway/src/core/process/store-watchers.ts
@@ -4,6 +4,7 @@
 import {MEMBER_PREFIX} from '../membership/index.js';
 import {StoreRelayServer} from '../store-relay/index.js';
 import {StoreWatcher, StoreMirror} from '../store/index.js';
+import {steadyNowMs} from '../time/index.js';
 import type {ExternalStoreListeners} from './gateway-adapters.js';
 
 /** Prefix of the keys that the proxies share. */
@@ -143,9 +144,17 @@
     return this.proxyKeys.isComplete && this.proxyKeys.isStoreReachable;
   }
 
-  /** Whether the directory has been read as well and is up to date. */
-  get isDirectoryCurrent(): boolean {
-    return this.isConnected && this.directory.isComplete;
+  /**
+   * Whether the directory has been read as well.
+   *
+   * @param sinceMs - Time of the steady clock after which it must have been
+   *   requested, in milliseconds.
+   */
+  isDirectoryCurrent(sinceMs: number): boolean {
+    const {syncedAtMs} = this.directory;
+    return (
+      this.isConnected && syncedAtMs !== undefined && syncedAtMs >= sinceMs
+    );
   }
 
   /** Reads the directory now. */
@@ -153,9 +162,13 @@
     this.directory.refresh();
   }
 
-  /** Whether the watch of the directory would detect a returning entry. */
-  get isDirectoryReachable(): boolean {
-    return this.directory.isStoreReachable;
+  /**
+   * When the newest response about the directory was requested, in milliseconds
+   * of the steady clock; undefined while the store does not respond.
+   */
+  get directoryObservedAtMs(): number | undefined {
+    if (!this.directory.isStoreReachable) return undefined;
+    return this.directory.syncedAtMs ?? steadyNowMs();
   }
 
   /** Whether the cached state of the directory may be seconds old. */
--- a/packages/gateway/src/core/store/store-watcher.ts
+++ b/packages/gateway/src/core/store/store-watcher.ts
@@ -80,6 +80,7 @@
   private retryDelayMs = INITIAL_RETRY_DELAY_MS;
   private isConnected = false;
   private hasSnapshot = false;
+  private lastSyncedAtMs = -Infinity;
   /** Whether the next or current watch must return immediately. */
   private isRefreshRequested = false;
   private interrupt: () => void = () => undefined;
@@ -93,6 +94,14 @@
     return this.hasSnapshot;
   }
 
+  /**
+   * When the request was sent whose response is the newest state, in
+   * milliseconds of the steady clock; undefined if that state may be stale.
+   */
+  get syncedAtMs(): number | undefined {
+    return this.hasSnapshot ? this.lastSyncedAtMs : undefined;
+  }
+
   /** Whether the last call got a response. */
   get isStoreReachable(): boolean {
     return this.isConnected;
@@ -161,6 +170,7 @@
     const isPolling = this.options.shouldPoll();
     if (isPolling || !this.hasSnapshot) await this.loadSnapshot(isPolling);
     else if (!(await this.watchOnce())) return false;
+    this.lastSyncedAtMs = sentAt.steadyMs;
     this.options.onConfirmed(sentAt);
     return true;
   }
--- /dev/null
+++ b/packages/gateway/test/coordinator/confirming-replica-gone.test.ts
@@ -0,0 +1,184 @@
+import type {PrimaryRecord} from '@sapphireglade/decisions';
+import {PrimaryPhase} from '@sapphireglade/decisions';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'earl';
+import {
+  PrimaryChangeReason,
+  PrimaryChange,
+} from '../../src/core/coordinator/primary-change.js';
+import type {PrimaryChangeContext, Promotion} from '../../src/index.js';
+import {
+  DatabaseGroup,
+  PromotionResult,
+  PromotionService,
+  primaryRecordKey,
+} from '../../src/index.js';
+import {steadyNowMs} from '../../src/core/time/index.js';
+import {createPrimaryChangeContext} from '../support/primary-change-context.js';
+import type {MemoryInstance} from '../support/memory-group.js';
+import {MemoryGroup} from '../support/memory-group.js';
+import {MemoryStoreState} from '../support/memory-store.js';
+
+const GROUP = 'ledger';
+const SELF = 'proxy-1';
+
+/** Longer than a change of primary with views to revoke, in milliseconds. */
+const CHANGE_MS = 4_000;
+
+class MemoryPromotions extends PromotionService {
+  readonly targets: string[] = [];
+
+  constructor(private readonly group: MemoryGroup) {
+    super();
+  }
+
+  override promote(promotion: Promotion): Promise<PromotionResult> {
+    this.targets.push(promotion.instance);
+    const isRunning = this.group.promote(
+      promotion.instance,
+      promotion.fencingToken,
+    );
+    return Promise.resolve(
+      isRunning ? PromotionResult.Accepted : PromotionResult.NotRunning,
+    );
+  }
+}
+
+describe('a change of primary after the replica that confirmed commits is gone', () => {
+  let state: MemoryStoreState;
+  let group: MemoryGroup;
+  let view: DatabaseGroup;
+  let promotions: MemoryPromotions;
+  let context: PrimaryChangeContext;
+  let isCoordinating: boolean;
+  let primary: MemoryInstance;
+  let confirming: MemoryInstance;
+  let behind: MemoryInstance;
+
+  beforeEach(() => {
+    state = new MemoryStoreState();
+    group = new MemoryGroup(GROUP, 3);
+    [primary, confirming, behind] = group.instances as [
+      MemoryInstance,
+      MemoryInstance,
+      MemoryInstance,
+    ];
+    view = new DatabaseGroup(GROUP);
+    promotions = new MemoryPromotions(group);
+    isCoordinating = true;
+    context = createPrimaryChangeContext({
+      self: SELF,
+      state,
+      group,
+      promotions,
+      view,
+      isCoordinating: () => isCoordinating,
+    });
+    const record: PrimaryRecord = {
+      term: 1,
+      primary: primary.id,
+      phase: PrimaryPhase.Steady,
+    };
+    state.put(primaryRecordKey(GROUP), JSON.stringify(record));
+    view.applyRecord({record, revision: state.revision});
+    // The third instance receives nothing from either of the others.
+    group.partition(primary.id, behind.id);
+    group.partition(confirming.id, behind.id);
+  });
+
+  afterEach(() => {
+    isCoordinating = false;
+    context.control.closeAll();
+    group.close();
+    state.close();
+  });
+
+  async function acknowledgeWrite(leader: MemoryInstance): Promise<void> {
+    const entry = await group.commit(leader, 'write');
+    group.acknowledged.set('write', {
+      atMs: steadyNowMs(),
+      position: entry!.position,
+    });
+  }
+
+  /** Runs a change until it ends, or for a limited time. */
+  async function replacePrimary(): Promise<void> {
+    const change = new PrimaryChange(
+      context,
+      view,
+      PrimaryChangeReason.Unusable,
+    ).run();
+    await Promise.race([change.catch(() => undefined), sleep(CHANGE_MS)]);
+  }
+
+  /** Removes the entry of an instance from the directory at once. */
+  function removeFromDirectory(instance: MemoryInstance): void {
+    const {directory} = context;
+    directory.markMissing(instance.id);
+    directory.removeMissing(steadyNowMs() + 60_000, false);
+  }
+
+  it('promotes the stepped-down primary again if only it has the commits of the term before', async () => {
+    await acknowledgeWrite(primary);
+    primary.isDown = true;
+    await replacePrimary();
+    expect(promotions.targets).toEqual([confirming.id]);
+    removeFromDirectory(primary);
+
+    await replacePrimary();
+
+    expect(group.lost).toEqual([]);
+    expect(promotions.targets).toEqual([confirming.id, confirming.id]);
+    expect(view.record?.record.term).toEqual(3);
+  });
+
+  it('waits for the old primary if the replica left with its log', async () => {
+    await acknowledgeWrite(primary);
+    group.partition(SELF, primary.id);
+    confirming.isDown = true;
+    removeFromDirectory(confirming);
+
+    await replacePrimary();
+    expect(promotions.targets).toEqual([]);
+
+    group.reconnect(SELF, primary.id);
+    await sleep(CHANGE_MS);
+    expect(promotions.targets).toEqual([primary.id]);
+    expect(group.lost).toEqual([]);
+  });
+
+  it('does not wait if a remaining replica has what the primary had after the departure', async () => {
+    group.reconnect(primary.id, behind.id);
+    await acknowledgeWrite(primary);
+    removeFromDirectory(confirming);
+    await context.departures.boundDepartures(view);
+    primary.isDown = true;
+
+    await replacePrimary();
+
+    expect(promotions.targets).toEqual([behind.id]);
+    expect(group.lost).toEqual([]);
+  });
+
+  it('reports what may be missing once no instance can have it', async () => {
+    await acknowledgeWrite(primary);
+    confirming.isDown = true;
+    removeFromDirectory(confirming);
+    primary.isDown = true;
+    removeFromDirectory(primary);
+
+    await replacePrimary();
+
+    expect(promotions.targets).toEqual([behind.id]);
+    expect(context.metrics.render()).toInclude('step="unverified"');
+  });
+
+  it('records the position at which the term of the next primary began', async () => {
+    await acknowledgeWrite(primary);
+    const {position} = primary;
+    primary.isDown = true;
+    await replacePrimary();
+    expect(view.record?.record.initialPosition).toEqual(position);
+  });
+});
--- a/packages/gateway/test/coordinator/coordinator-without-groups.test.ts
+++ b/packages/gateway/test/coordinator/coordinator-without-groups.test.ts
@@ -54,7 +54,7 @@
       });
       await watchers.start();
       await sleep(READ_MS);
-      const {isDirectoryCurrent} = watchers;
+      const isDirectoryCurrent = watchers.isDirectoryCurrent(-Infinity);
       await watchers.stop();
       return isDirectoryCurrent;
     }
--- a/packages/gateway/test/support/primary-change-context.ts
+++ b/packages/gateway/test/support/primary-change-context.ts
@@ -1,5 +1,6 @@
 import {createSilentLogger} from '@sapphireglade/runtime';
 import type {
+  DatabaseGroup,
   PrimaryChangeContext,
   PromotionService,
   RegisteredInstance,
@@ -9,6 +10,7 @@
   ControlConnections,
   COORDINATOR_KEY,
   GatewayMetrics,
+  GroupDepartures,
   InstanceDirectory,
   KnownProxies,
   MemberList,
@@ -26,6 +28,8 @@
   readonly state: MemoryStoreState;
   readonly group: MemoryGroup;
   readonly promotions: PromotionService;
+  /** The group as the coordinator knows it, if departures matter. */
+  readonly view?: DatabaseGroup;
   /** Returns whether the proxy is still the coordinator. */
   readonly isCoordinating?: () => boolean;
 }
@@ -54,6 +58,7 @@
   state,
   group,
   promotions,
+  view,
   isCoordinating = () => true,
 }: PrimaryChangeContextOptions): PrimaryChangeContext {
   const log = createSilentLogger();
@@ -81,6 +86,12 @@
     transactionIdleTimeoutMs: 3_000,
   });
   const connector = new MemoryConnector(self, new Map([[group.name, group]]));
+  const control = new ControlConnections(connector, log);
+  const groups = {
+    onGroup: (listener: (group: DatabaseGroup) => void) => {
+      if (view !== undefined) listener(view);
+    },
+  };
   return {
     self,
     store,
@@ -90,7 +101,8 @@
     members: new MemberList(log),
     knownProxies: new KnownProxies(),
     releases: new PrimaryReleases(self, store, undefined as never, log),
-    control: new ControlConnections(connector, log),
+    control,
+    departures: new GroupDepartures(directory, groups, control),
     coordinatorRevision: () => (isCoordinating() ? revision : 0),
     followedRevision: () => state.revision,
     metrics: new GatewayMetrics(),
