Close a link for a late request only if the link was paused

Change: an expired request is refused as before, and nothing behind it is judged by it unless it is at least 100 ms old.

The test of a frozen owner holds as it is.

--- a/packages/gateway/src/core/forwarding/forwarded-request-server.ts
+++ b/packages/gateway/src/core/forwarding/forwarded-request-server.ts
@@ -32,6 +32,9 @@
 /** Added to the idle timeout of a transaction at its owner, in milliseconds, so that the timeout of the entry proxy expires first. */
 const IDLE_MARGIN_MS = 1_000;
 
+/** Age from which an expired request shows that its link was paused, in milliseconds; longer than a request travels between regions. */
+const PAUSED_LINK_AGE_MS = 100;
+
 /** Delay before a link with an expired request is closed, in milliseconds, so that the response is still sent. */
 const LATE_LINK_CLOSE_DELAY_MS = 100;
 
@@ -59,7 +62,7 @@
 interface ServedLinkState {
   readonly transactions: Map<number, ForwardedTransaction>;
   readonly requestAge: RequestAgeEstimator;
-  /** Whether a request arrived after its deadline; the requests queued behind it have expired as well. */
+  /** Whether a request arrived after its deadline because the link was paused; the requests queued behind it have expired as well. */
   hasExpiredRequest: boolean;
 }
 
@@ -226,7 +229,10 @@
       execution.sentAt,
       readClocks(),
     );
-    if (ageMs >= execution.remainingMs && !linkState.hasExpiredRequest) {
+    const isExpired = ageMs >= execution.remainingMs;
+    // A sender that gave up a moment ago says nothing about the other requests of the link.
+    const wasPaused = isExpired && ageMs >= PAUSED_LINK_AGE_MS;
+    if (wasPaused && !linkState.hasExpiredRequest) {
       linkState.hasExpiredRequest = true;
       this.options.log.warn(
         'A forwarded request arrived after its deadline; closing the link.',
@@ -240,7 +246,8 @@
       // A new link starts with a new estimate of the request age.
       setTimeout(() => link.close(), LATE_LINK_CLOSE_DELAY_MS).unref();
     }
-    if (!linkState.hasExpiredRequest) return decodeExecution(execution, ageMs);
+    if (!isExpired && !linkState.hasExpiredRequest)
+      return decodeExecution(execution, ageMs);
     throw new SapphiregladeError(
       ErrorKind.DeadlineUnreachable,
       'The statement reached the owner after its deadline.',
--- a/packages/gateway/test/forwarding/forwarding.test.ts
+++ b/packages/gateway/test/forwarding/forwarding.test.ts
@@ -288,6 +288,22 @@
     });
   });
 
+  describe('requests whose sender gave them up a moment ago', () => {
+    it('do not close the link that they share with others', async () => {
+      await remote.run(requestOf('r1', true));
+      await remote.run(requestOf('r2', true));
+      const openLinks = entry.service.openLinkCount;
+      for (let index = 0; index < 20; index += 1) {
+        const late = requestOf(`late-${index}`, true);
+        const deadlineMs = performance.now() + 0.5;
+        await remote.run({...late, deadlineMs}).catch(() => undefined);
+      }
+      await sleep(300);
+      expect(entry.service.openLinkCount).toEqual(openLinks);
+      expect(await remote.run(requestOf('r3', true))).toEqual(REPLY);
+    });
+  });
+
   describe('an owner that was frozen', () => {
     it('does not run a request that arrived after its deadline, nor the requests queued behind it', async () => {
       const write = requestOf('w1', false);
