Predict the lag of replicas and the end of changes from what was observed

Two decisions rested on constants of the known deployments.

Ruled out: positions that are too new (the reads asked for 2.4 s old ones) and own commits (a third of them). ReplicationLagEstimate bounds the lag of a replica from both sides by each position it shows; a read goes there only if the position it needs is older than that.

End of a change. How long requests wait for a primary followed from 700 and 1,400 ms. ChangeExpectation learns the steps from the changes that the process has seen; the old values hold until then.

--- a/packages/decisions/src/core/instance-choice/primary-position-history.ts
+++ b/packages/decisions/src/core/instance-choice/primary-position-history.ts
@@ -125,4 +125,38 @@
       this.upperBounds.find(isRecentEnough)
     );
   }
+
+  /**
+   * Returns when the primary is known to have reached a position.
+   *
+   * @param position - The position.
+   * @returns The time, in milliseconds, or undefined if no stored observation
+   *   includes the position.
+   */
+  reachedAtMs(position: LogPosition): number | undefined {
+    return this.observations.find(
+      observed => comparePositions(observed.position, position) >= 0,
+    )?.sentAtMs;
+  }
+
+  /**
+   * Returns the times between which a position was the newest of the primary.
+   *
+   * @param position - The position.
+   * @returns When the primary had passed the position, and when it had not
+   *   reached it yet, in milliseconds; undefined where no observation shows it.
+   */
+  bracket(position: LogPosition): {
+    readonly passedAtMs: number | undefined;
+    readonly notReachedAtMs: number | undefined;
+  } {
+    return {
+      passedAtMs: this.observations.find(
+        observed => comparePositions(observed.position, position) > 0,
+      )?.sentAtMs,
+      notReachedAtMs: this.observations.findLast(
+        observed => comparePositions(observed.position, position) < 0,
+      )?.sentAtMs,
+    };
+  }
 }
--- a/packages/decisions/src/core/instance-choice/rank-instances.ts
+++ b/packages/decisions/src/core/instance-choice/rank-instances.ts
@@ -6,14 +6,11 @@
 /** Added to the cost of an instance behind a paid link, in milliseconds. */
 const PAID_LINK_PENALTY_MS = 20;
 
-/** How long an instance is ranked last after it was behind, in milliseconds. */
-const BEHIND_COOLDOWN_MS = 300;
-
 /** How long an instance is ranked last after it failed, in milliseconds. */
 const FAILURE_COOLDOWN_MS = 1_000;
 
-/** Added for an instance in cooldown, in milliseconds; longer than a usual queue. */
-const COOLDOWN_PENALTY_MS = 2_000;
+/** Added for an instance that has failed or is behind, in milliseconds; longer than a usual queue. */
+const AVOIDANCE_PENALTY_MS = 2_000;
 
 /**
  * Orders instances for a read by their expected completion time.
@@ -39,14 +36,13 @@
     candidate.free > 0
       ? 0
       : ((candidate.queued + 1) * candidate.holdingMs) / connections;
-  const isBehind = nowMs - candidate.lastBehindAtMs < BEHIND_COOLDOWN_MS;
   const hasFailed = nowMs - candidate.lastFailedAtMs < FAILURE_COOLDOWN_MS;
   return (
     waitMs +
+    (candidate.catchUpMs > 0 ? AVOIDANCE_PENALTY_MS + candidate.catchUpMs : 0) +
     candidate.roundTripMs +
     (candidate.isPrimary ? PRIMARY_PENALTY_MS : 0) +
     (candidate.isPaidLink ? PAID_LINK_PENALTY_MS : 0) +
-    (isBehind ? COOLDOWN_PENALTY_MS : 0) +
-    (hasFailed ? COOLDOWN_PENALTY_MS : 0)
+    (hasFailed ? AVOIDANCE_PENALTY_MS : 0)
   );
 }
--- a/packages/decisions/src/core/instance-choice/types.ts
+++ b/packages/decisions/src/core/instance-choice/types.ts
@@ -32,8 +32,8 @@
   readonly free: number;
   /** Smoothed time that a request holds a connection, in milliseconds. */
   readonly holdingMs: number;
-  /** When it last refused a read because it was behind, in milliseconds. */
-  readonly lastBehindAtMs: number;
+  /** Expected time until it shows the position that the read needs, in milliseconds. */
+  readonly catchUpMs: number;
   /** When it last failed to answer, in milliseconds. */
   readonly lastFailedAtMs: number;
 }
--- a/packages/gateway/src/core/groups/database-group.ts
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -1,13 +1,16 @@
 import type {
+  ChangeProgress,
   ClockReading,
   InstanceCandidate,
   LogPosition,
   ObservedPosition,
 } from '@sapphireglade/decisions';
 import {
+  ChangeExpectation,
   comparePositions,
   elapsedMs,
   PrimaryPositionHistory,
+  ReplicationLagEstimate,
   PositionSource,
   PrimaryPhase,
   ViewFreshness,
@@ -16,7 +19,8 @@
 import type {RegisteredInstance} from '../directory/index.js';
 import type {InstancePool, ReportedPosition} from '../pool/index.js';
 import {readClocks, steadyNowMs} from '../time/index.js';
-import type {PrimaryChangeProgress, VersionedPrimaryRecord} from './types.js';
+import {toInstanceCandidate} from './instance-candidate.js';
+import type {VersionedPrimaryRecord} from './types.js';
 
 /**
  * Validity of a view of the primary, in milliseconds. A change of primary waits
@@ -59,6 +63,8 @@
 export interface GroupMember {
   readonly instance: RegisteredInstance;
   readonly pool: InstancePool;
+  /** How far the instance is behind the primary as a replica. */
+  readonly lag: ReplicationLagEstimate;
 }
 
 /** The state of one group cached by one proxy. */
@@ -82,14 +88,17 @@
   private highestLedTerm = 0;
   /** Latest time at which no other instance had become primary after the newest steady record. */
   private notReplacedAt: ClockReading | undefined;
-  private changeProgress: PrimaryChangeProgress = {
+  private changeProgress: ChangeProgress = {
     beganAtMs: 0,
     isPlanned: false,
     targetAtMs: undefined,
   };
 
-  /** @param name - Name of the group. */
-  constructor(readonly name: string) {}
+  /** @param changeExpectation - Shared by the groups of a process. */
+  constructor(
+    readonly name: string,
+    readonly changeExpectation: ChangeExpectation = new ChangeExpectation(),
+  ) {}
 
   /** Emits each newer record. */
   get records$(): Subject<VersionedPrimaryRecord> {
@@ -183,7 +192,7 @@
   }
 
   /** Progress of the change of primary that the record describes. */
-  get change(): PrimaryChangeProgress {
+  get change(): ChangeProgress {
     return this.changeProgress;
   }
 
@@ -191,8 +200,13 @@
   private updateChangeProgress({record}: VersionedPrimaryRecord): void {
     const nowMs = steadyNowMs();
     const isPlanned = record.isPlanned === true;
-    const hasTarget =
-      record.phase === PrimaryPhase.Changing && record.target !== undefined;
+    const isChanging = record.phase === PrimaryPhase.Changing;
+    const hasTarget = isChanging && record.target !== undefined;
+    const {changeProgress, changeExpectation} = this;
+    const hadTarget = changeProgress.targetAtMs !== undefined;
+    if (hasTarget && !hadTarget)
+      changeExpectation.recordChoice(changeProgress, nowMs);
+    if (!isChanging) changeExpectation.recordPromotion(changeProgress, nowMs);
     this.changeProgress = hasTarget
       ? {...this.changeProgress, targetAtMs: nowMs}
       : {beganAtMs: nowMs, isPlanned, targetAtMs: undefined};
@@ -229,10 +243,11 @@
   }
 
   /** Adds an instance. */
-  addMember(member: GroupMember): void {
-    this.membersById.set(member.instance.id, member);
-    member.pool.positions$.subscribe(reported =>
-      this.observePosition(member.instance.id, reported),
+  addMember(instance: RegisteredInstance, pool: InstancePool): void {
+    const member = {instance, pool, lag: new ReplicationLagEstimate()};
+    this.membersById.set(instance.id, member);
+    pool.positions$.subscribe(reported =>
+      this.observePosition(member, reported),
     );
   }
 
@@ -240,7 +255,7 @@
   updateMember(instance: RegisteredInstance): void {
     const member = this.membersById.get(instance.id);
     if (member === undefined) return;
-    this.membersById.set(instance.id, {instance, pool: member.pool});
+    this.membersById.set(instance.id, {...member, instance});
   }
 
   /** Starts tracking removals, because this proxy holds connections to the instances from now on; earlier removals are unknown. */
@@ -297,8 +312,15 @@
     return this.membersById.get(record.primary) ?? PrimaryProblem.Missing;
   }
 
-  /** Returns the replicas that may serve reads, as selection candidates. */
+  /**
+   * Returns the replicas that may serve a read, as selection candidates.
+   *
+   * @param required - The position that the read needs.
+   * @param regionOf - Returns the region of an availability zone.
+   * @param region - Region of this proxy.
+   */
   replicaOptions(
+    required: LogPosition,
     regionOf: (zone: string) => string,
     region: string,
   ): InstanceCandidate[] {
@@ -310,14 +332,23 @@
         toInstanceCandidate(
           member,
           regionOf(member.instance.availabilityZone) !== region,
+          member.lag.timeToReach(required, steadyNowMs(), this.positions),
         ),
       );
   }
 
   /** Records a position reported by an instance. */
-  private observePosition(id: string, reported: ReportedPosition): void {
-    this.positions.discardAfterSuspension(readClocks());
-    this.positions.recordSeen(reported.position);
+  private observePosition(
+    {instance: {id}, lag}: GroupMember,
+    reported: ReportedPosition,
+  ): void {
+    const {positions} = this;
+    positions.discardAfterSuspension(readClocks());
+    positions.recordSeen(reported.position);
+    if (this.known?.record.primary !== id) {
+      const {position, sentAtMs} = reported;
+      lag.record(position, sentAtMs, steadyNowMs(), positions);
+    }
     // A response to an earlier request may lag behind the primary of that time.
     const wasPrimary = reported.sentAtMs >= this.primarySinceMs;
     const isFromPrimary =
@@ -335,7 +366,7 @@
       comparePositions(reported.position, highestReported) < 0;
     if (isLower) return;
     this.highestPrimaryPosition = reported.position;
-    this.positions.recordObservation(reported.sentAtMs, reported.position);
+    positions.recordObservation(reported.sentAtMs, reported.position);
   }
 
   /**
@@ -365,23 +396,3 @@
     return comparePositions(position, newest) >= 0 ? position : newest;
   }
 }
-
-/** Describes a member as a candidate for instance selection. */
-export function toInstanceCandidate(
-  {instance, pool}: GroupMember,
-  isPaidLink: boolean,
-  isPrimary = false,
-): InstanceCandidate {
-  return {
-    id: instance.id,
-    isPrimary,
-    roundTripMs: pool.roundTripMs,
-    isPaidLink,
-    queued: pool.queueLength,
-    connections: pool.connections,
-    free: pool.idleCount,
-    holdingMs: pool.holdingMs,
-    lastBehindAtMs: pool.lastBehindAtMs,
-    lastFailedAtMs: pool.lastFailedAtMs,
-  };
-}
--- a/packages/gateway/src/core/groups/group-registry.ts
+++ b/packages/gateway/src/core/groups/group-registry.ts
@@ -1,5 +1,6 @@
 import type {ClockReading} from '@sapphireglade/decisions';
 import {
+  ChangeExpectation,
   connectionShare,
   rankNodes,
   RESERVED_CONNECTIONS,
@@ -39,6 +40,7 @@
  */
 export class GroupRegistry {
   private readonly groups = new Map<string, DatabaseGroup>();
+  private readonly changeExpectation = new ChangeExpectation();
   private readonly shareHolders = new Map<string, ConnectionHolderTracker>();
   private readonly listeners: ((group: DatabaseGroup) => void)[] = [];
 
@@ -61,7 +63,7 @@
   getOrCreate(name: string): DatabaseGroup {
     const existing = this.groups.get(name);
     if (existing !== undefined) return existing;
-    const group = new DatabaseGroup(name);
+    const group = new DatabaseGroup(name, this.changeExpectation);
     this.groups.set(name, group);
     for (const listener of this.listeners) listener(group);
     return group;
@@ -207,7 +209,7 @@
       this.options.connector,
       this.options.log,
     );
-    group.addMember({instance, pool});
+    group.addMember(instance, pool);
   }
 
   private removeMissingMembers(group: DatabaseGroup): void {
--- a/packages/gateway/src/core/groups/index.ts
+++ b/packages/gateway/src/core/groups/index.ts
@@ -3,5 +3,6 @@
 export * from './commit-bound-probe.js';
 export * from './database-group.js';
 export * from './group-registry.js';
+export * from './instance-candidate.js';
 export * from './primary-records.js';
 export * from './types.js';
--- a/packages/gateway/src/core/primary-health/primary-health-check-task.ts
+++ b/packages/gateway/src/core/primary-health/primary-health-check-task.ts
@@ -1,7 +1,11 @@
 import {canAnotherPrimaryCommit, PrimaryPhase} from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
 import {SupervisedTask} from '@sapphireglade/runtime';
-import type {DatabaseGroup, GroupRegistry} from '../groups/index.js';
+import type {
+  DatabaseGroup,
+  GroupMember,
+  GroupRegistry,
+} from '../groups/index.js';
 import type {MemberRegistrationTask} from '../membership/index.js';
 import type {InstancePool} from '../pool/index.js';
 import {steadyNowMs} from '../time/index.js';
@@ -55,11 +59,12 @@
   private check(): void {
     const suspects = new Set<string>();
     for (const group of this.groups.owned) {
-      for (const {pool} of group.members.values()) {
-        pool.rejectExpired();
-        pool.maintain();
-      }
       const pool = primaryPool(group);
+      for (const member of group.members.values()) {
+        member.pool.rejectExpired();
+        member.pool.maintain();
+        if (member.pool !== pool) this.pingIfBehind(member);
+      }
       if (pool === undefined) continue;
       const reason = suspicionReason(group, pool, steadyNowMs());
       if (reason !== undefined) {
@@ -93,6 +98,17 @@
     void this.ping(pool);
   }
 
+  /**
+   * Pings a replica that is too far behind to serve reads, so that it is used
+   * again once it has caught up.
+   */
+  private pingIfBehind({pool, lag}: GroupMember): void {
+    const isAvoided = lag.currentMs > PING_AFTER_MS;
+    const isFresh = steadyNowMs() - lag.lastRecordedAtMs < PING_AFTER_MS;
+    if (!isAvoided || isFresh || this.pinging.has(pool)) return;
+    void this.ping(pool);
+  }
+
   private async ping(pool: InstancePool): Promise<void> {
     const connection = pool.tryAcquire();
     if (connection === undefined) return;
--- a/packages/gateway/src/core/sessions/instance-selection.ts
+++ b/packages/gateway/src/core/sessions/instance-selection.ts
@@ -48,13 +48,14 @@
   const requiredFreshness = freshPosition(group, route, startedAtMs);
   const required = newerPosition(requiredFreshness?.position, ownCommit);
   const candidates: InstanceCandidate[] = [];
-  if (requiredFreshness !== undefined) {
-    candidates.push(...group.replicaOptions(context.regionOf, context.region));
+  if (requiredFreshness !== undefined && required !== undefined) {
+    const {regionOf, region} = context;
+    candidates.push(...group.replicaOptions(required, regionOf, region));
   }
   if (typeof primary === 'object') {
     const zone = primary.instance.availabilityZone;
     const isPaidLink = context.regionOf(zone) !== context.region;
-    candidates.push(toInstanceCandidate(primary, isPaidLink, true));
+    candidates.push(toInstanceCandidate(primary, isPaidLink, 0, true));
   }
   return rankInstances(candidates, nowMs).flatMap(({id, isPrimary}) => {
     const member = group.members.get(id);
--- a/packages/gateway/src/core/sessions/primary-wait.ts
+++ b/packages/gateway/src/core/sessions/primary-wait.ts
@@ -10,15 +10,6 @@
 /** Longest wait for a confirmation of the view, in milliseconds; covers one response of a working store. */
 const UNCONFIRMED_WAIT_MS = 100;
 
-/** Expected times from the choice of a target until it is the primary, in milliseconds; the users' deployments take 600 and 1,000. The next entry applies once one has passed. */
-const EXPECTED_PROMOTION_MS = [700, 1_400] as const;
-
-/** Expected times from the start of a planned change to the choice of a target, in milliseconds; proxies wait up to 250 for transactions to end. */
-const EXPECTED_PLANNED_CHOICE_MS = [200, 500] as const;
-
-/** Expected times from a failure to the choice of a target, in milliseconds; views of proxies that failed as well expire within 1,100. */
-const EXPECTED_CHOICE_MS = [300, 1_100] as const;
-
 /**
  * Waits until a group has a usable primary.
  *
@@ -66,25 +57,5 @@
   if (problem !== PrimaryProblem.Changing) {
     return startedAtMs + UNCONFIRMED_WAIT_MS;
   }
-  const {change} = group;
-  if (change.targetAtMs !== undefined) {
-    return nextExpectedTimeMs(change.targetAtMs, EXPECTED_PROMOTION_MS);
-  }
-  const choiceDelaysMs = change.isPlanned
-    ? EXPECTED_PLANNED_CHOICE_MS
-    : EXPECTED_CHOICE_MS;
-  return (
-    nextExpectedTimeMs(change.beganAtMs, choiceDelaysMs) +
-    EXPECTED_PROMOTION_MS[0]
-  );
-}
-
-/** Returns the first expected time that has not passed, otherwise the last one. */
-function nextExpectedTimeMs(
-  sinceMs: number,
-  expectedMs: readonly number[],
-): number {
-  const nowMs = steadyNowMs();
-  const endsMs = expectedMs.map(delayMs => sinceMs + delayMs);
-  return endsMs.find(endMs => endMs >= nowMs) ?? endsMs.at(-1) ?? nowMs;
+  return group.changeExpectation.endsAtMs(group.change, steadyNowMs());
 }
