Refuse at once what needs a primary that cannot be reached

Change: once an attempt to connect has failed, a request does not wait for the next one, and is not sent again to that instance; other owners are still asked, as they may reach it.

Test: a pool whose instance refused one connection and is dark now; the request waited before.

--- a/packages/decisions/src/core/statement-retry/decide-retry-action.ts
+++ b/packages/decisions/src/core/statement-retry/decide-retry-action.ts
@@ -25,6 +25,8 @@
   readonly allowsReplica: boolean;
   /** Whether it was sent to the primary. */
   readonly wasSentToPrimary: boolean;
+  /** Whether no connection to the instance could be opened for some time. */
+  readonly isUnreachable: boolean;
   /** Number of instances on which it failed after its execution began. */
   readonly failedExecutions: number;
 }
@@ -59,8 +61,10 @@
         ? RetryAction.OtherInstance
         : RetryAction.AwaitPrimary;
     case ErrorKind.NoConnection:
-      return allowsReplica
-        ? RetryAction.OtherInstance
+      if (allowsReplica) return RetryAction.OtherInstance;
+      // Waiting for an instance that is down only delays the refusal.
+      return attempt.isUnreachable
+        ? RetryAction.Fail
         : RetryAction.SameInstanceAfterDelay;
     case ErrorKind.RunFailed:
     case ErrorKind.RunTimedOut:
--- a/packages/decisions/test/statement-retry/decide-retry-action.test.ts
+++ b/packages/decisions/test/statement-retry/decide-retry-action.test.ts
@@ -16,6 +16,7 @@
   allowsReplica: true,
   wasSentToPrimary: false,
   failedExecutions: 0,
+  isUnreachable: false,
 };
 
 const WRITE: FailedStatementAttempt = {
@@ -24,6 +25,7 @@
   allowsReplica: false,
   wasSentToPrimary: true,
   failedExecutions: 0,
+  isUnreachable: false,
 };
 
 const ROWS: ReadonlyArray<
@@ -49,6 +51,25 @@
     WRITE,
     RetryAction.SameInstanceAfterDelay,
   ],
+  [
+    'a write whose connection was lost before it was sent',
+    {...WRITE, kind: ErrorKind.NoConnection},
+    RetryAction.SameInstanceAfterDelay,
+  ],
+  [
+    'a write to a primary that cannot be reached',
+    {...WRITE, kind: ErrorKind.NoConnection, isUnreachable: true},
+    RetryAction.Fail,
+  ],
+  [
+    'a read of an instance that cannot be reached',
+    {
+      ...READ_ON_REPLICA,
+      kind: ErrorKind.NoConnection,
+      isUnreachable: true,
+    },
+    RetryAction.OtherInstance,
+  ],
   [
     'a write that a replaced primary refused',
     {...WRITE, kind: ErrorKind.NotPrimary},
@@ -106,6 +127,7 @@
             kind,
             wasSentToPrimary: wasOnPrimary,
             failedExecutions: failedRuns,
+            isUnreachable: false,
             isRetryable: false,
             allowsReplica: false,
           });
--- a/packages/gateway/src/core/pool/instance-pool.ts
+++ b/packages/gateway/src/core/pool/instance-pool.ts
@@ -62,8 +62,6 @@
 export class InstancePool {
   /** Whether a connection is kept open without demand. */
   shouldKeepWarm = true;
-  /** When the instance last refused a read because it had not caught up, in milliseconds. */
-  lastBehindAtMs = -Infinity;
   /** When the instance last failed to answer, in milliseconds. */
   lastFailedAtMs = -Infinity;
   /** Decides whether commits are sent to the instance. */
@@ -258,9 +256,10 @@
     return sinceMs !== undefined && nowMs - sinceMs > limitMs;
   }
 
-  /** Whether a connection is open or expected to open. */
+  /** Whether a connection is open or expected to open. An instance that could not be reached is not expected to answer the next attempt. */
   private get canServeSoon(): boolean {
-    return this.open.size + this.openingCount > 0 || this.backoff.isOverLimit;
+    const isOpening = this.openingCount > 0 && this.unreachable === undefined;
+    return this.open.size > 0 || isOpening || this.backoff.isOverLimit;
   }
 
   private canOpenConnection(nowMs: number): boolean {
--- a/packages/gateway/src/core/sessions/statement-executor.ts
+++ b/packages/gateway/src/core/sessions/statement-executor.ts
@@ -209,9 +209,6 @@
   ): Promise<void> {
     const {operation} = execution;
     const id = target.member.instance.id;
-    if (error.kind === ErrorKind.NoFreshReplica) {
-      target.member.pool.lastBehindAtMs = steadyNowMs();
-    }
     const isRunFailure =
       error.kind === ErrorKind.RunFailed ||
       error.kind === ErrorKind.RunTimedOut;
@@ -221,6 +218,7 @@
       isRetryable: operation.isRetryable,
       allowsReplica: operation.allowsReplica,
       wasSentToPrimary: target.isPrimary,
+      isUnreachable: target.member.pool.unreachableSinceMs !== undefined,
       failedExecutions: execution.failedExecutions,
     });
     if (action === RetryAction.Fail) throw error;
