Store the compiled code of all functions, and none of an earlier bundle

The bundle script removes the stored code first: V8 compares it only with the length of the script, so code of an earlier bundle of the same length would have been run.

--- a/scripts/bundle-platform.js
+++ b/scripts/bundle-platform.js
@@ -3,6 +3,7 @@
  * its loader into another. The bundle starts several times faster than the
  * separate packages. `cache-platform-code.js` adds the compiled code.
  */
+import {rmSync} from 'node:fs';
 import {fileURLToPath} from 'node:url';
 import {build} from 'esbuild';
 
@@ -25,6 +26,9 @@
   },
 };
 
+// V8 compares stored code only with the length of the script.
+rmSync(`${ROOT}/target/sapphireglade-gateway.cjs.code`, {force: true});
+
 await build({
   absWorkingDir: ROOT,
   entryPoints: {
--- a/scripts/cache-platform-code.js
+++ b/scripts/cache-platform-code.js
@@ -3,38 +3,16 @@
  * does not compile it at each start. Run it with the flags of the gateway: V8
  * ignores code that was compiled under other flags.
  */
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {createRequire} from 'node:module';
-import {tmpdir} from 'node:os';
-import {join} from 'node:path';
-import process from 'node:process';
+import {setFlagsFromString} from 'node:v8';
 
-/** Settings that are only validated, so that the code for that is compiled. */
-const SETTINGS = {
-  name: 'proxy-1',
-  availabilityZone: 'zone-1',
-  regions: {'zone-1': 'region-1'},
-  listen: {
-    callers: '127.0.0.1:1',
-    readiness: '127.0.0.1:2',
-    peers: '127.0.0.1:3',
-  },
-  capacity: {processorShare: 1, processorCores: 1, linkMbps: 1, memoryMb: 1},
-  store: {address: '127.0.0.1:4'},
-  promotion: {address: '127.0.0.1:5'},
-  maximumCallers: 1,
-  stopGraceS: 1,
-};
-
-const folder = mkdtempSync(join(tmpdir(), 'sapphireglade-code-'));
-const settingsPath = join(folder, 'settings.json');
-writeFileSync(settingsPath, JSON.stringify(SETTINGS));
-process.argv.push('--settings', settingsPath, '--check');
-const {loadGateway, storeCompiledCode} = createRequire(import.meta.url)(
+const {compileGateway, storeCompiledCode} = createRequire(import.meta.url)(
   '../target/load-gateway.cjs',
 );
-const script = loadGateway();
-process.once('exit', () => {
-  storeCompiledCode(script);
-  rmSync(folder, {recursive: true});
-});
+
+// Functions that no start calls are needed by the first requests after it.
+setFlagsFromString('--no-lazy');
+const script = compileGateway();
+// The flags are stored with the code and compared with those of the gateway.
+setFlagsFromString('--lazy');
+storeCompiledCode(script);
