Watch the configuration for 1.9 s at a time instead of 1 s

Change: the margin is 1.1 s: 0.7 s until a missing response counts as lost, 50 ms until the next call, 350 ms for it. With 5 s to be in force the watch lasts 3.9 s (3 s before).

Test: a configuration written while a watch waits whose response is lost is in force 3 s later, and no watch is shorter than half of that time; with the old margin the second part fails, with 0.3 s the first.

--- a/packages/gateway/src/core/process/store-watchers.ts
+++ b/packages/gateway/src/core/process/store-watchers.ts
@@ -22,8 +22,8 @@
 /** Minimum interval between two watches of the proxy keys at a proxy that owns no group, in milliseconds; it also receives changes of owners over its links. */
 const NON_OWNER_INTERVAL_MS = 1_000;
 
-/** Time before the configuration deadline at which a watch of the configuration ends, in milliseconds, so that a watch whose response was lost is retried in time. */
-const CONFIGURATION_MARGIN_MS = 2_000;
+/** Time before the configuration deadline at which a watch of the configuration ends, in milliseconds. A lost response is noticed 0.7 s later and the section is read again after 50 ms, so 350 ms remain for that. */
+const CONFIGURATION_MARGIN_MS = 1_100;
 
 /** Minimum wait time of a watch of the configuration, in milliseconds. */
 const MINIMUM_CONFIGURATION_WAIT_MS = 500;
--- /dev/null
+++ b/packages/gateway/test/configuration-watch.test.ts
@@ -0,0 +1,68 @@
+import {createSilentLogger} from '@sapphireglade/runtime';
+import {describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'earl';
+import {StoreWatchers} from '../src/core/process/store-watchers.js';
+import type {WatchResult} from '../src/index.js';
+import {StoreMirror} from '../src/index.js';
+import {MemoryStore, MemoryStoreState} from './support/memory-store.js';
+
+const CONFIGURATION_KEY = 'op/config';
+
+/** Time within which a configuration must be in force, in milliseconds. */
+const WITHIN_MS = 3_000;
+
+/** Loses the responses to all watches of the configuration that are waiting. */
+class LossyStore extends MemoryStore {
+  readonly waitsMs: number[] = [];
+  losesResponses = false;
+
+  override async watch(
+    prefix: string,
+    afterRevision: number,
+    waitMs: number,
+  ): Promise<WatchResult> {
+    const response = super.watch(prefix, afterRevision, waitMs);
+    if (prefix !== CONFIGURATION_KEY) return response;
+    this.waitsMs.push(waitMs);
+    const result = await response;
+    return this.losesResponses ? new Promise(() => undefined) : result;
+  }
+}
+
+describe('the watch of the configuration', () => {
+  it('puts a configuration into force in time although a response is lost, and asks rarely', async () => {
+    const state = new MemoryStoreState();
+    const store = new LossyStore(state);
+    const configuration = new StoreMirror(CONFIGURATION_KEY);
+    state.put(CONFIGURATION_KEY, 'first');
+    const watchers = new StoreWatchers({
+      store,
+      proxyKeyListeners: [],
+      externalListeners: {
+        configuration,
+        directory: new StoreMirror('servers/'),
+      },
+      configurationWithinMs: () => WITHIN_MS,
+      isCoordinator: () => false,
+      ownsAnyGroup: () => true,
+      isRelayUsed: () => false,
+      onProxyKeysConfirmed: () => undefined,
+      log: createSilentLogger(),
+    });
+    await watchers.start();
+    while (store.waitsMs.length === 0) await sleep(5);
+    store.losesResponses = true;
+    state.put(CONFIGURATION_KEY, 'second');
+    await sleep(WITHIN_MS);
+    const inForce = configuration
+      .changesSince(0)
+      .items.map(({value}) => value.toString());
+    await watchers.stop();
+    state.close();
+    expect(inForce).toEqual(['second']);
+    expect(store.waitsMs.every(waitMs => waitMs >= WITHIN_MS / 2)).toEqual(
+      true,
+    );
+  });
+});
