Suspect a primary until it answers, and be ready only with an owner in reach

Six of six owners suspected it by 5.0 s, but the change began at 8.4 s: when the pending commands had timed out, nothing was outstanding and the suspicion lapsed, until the next attempt to connect had failed a second later, at another time for each owner, so that there was no majority. Ruled out: the coordinator (unchanged all the while) and the store.

Change: PrimarySuspicion lasts until the primary has answered anything. A proxy that owns nothing and got no answer from any owner last is not ready, so that the balancer sends callers elsewhere (129 attempts a second ended at such proxies).

--- a/packages/decisions/src/core/primary-change/index.ts
+++ b/packages/decisions/src/core/primary-change/index.ts
@@ -3,6 +3,7 @@
 export * from './choose-target.js';
 export * from './departed-instances.js';
 export * from './held-reports.js';
+export * from './primary-suspicion.js';
 export * from './replacement-decision.js';
 export * from './types.js';
 export * from './view-freshness.js';
--- a/packages/gateway/src/core/forwarding/forwarding-service.ts
+++ b/packages/gateway/src/core/forwarding/forwarding-service.ts
@@ -130,8 +130,8 @@
   }
 
   /** Returns whether statements for a group can be forwarded to another proxy. */
-  hasOwner(group: string): boolean {
-    return this.ownerLinks.hasOwner(group);
+  hasReachableOwner(group: string): boolean {
+    return this.ownerLinks.hasReachableOwner(group);
   }
 
   /**
--- a/packages/gateway/src/core/forwarding/owner-links.ts
+++ b/packages/gateway/src/core/forwarding/owner-links.ts
@@ -39,6 +39,13 @@
     return this.otherOwners(group).length > 0;
   }
 
+  /** Returns whether another proxy owns a group and has not failed to answer last. */
+  hasReachableOwner(group: string): boolean {
+    return this.otherOwners(group).some(
+      name => this.peers.get(name)?.isFailing !== true,
+    );
+  }
+
   /**
    * Chooses an owner of a group.
    *
--- a/packages/gateway/src/core/forwarding/owner-peer.ts
+++ b/packages/gateway/src/core/forwarding/owner-peer.ts
@@ -57,6 +57,11 @@
     return this.dialer.current !== undefined;
   }
 
+  /** Whether the last request to the proxy failed. */
+  get isFailing(): boolean {
+    return this.avoidanceMs > INITIAL_AVOIDANCE_MS;
+  }
+
   /** Load and health of the proxy, as measured by this proxy. */
   get load(): {
     outstandingRequests: number;
--- a/packages/gateway/src/core/pool/instance-pool.ts
+++ b/packages/gateway/src/core/pool/instance-pool.ts
@@ -64,13 +64,14 @@
   shouldKeepWarm = true;
   /** When the instance last failed to answer, in milliseconds. */
   lastFailedAtMs = -Infinity;
+  /** Emits each position that the instance reports. */
+  readonly positions$ = new Subject<ReportedPosition>();
   /** Decides whether commits are sent to the instance. */
   readonly commitGate = new CommitGate();
   private readonly open = new Set<PooledConnection>();
   private readonly idle: PooledConnection[] = [];
   private readonly queue = new ConnectionWaitQueue<QueuedConnectionRequest>();
   private readonly holding = new HoldingTime();
-  private readonly shown = new Subject<ReportedPosition>();
   private openingCount = 0;
   private share = 0;
   private lastCommitAtMs = -Infinity;
@@ -88,11 +89,6 @@
     this.events = new PoolLog(endpoint, log);
   }
 
-  /** Emits each position that the instance reports. */
-  get positions$(): Subject<ReportedPosition> {
-    return this.shown;
-  }
-
   /** Number of connections that may be open. */
   get connectionShare(): number {
     return this.share;
@@ -123,6 +119,11 @@
     return this.roundTrip.ms;
   }
 
+  /** When the instance last answered, in milliseconds. */
+  get lastAnsweredAtMs(): number {
+    return this.roundTrip.lastAnsweredAtMs;
+  }
+
   /** Time since which no connection could be opened; undefined if the instance is reachable. */
   get unreachableSinceMs(): number | undefined {
     return this.unreachable;
@@ -371,9 +372,9 @@
   }
 
   private recordObservation(reply: InstanceReply, sentAtMs: number): void {
-    this.roundTrip.recordSample(steadyNowMs() - sentAtMs);
+    this.roundTrip.recordAnswer(sentAtMs, steadyNowMs());
     if (reply.position === undefined) return;
-    this.shown.next({sentAtMs, position: reply.position});
+    this.positions$.next({sentAtMs, position: reply.position});
   }
 
   private onConnectionLost(connection: PooledConnection, reason: string): void {
--- a/packages/gateway/src/core/primary-health/primary-health-check-task.ts
+++ b/packages/gateway/src/core/primary-health/primary-health-check-task.ts
@@ -1,4 +1,8 @@
-import {canAnotherPrimaryCommit, PrimaryPhase} from '@sapphireglade/decisions';
+import {
+  canAnotherPrimaryCommit,
+  PrimaryPhase,
+  PrimarySuspicion,
+} from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
 import {SupervisedTask} from '@sapphireglade/runtime';
 import type {
@@ -36,6 +40,7 @@
 export class PrimaryHealthCheckTask extends SupervisedTask {
   private timer: NodeJS.Timeout | undefined;
   private suspected = new Set<string>();
+  private readonly suspicions = new Map<string, PrimarySuspicion>();
   private readonly pinging = new Set<InstancePool>();
 
   constructor(
@@ -66,7 +71,7 @@
         if (member.pool !== pool) this.pingIfBehind(member);
       }
       if (pool === undefined) continue;
-      const reason = suspicionReason(group, pool, steadyNowMs());
+      const reason = this.suspect(group, pool);
       if (reason !== undefined) {
         suspects.add(group.name);
         this.logNewSuspicion(group, pool, reason);
@@ -77,6 +82,24 @@
     this.member.publishSuspects([...suspects].sort());
   }
 
+  /** Returns why the primary of a group is suspected, if it is. */
+  private suspect(
+    group: DatabaseGroup,
+    pool: InstancePool,
+  ): string | undefined {
+    const suspicion = this.suspicions.get(group.name) ?? new PrimarySuspicion();
+    this.suspicions.set(group.name, suspicion);
+    const nowMs = steadyNowMs();
+    return suspicion.update(
+      {
+        primary: pool.endpoint.id,
+        problem: findProblem(group, pool, nowMs),
+        lastAnsweredAtMs: pool.lastAnsweredAtMs,
+      },
+      nowMs,
+    );
+  }
+
   private logNewSuspicion(
     group: DatabaseGroup,
     pool: InstancePool,
@@ -135,8 +158,8 @@
   return group.members.get(record.primary)?.pool;
 }
 
-/** Returns why a primary is suspected, or undefined if it is not. */
-function suspicionReason(
+/** Returns why a primary cannot be used at present, or undefined if nothing speaks against it. */
+function findProblem(
   group: DatabaseGroup,
   pool: InstancePool,
   nowMs: number,
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -249,8 +249,10 @@
     const isConnected = this.groups.owned.some(({members}) =>
       [...members.values()].some(({pool}) => pool.connections > 0),
     );
-    const hasOwner = (name: string): boolean => this.forwarding.hasOwner(name);
-    return isConnected || [...current.groups.keys()].some(hasOwner);
+    // A proxy that is cut off from all owners would refuse its callers' statements.
+    const canForward = (name: string): boolean =>
+      this.forwarding.hasReachableOwner(name);
+    return isConnected || [...current.groups.keys()].some(canForward);
   }
 
   /** Creates the runner for statements on connections of this process. */
--- a/packages/gateway/test/forwarding/forwarding.test.ts
+++ b/packages/gateway/test/forwarding/forwarding.test.ts
@@ -192,6 +192,19 @@
     });
   });
 
+  describe('a proxy whose owners do not answer', () => {
+    it('is not ready to forward until one has answered again', async () => {
+      owners = ['left'];
+      expect(await remote.run(requestOf('r1', true))).toEqual(REPLY);
+      expect(entry.service.hasReachableOwner(GROUP)).toEqual(true);
+      await left.service.stop();
+      await failureOf(remote.run(requestOf('r2', true)));
+      expect(entry.service.hasReachableOwner(GROUP)).toEqual(false);
+      owners = ['left', 'right'];
+      expect(entry.service.hasReachableOwner(GROUP)).toEqual(true);
+    });
+  });
+
   describe('a transaction', () => {
     function begin(): SessionTransaction {
       return new SessionTransaction(false, requestOf('t', true).route, remote);
