--- a/packages/gateway/test/coordinator/confirming-replica-gone.test.ts
+++ b/packages/gateway/test/coordinator/confirming-replica-gone.test.ts
@@ -7,14 +7,10 @@
   PrimaryChangeReason,
   PrimaryChange,
 } from '../../src/core/coordinator/primary-change.js';
-import type {PrimaryChangeContext, Promotion} from '../../src/index.js';
-import {
-  DatabaseGroup,
-  PromotionResult,
-  PromotionService,
-  primaryRecordKey,
-} from '../../src/index.js';
+import type {PrimaryChangeContext} from '../../src/index.js';
+import {DatabaseGroup, primaryRecordKey} from '../../src/index.js';
 import {steadyNowMs} from '../../src/core/time/index.js';
+import {GroupPromotions} from '../support/group-promotions.js';
 import {createPrimaryChangeContext} from '../support/primary-change-context.js';
 import type {MemoryInstance} from '../support/memory-group.js';
 import {MemoryGroup} from '../support/memory-group.js';
@@ -26,30 +22,11 @@
 /** Longer than a change of primary with views to revoke, in milliseconds. */
 const CHANGE_MS = 4_000;
 
-class MemoryPromotions extends PromotionService {
-  readonly targets: string[] = [];
-
-  constructor(private readonly group: MemoryGroup) {
-    super();
-  }
-
-  override promote(promotion: Promotion): Promise<PromotionResult> {
-    this.targets.push(promotion.instance);
-    const isRunning = this.group.promote(
-      promotion.instance,
-      promotion.fencingToken,
-    );
-    return Promise.resolve(
-      isRunning ? PromotionResult.Accepted : PromotionResult.NotRunning,
-    );
-  }
-}
-
 describe('a change of primary after the replica that confirmed commits is gone', () => {
   let state: MemoryStoreState;
   let group: MemoryGroup;
   let view: DatabaseGroup;
-  let promotions: MemoryPromotions;
+  let promotions: GroupPromotions;
   let context: PrimaryChangeContext;
   let isCoordinating: boolean;
   let primary: MemoryInstance;
@@ -65,7 +42,7 @@
       MemoryInstance,
     ];
     view = new DatabaseGroup(GROUP);
-    promotions = new MemoryPromotions(group);
+    promotions = new GroupPromotions(group);
     isCoordinating = true;
     context = createPrimaryChangeContext({
       self: SELF,
--- a/packages/gateway/test/coordinator/repeated-promotion.test.ts
+++ b/packages/gateway/test/coordinator/repeated-promotion.test.ts
@@ -8,12 +8,8 @@
   PrimaryChange,
 } from '../../src/core/coordinator/primary-change.js';
 import type {Promotion} from '../../src/index.js';
-import {
-  DatabaseGroup,
-  PromotionResult,
-  PromotionService,
-  primaryRecordKey,
-} from '../../src/index.js';
+import {DatabaseGroup, primaryRecordKey} from '../../src/index.js';
+import {GroupPromotions} from '../support/group-promotions.js';
 import {createPrimaryChangeContext} from '../support/primary-change-context.js';
 import {MemoryGroup} from '../support/memory-group.js';
 import {MemoryStoreState} from '../support/memory-store.js';
@@ -24,22 +20,17 @@
 /** Long enough for two promotions, in milliseconds. */
 const TWO_PROMOTIONS_MS = 8_000;
 
-/** Executes promotions and calls a function of the test at the first one. */
-class FaultyPromotions extends PromotionService {
-  readonly orders: Promotion[] = [];
-
+/** Calls a function of the test at the first promotion. */
+class FaultyPromotions extends GroupPromotions {
   constructor(
-    private readonly group: MemoryGroup,
+    group: MemoryGroup,
     private readonly onFirst: (target: string) => void,
   ) {
-    super();
+    super(group);
   }
 
-  override promote(promotion: Promotion): Promise<PromotionResult> {
-    this.orders.push(promotion);
-    if (this.orders.length === 1) this.onFirst(promotion.instance);
-    this.group.promote(promotion.instance, promotion.fencingToken);
-    return Promise.resolve(PromotionResult.Accepted);
+  protected override onOrdered({instance}: Promotion): void {
+    if (this.orders.length === 1) this.onFirst(instance);
   }
 }
 
--- a/packages/gateway/test/resumed-primary-change.test.ts
+++ b/packages/gateway/test/resumed-primary-change.test.ts
@@ -7,15 +7,14 @@
   PrimaryChangeReason,
   PrimaryChange,
 } from '../src/core/coordinator/primary-change.js';
-import type {PrimaryChangeContext, Promotion} from '../src/index.js';
+import type {PrimaryChangeContext} from '../src/index.js';
 import {
   CoordinatorTask,
   DatabaseGroup,
-  PromotionResult,
-  PromotionService,
   primaryRecordKey,
 } from '../src/index.js';
 import {readClocks} from '../src/core/time/index.js';
+import {GroupPromotions} from './support/group-promotions.js';
 import {createPrimaryChangeContext} from './support/primary-change-context.js';
 import {MemoryGroup} from './support/memory-group.js';
 import {MemoryStoreState} from './support/memory-store.js';
@@ -29,25 +28,17 @@
  */
 const SEVERAL_CHECKS_MS = 600;
 
-/** Records and executes promotions. */
-class RecordingPromotions extends PromotionService {
-  readonly orders: Promotion[] = [];
+/** Records the terms at which the replicas were held. */
+class RecordingPromotions extends GroupPromotions {
   /**
    * Terms at which the replicas were held when the last promotion was ordered.
    */
   heldTerms: readonly number[] = [];
 
-  constructor(private readonly group: MemoryGroup) {
-    super();
-  }
-
-  override promote(promotion: Promotion): Promise<PromotionResult> {
-    this.orders.push(promotion);
+  protected override onOrdered(): void {
     this.heldTerms = this.group.instances
       .slice(1)
       .map(({heldTerm}) => heldTerm);
-    this.group.promote(promotion.instance, promotion.fencingToken);
-    return Promise.resolve(PromotionResult.Accepted);
   }
 }
 
