Let the stand-in store be restored from a backup

The users' platform may restore its store from a backup that is some seconds old. The stand-ins could not, so no test could show what the gateways do then.

`MemoryStoreState` copies itself and is restored from a copy: content, leases, revision and next lease id go back, the history is dropped, and the generation rises by one. A watch from a revision that the store does not have, above or below, has no history.

--- a/packages/gateway/test/support/memory-store.ts
+++ b/packages/gateway/test/support/memory-store.ts
@@ -17,12 +17,24 @@
 /** Interval at which waiting watches and leases are checked, in milliseconds. */
 const POLL_INTERVAL_MS = 5;
 
+/** A copy of the store, from which it can be restored. */
+export interface StoreBackup {
+  readonly items: ReadonlyMap<string, StoredItem>;
+  /** Duration of each lease in milliseconds, by the lease's id. */
+  readonly leases: ReadonlyMap<number, number>;
+  readonly revision: number;
+  /** Id of the lease that was to be granted next. */
+  readonly nextLease: number;
+}
+
 /** The contents of the store, shared by all clients. */
 export class MemoryStoreState {
   readonly items = new Map<string, StoredItem>();
   readonly events: StoreEvent[] = [];
   readonly leases = new Map<number, {ttlMs: number; endsAtMs: number}>();
   revision = 1;
+  /** Rises by one each time that the store is restored from a backup. */
+  generation = 1;
   /** Revision up to which the history of changes was dropped. */
   droppedRevision = 0;
   private nextLease = 1;
@@ -54,6 +66,44 @@
     this.events.length = 0;
   }
 
+  /**
+   * Returns whether the store has every change after a revision. It has none after
+   * a revision that it did not reach itself, as after it was restored.
+   */
+  hasHistoryAfter(revision: number): boolean {
+    return revision >= this.droppedRevision && revision <= this.revision;
+  }
+
+  /** Copies the store, without the history of changes. */
+  backup(): StoreBackup {
+    const {items, leases, revision, nextLease} = this;
+    return {
+      items: new Map(items),
+      leases: new Map([...leases].map(([id, {ttlMs}]) => [id, ttlMs])),
+      revision,
+      nextLease,
+    };
+  }
+
+  /**
+   * Restores the store from a backup. Everything that was written since is lost;
+   * revisions and ids of leases since then are given out again. The leases of the
+   * backup last for their whole duration from now on.
+   */
+  restore({items, leases, revision, nextLease}: StoreBackup): void {
+    this.items.clear();
+    for (const [key, item] of items) this.items.set(key, item);
+    this.leases.clear();
+    const nowMs = performance.now();
+    for (const [id, ttlMs] of leases) {
+      this.leases.set(id, {ttlMs, endsAtMs: nowMs + ttlMs});
+    }
+    this.revision = revision;
+    this.nextLease = nextLease;
+    this.compact();
+    this.generation += 1;
+  }
+
   /** Grants a lease. */
   grantLease(ttlMs: number): number {
     const id = this.nextLease;
