Add decisions on generations of the store and on fencing tokens

A restored store gives revisions out again, so neither a revision nor a token made of one tells what is newer. Nothing uses them yet.

--- /dev/null
+++ b/packages/decisions/src/core/restored-store/index.ts
@@ -0,0 +1,3 @@
+/** Decides what still counts after the store was restored from a backup. */
+export * from './fencing-token.js';
+export * from './store-generations.js';
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -17,6 +17,7 @@
 export * from './core/ownership/index.js';
 export * from './core/placement/index.js';
 export * from './core/resources/index.js';
+export * from './core/restored-store/index.js';
 export * from './core/retry/index.js';
 export * from './core/routing/index.js';
 export * from './core/session/index.js';
