Decide what becomes of a primary record of an earlier generation

decideRecordRecovery confirms a leader that every listed instance follows without a hold, waits up to 8 s where one follower proves that the leader can be used, and otherwise names the record from which a change of primary begins, as after an order whose end nobody saw.

Three points go beyond a plain reading of the records: a record that knows of orders for terms above the leader's forbids to confirm it; a leader without any listed follower is replaced; an instance that is still in an earlier term counts as late and not as a reason for a change. Nothing uses the decision yet.

--- /dev/null
+++ b/packages/decisions/src/core/restored-store/record-recovery.ts
@@ -0,0 +1,204 @@
+import type {LogPosition} from '../groups/index.js';
+import {comparePositions} from '../groups/index.js';
+import type {
+  PrimaryRecord,
+  PromotionCandidate,
+  ReplicationReport,
+} from '../primary-change/index.js';
+import {higherPosition, PrimaryPhase} from '../primary-change/index.js';
+
+/**
+ * How long a decision waits for instances that have not reported, or do not yet
+ * follow the leader, in milliseconds.
+ */
+export const MAXIMUM_RECOVERY_WAIT_MS = 8_000;
+
+/** What is known of a group after the store was restored. */
+export interface RecordRecoveryInputs {
+  /** The record in the restored store. */
+  readonly restored: PrimaryRecord | undefined;
+  /** The newest record that this process received before the restore. */
+  readonly remembered: PrimaryRecord | undefined;
+  /** All instances in the directory, which has settled since the restore. */
+  readonly instances: readonly PromotionCandidate[];
+  /** How long the decision has been waiting, in milliseconds. */
+  readonly waitedMs: number;
+}
+
+/** What to do with the record of a group after the store was restored. */
+export type RecordRecovery =
+  | {
+      readonly kind: 'confirm';
+      /** The instance to record as the primary of its term. */
+      readonly leader: ReplicationReport;
+      /** Position at which its term began, if it is known. */
+      readonly initialPosition?: LogPosition | undefined;
+    }
+  | {readonly kind: 'wait'; readonly reason: string}
+  | {
+      readonly kind: 'change';
+      /** Record from which a change of primary begins. */
+      readonly record: PrimaryRecord;
+    };
+
+/**
+ * Decides what the coordinator of a new generation of the store does with a
+ * primary record that was written in an earlier generation, or is missing.
+ *
+ * An order of promotion may be under way although no record that is left says
+ * so. Before any order, every replica that could hold a commit was held, or the
+ * old primary had stepped down. A leader whose followers are all present and not
+ * held therefore rules out an order, and its record is written again.
+ *
+ * Otherwise the change that may have been lost is assumed: the primary is
+ * replaced as after an order whose end nobody saw. That takes the primary out of
+ * use, so instances that are silent or late get some time first, as long as one
+ * follower proves that the leader can be used meanwhile.
+ *
+ * @param inputs - The records that are left, and the reports of the instances.
+ * @returns The action, with the record that it needs.
+ */
+export function decideRecordRecovery(
+  inputs: RecordRecoveryInputs,
+): RecordRecovery {
+  const {instances, waitedMs} = inputs;
+  if (instances.length === 0) return waitRecovery('no instance is listed');
+  const evidence = gatherEvidence(inputs);
+  const {records, reports, leader} = evidence;
+  if (records.length === 0 && reports.length === 0) {
+    return waitRecovery('there is no record, and no instance has reported');
+  }
+  const isTimeLeft = waitedMs < MAXIMUM_RECOVERY_WAIT_MS;
+  if (leader !== undefined) {
+    const others = instances.filter(({report}) => report !== leader);
+    const missing = others.filter(
+      ({report}) => report === undefined || !isFollower(report, leader.term),
+    );
+    const hasFollower = missing.length < others.length;
+    if (hasFollower && missing.length === 0) {
+      return confirmRecovery(leader, evidence);
+    }
+    if (hasFollower && isTimeLeft) {
+      const names = missing.map(({id}) => id).join(' ');
+      return waitRecovery(
+        `instances do not follow ${leader.id} in term ${leader.term}: ${names}`,
+      );
+    }
+  }
+  const primary = lastKnownPrimary(evidence);
+  // The primary of a group that was created in the lost seconds may be late.
+  if (primary === undefined && isTimeLeft) {
+    return waitRecovery('there is no record, and no instance leads');
+  }
+  return changeRecovery(evidence, primary ?? mostAdvanced(reports));
+}
+
+/** What the records and reports say together. */
+interface Evidence {
+  /** The records that are left, the newest first. */
+  readonly records: readonly PrimaryRecord[];
+  readonly reports: readonly ReplicationReport[];
+  /** Highest term of any record or report. */
+  readonly term: number;
+  /** Highest term at which an instance is held. */
+  readonly heldTerm: number;
+  /**
+   * The only leader of the highest term, unless a record or a hold shows that
+   * another instance may lead a higher one.
+   */
+  readonly leader: ReplicationReport | undefined;
+}
+
+function gatherEvidence({
+  restored,
+  remembered,
+  instances,
+}: RecordRecoveryInputs): Evidence {
+  const records = [remembered, restored]
+    .filter(record => record !== undefined)
+    .sort(
+      (left, right) =>
+        right.term - left.term || ordersOf(right) - ordersOf(left),
+    );
+  const reports = instances
+    .map(({report}) => report)
+    .filter(report => report !== undefined);
+  const term = Math.max(0, ...[...records, ...reports].map(each => each.term));
+  const heldTerm = Math.max(0, ...reports.map(each => each.heldTerm));
+  const leaders = reports.filter(each => each.isPrimary && each.term === term);
+  const orderedTerm = Math.max(
+    0,
+    ...records.map(record => record.term + ordersOf(record)),
+  );
+  const isOrderPossible = orderedTerm > term || heldTerm > term;
+  const leader =
+    leaders.length === 1 && !isOrderPossible ? leaders[0] : undefined;
+  return {records, reports, term, heldTerm, leader};
+}
+
+/** Returns whether an instance follows a term, and is not held at a higher one. */
+function isFollower(report: ReplicationReport, term: number): boolean {
+  return !report.isPrimary && report.term === term && report.heldTerm <= term;
+}
+
+function confirmRecovery(
+  leader: ReplicationReport,
+  {records}: Evidence,
+): RecordRecovery {
+  const known = records.find(
+    ({term, primary, phase}) =>
+      term === leader.term &&
+      primary === leader.id &&
+      phase === PrimaryPhase.Steady,
+  );
+  return {kind: 'confirm', leader, initialPosition: known?.initialPosition};
+}
+
+function waitRecovery(reason: string): RecordRecovery {
+  return {kind: 'wait', reason};
+}
+
+/** Returns the primary of the highest term, or the last one that is known. */
+function lastKnownPrimary({
+  records,
+  reports,
+  term,
+}: Evidence): string | undefined {
+  const [newest] = records;
+  if (newest?.term === term) return newest.primary;
+  const leader = reports.find(each => each.isPrimary && each.term === term);
+  return leader?.id ?? newest?.primary;
+}
+
+function mostAdvanced(reports: readonly ReplicationReport[]): string {
+  return [...reports].sort(
+    (left, right) =>
+      comparePositions(right.received, left.received) ||
+      (left.id < right.id ? -1 : 1),
+  )[0]!.id;
+}
+
+function changeRecovery(
+  {records, term, heldTerm}: Evidence,
+  primary: string,
+): RecordRecovery {
+  const orders = 1 + Math.max(0, ...records.map(ordersOf));
+  return {
+    kind: 'change',
+    record: {
+      term,
+      primary,
+      phase: PrimaryPhase.Changing,
+      // Instances have to be held above every term at which they are held.
+      orders: Math.max(orders, heldTerm - term),
+      // The start of an earlier term is still a lower bound of acknowledged commits.
+      initialPosition: records
+        .map(({initialPosition}) => initialPosition)
+        .reduce(higherPosition, undefined),
+    },
+  };
+}
+
+function ordersOf({orders}: PrimaryRecord): number {
+  return orders ?? 0;
+}
