Confirm no leader whose followers may have lost their hold by a restart

Instances may now say that they started recently. The leader and one follower must not have; otherwise the decision waits, and replaces the leader after the limit. The field is optional: without it every instance counts as before.

--- a/packages/decisions/src/core/restored-store/record-recovery.ts
+++ b/packages/decisions/src/core/restored-store/record-recovery.ts
@@ -13,6 +13,15 @@
  */
 export const MAXIMUM_RECOVERY_WAIT_MS = 8_000;
 
+/** A listed instance of a group whose record is to be recovered. */
+export interface RecoveryCandidate extends PromotionCandidate {
+  /**
+   * Whether the instance has started so recently that it may have been held, for
+   * an order that can still take effect, before it started. A start ends a hold.
+   */
+  readonly mayHaveLostHold?: boolean | undefined;
+}
+
 /** What is known of a group after the store was restored. */
 export interface RecordRecoveryInputs {
   /** The record in the restored store. */
@@ -20,7 +29,7 @@
   /** The newest record that this process received before the restore. */
   readonly remembered: PrimaryRecord | undefined;
   /** All instances in the directory, which has settled since the restore. */
-  readonly instances: readonly PromotionCandidate[];
+  readonly instances: readonly RecoveryCandidate[];
   /** How long the decision has been waiting, in milliseconds. */
   readonly waitedMs: number;
 }
@@ -48,7 +57,9 @@
  * An order of promotion may be under way although no record that is left says
  * so. Before any order, every replica that could hold a commit was held, or the
  * old primary had stepped down. A leader whose followers are all present and not
- * held therefore rules out an order, and its record is written again.
+ * held therefore rules out an order, and its record is written again. A start
+ * ends a hold and may undo a step-down, so this takes the word of the leader and
+ * of one follower that have both been running for long enough.
  *
  * Otherwise the change that may have been lost is assumed: the primary is
  * replaced as after an order whose end nobody saw. That takes the primary out of
@@ -70,20 +81,10 @@
   }
   const isTimeLeft = waitedMs < MAXIMUM_RECOVERY_WAIT_MS;
   if (leader !== undefined) {
-    const others = instances.filter(({report}) => report !== leader);
-    const missing = others.filter(
-      ({report}) => report === undefined || !isFollower(report, leader.term),
-    );
-    const hasFollower = missing.length < others.length;
-    if (hasFollower && missing.length === 0) {
-      return confirmRecovery(leader, evidence);
-    }
-    if (hasFollower && isTimeLeft) {
-      const names = missing.map(({id}) => id).join(' ');
-      return waitRecovery(
-        `instances do not follow ${leader.id} in term ${leader.term}: ${names}`,
-      );
-    }
+    const missing = missingProof(instances, leader);
+    if (missing === undefined) return confirmRecovery(leader, evidence);
+    const isFollowed = reports.some(each => isFollower(each, leader.term));
+    if (isFollowed && isTimeLeft) return waitRecovery(missing);
   }
   const primary = lastKnownPrimary(evidence);
   // The primary of a group that was created in the lost seconds may be late.
@@ -141,6 +142,26 @@
   return !report.isPrimary && report.term === term && report.heldTerm <= term;
 }
 
+/** Returns what is missing to rule out an order; undefined if nothing is. */
+function missingProof(
+  instances: readonly RecoveryCandidate[],
+  {id: leader, term}: ReplicationReport,
+): string | undefined {
+  const others = instances.filter(({id}) => id !== leader);
+  const late = others.filter(
+    ({report}) => report === undefined || !isFollower(report, term),
+  );
+  if (late.length > 0) {
+    const names = late.map(({id}) => id).join(' ');
+    return `instances do not follow ${leader} in term ${term}: ${names}`;
+  }
+  const proven = instances.filter(({mayHaveLostHold}) => !mayHaveLostHold);
+  const isLeaderProven = proven.some(({id}) => id === leader);
+  return isLeaderProven && proven.length > 1
+    ? undefined
+    : `${leader} or all that follow it may have started after they were held`;
+}
+
 function confirmRecovery(
   leader: ReplicationReport,
   {records}: Evidence,
--- a/packages/decisions/test/restored-store/record-recovery.test.ts
+++ b/packages/decisions/test/restored-store/record-recovery.test.ts
@@ -208,6 +208,42 @@
     });
   });
 
+  describe('with instances that started recently', () => {
+    const all = [LEADER, ...FOLLOWERS];
+
+    function decideWithRestarts(
+      restarted: readonly string[],
+      waitedMs = 0,
+    ): RecordRecovery {
+      const instances = listed(...all).map(each => ({
+        ...each,
+        mayHaveLostHold: restarted.includes(each.id),
+      }));
+      return decide({restored: steady(2, 'a'), instances, waitedMs});
+    }
+
+    it('confirms on the word of the leader and one follower that did not', () => {
+      expect(decideWithRestarts(['c']).kind).toEqual('confirm');
+    });
+
+    it('waits, then replaces the leader, if all followers may have lost a hold', () => {
+      expect(decideWithRestarts(['b', 'c'])).toEqual({
+        kind: 'wait',
+        reason: 'a or all that follow it may have started after they were held',
+      });
+      expect(
+        decideWithRestarts(['b', 'c'], MAXIMUM_RECOVERY_WAIT_MS).kind,
+      ).toEqual('change');
+    });
+
+    it('waits, then replaces the leader, if it may have stepped down before', () => {
+      expect(decideWithRestarts(['a']).kind).toEqual('wait');
+      expect(decideWithRestarts(['a'], MAXIMUM_RECOVERY_WAIT_MS).kind).toEqual(
+        'change',
+      );
+    });
+  });
+
   describe('without a leader', () => {
     it('replaces the primary of the newest record', () => {
       const remembered = steady(2, 'a', {initialPosition: START});
