Log what the choice of the next primary rests on

The logs of a change of primary named the target, but not what each held instance had reported, which instances had not, or what position the target had to reach. With them alone, a promoted instance that lacks commits cannot be told from one whose report was wrong, or from a replica that was missing in the list.

--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -17,6 +17,7 @@
 import {HeldInstances} from './held-instances.js';
 import type {PrimaryChangeContext} from './primary-change-context.js';
 import {PromotionResult} from './promotion-service.js';
+import {TargetChoiceLog} from './target-choice-log.js';
 import {writePrimaryRecord} from './write-primary-record.js';
 import {ViewRevocation} from './view-revocation.js';
 
@@ -185,9 +186,12 @@
   ): Promise<void> {
     let known = announced;
     let loggedReason = '';
+    const choices = new TargetChoiceLog(this.context.log, this.group.name);
     for (;;) {
       await this.held.holdReplicas(known);
-      const choice = chooseTarget(this.held.targetInputs(known));
+      const inputs = this.held.targetInputs(known);
+      const choice = chooseTarget(inputs);
+      choices.record(inputs, choice);
       if (choice.kind === 'promote') {
         await this.awaitViewRevocation();
         if (!this.held.areIntact(known)) continue;
--- a/packages/gateway/test/support/primary-change-context.ts
+++ b/packages/gateway/test/support/primary-change-context.ts
@@ -1,3 +1,4 @@
+import type {Logger} from '@sapphireglade/runtime';
 import {createSilentLogger} from '@sapphireglade/runtime';
 import type {
   DatabaseGroup,
@@ -32,6 +33,8 @@
   readonly view?: DatabaseGroup;
   /** Returns whether the proxy is still the coordinator. */
   readonly isCoordinating?: () => boolean;
+  /** Receives the log lines; by default nothing does. */
+  readonly log?: Logger;
 }
 
 /** Returns the registration of an in-memory instance. */
@@ -60,8 +63,8 @@
   promotions,
   view,
   isCoordinating = () => true,
+  log = createSilentLogger(),
 }: PrimaryChangeContextOptions): PrimaryChangeContext {
-  const log = createSilentLogger();
   const store = new MemoryStore(state);
   const directory = new InstanceDirectory(log);
   for (const {id} of group.instances) {
