Keep the start of a term in the records of a change of primary

What callers may see: acknowledged commits that the next primary lacks, if the primary to replace alone has the start of its term.

Cause: the position at which a term began stands in the steady record, and the choice of a target reads it from the record of the change. That record was written from single fields and left it out, so "has reached the start of the term" never held anybody back.

Course: the primary fails, its entry goes while the change still runs, a replica that has all commits is promoted and is replaced before another instance has received anything from it. The primary before left in an earlier term, so it is not among the departures. The instances that are left have all reported, and one of them is promoted without the commits.

Ruled out: departures. They hold the choice back only if the old primary's entry goes after the next one was recorded, which the neighbouring test shows.

Change: every further record of a term repeats the fields that belong to the term (termFields).

Test: confirming-replica-gone.test.ts, "promotes no instance that lacks the start of the term, if the primary before left during the change".

--- a/packages/decisions/src/core/primary-change/types.ts
+++ b/packages/decisions/src/core/primary-change/types.ts
@@ -37,12 +37,28 @@
    */
   readonly lastPosition?: LogPosition | undefined;
   /**
-   * Position at which the term began, in a record of a steady group. An instance
-   * that has not reached it lacks acknowledged commits of earlier terms.
+   * Position at which the term began. An instance that has not reached it lacks
+   * acknowledged commits of earlier terms. It belongs to the term, so every
+   * further record of the term repeats it.
    */
   readonly initialPosition?: LogPosition | undefined;
 }
 
+/** The fields of a record that stay the same for the whole term. */
+export type TermFields = Pick<
+  PrimaryRecord,
+  'term' | 'primary' | 'initialPosition'
+>;
+
+/** Returns the fields that every further record of the same term repeats. */
+export function termFields({
+  term,
+  primary,
+  initialPosition,
+}: PrimaryRecord): TermFields {
+  return {term, primary, initialPosition};
+}
+
 /** Report of an instance after it was asked to stop replicating. */
 export interface ReplicationReport {
   /** Identifier of the instance. */
--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -9,6 +9,7 @@
   elapsedMs,
   formatPosition,
   PrimaryPhase,
+  termFields,
 } from '@sapphireglade/decisions';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {DatabaseGroup, VersionedPrimaryRecord} from '../groups/index.js';
@@ -117,14 +118,12 @@
   private async announce(
     old: VersionedPrimaryRecord,
   ): Promise<VersionedPrimaryRecord> {
-    const {term, primary, phase} = old.record;
-    const isWritten = phase === PrimaryPhase.Changing;
+    const isWritten = old.record.phase === PrimaryPhase.Changing;
     const known =
       isWritten && this.failedPromotions === 0
         ? old
         : await writePrimaryRecord(this.context, this.group, {
-            term,
-            primary,
+            ...termFields(old.record),
             phase: PrimaryPhase.Changing,
             isPlanned: this.reason === PrimaryChangeReason.Leaving,
             orders: this.failedPromotions,
@@ -235,8 +234,7 @@
     const {context, group} = this;
     const sentAt = readClocks();
     const {revision} = await writePrimaryRecord(context, group, {
-      term: old.term,
-      primary: old.primary,
+      ...termFields(old),
       phase: PrimaryPhase.Changing,
       isPlanned: old.isPlanned,
       orders: this.failedPromotions + 1,
--- a/packages/gateway/test/coordinator/confirming-replica-gone.test.ts
+++ b/packages/gateway/test/coordinator/confirming-replica-gone.test.ts
@@ -151,6 +151,19 @@
     expect(context.metrics.render()).toInclude('step="unverified"');
   });
 
+  it('promotes no instance that lacks the start of the term, if the primary before left during the change', async () => {
+    await acknowledgeWrite(primary);
+    primary.isDown = true;
+    removeFromDirectory(primary);
+    await replacePrimary();
+    expect(promotions.targets).toEqual([confirming.id]);
+
+    await replacePrimary();
+
+    expect(group.lost).toEqual([]);
+    expect(promotions.targets).toEqual([confirming.id, confirming.id]);
+  });
+
   it('records the position at which the term of the next primary began', async () => {
     await acknowledgeWrite(primary);
     const {position} = primary;
