Show that a new coordinator does not know who left before it began

What callers may see: acknowledged commits that the next primary lacks, if the coordinator died after the replica that had confirmed them was gone.

The test lets one coordinator see the confirming replica leave, or start again without its log, and ends it before the primary has told its position; another one replaces the primary.

--- a/packages/gateway/test/support/primary-change-context.ts
+++ b/packages/gateway/test/support/primary-change-context.ts
@@ -18,7 +18,7 @@
   PrimaryReleases,
 } from '../../src/index.js';
 import {MemoryConnector} from './memory-connector.js';
-import type {MemoryGroup} from './memory-group.js';
+import type {MemoryGroup, MemoryInstance} from './memory-group.js';
 import type {MemoryStoreState} from './memory-store.js';
 import {MemoryStore} from './memory-store.js';
 
@@ -33,6 +33,8 @@
   readonly view?: DatabaseGroup;
   /** Returns whether the proxy is still the coordinator. */
   readonly isCoordinating?: () => boolean;
+  /** The instances in the directory; by default all of the group. */
+  readonly registered?: readonly MemoryInstance[];
   /** Receives the log lines; by default nothing does. */
   readonly log?: Logger;
 }
@@ -63,12 +65,13 @@
   promotions,
   view,
   isCoordinating = () => true,
+  registered = group.instances,
   log = createSilentLogger(),
 }: PrimaryChangeContextOptions): PrimaryChangeContext {
   const store = new MemoryStore(state);
   const directory = new InstanceDirectory(log);
-  for (const {id} of group.instances) {
-    directory.register(registeredInstance(id, group.name));
+  for (const {id, bornAtMs} of registered) {
+    directory.register({...registeredInstance(id, group.name), bornAtMs});
   }
   state.put(COORDINATOR_KEY, self);
   const {revision} = state;
