Record who may have confirmed commits, for the next coordinator

What callers may see: acknowledged commits that the next primary lacks, if the coordinator ended after the replica that had confirmed them was gone.

Cause: departures were kept in the memory of the coordinator that saw them. A process that began later took "all instances that are left have reported" for a proof, over a list that had shrunk before it began.

Change: the record of a group names the instances (id and start) that belonged to the group in the term and are not bounded yet, and the position that includes what the others can have confirmed. It is written with the first record of a term, repeated by every record of a change, and written again by the coordinator only when the set changes, with the conditions of every other record. DepartedInstances counts each listed instance that the directory lacks as a departure; one that has returned in the same incarnation has to report itself and is none. A proxy that does not coordinate takes over that an instance was taken off the list, so that it does not wait for it later. Records without the list are accepted and completed. A steady record that only says more about the same primary resets nothing at the proxies.

The random model has changes of coordinator, departures that are bounded later or never, and records that are written and read; two broken variants (no list, no position) lose commits.

Not covered: an instance that joins, confirms and leaves before a coordinator has recorded it.

--- a/packages/decisions/src/core/primary-change/departed-instances.ts
+++ b/packages/decisions/src/core/primary-change/departed-instances.ts
@@ -1,6 +1,10 @@
 import type {LogPosition} from '../groups/index.js';
-import type {GroupInstance, Incarnation} from './held-reports.js';
 import {higherPosition} from './held-reports.js';
+import type {
+  GroupInstance,
+  PrimaryRecord,
+  RecordedConfirmers,
+} from './types.js';
 
 /** An instance that is gone with its log. */
 interface Departure {
@@ -15,40 +19,46 @@
  *
  * Such an instance may have been the only replica that confirmed a commit, so
  * "all remaining replicas have reported" proves nothing until one of them has
- * reached what the primary had after the departure.
+ * reached what the primary had after the departure. The record of the group
+ * carries what a coordinator needs that did not see the departures itself.
  */
 export class DepartedInstances {
   private term = 0;
-  private present = new Map<string, Incarnation>();
+  private primary: string | undefined;
+  private present: readonly GroupInstance[] = [];
   private departures: Departure[] = [];
+  /** What the last record of the term said, if any did. */
+  private recorded: RecordedConfirmers | undefined;
 
   /**
-   * Updates the list of instances.
+   * Updates the record and the list of instances.
    *
-   * @param term - The term of the group's record; departures of earlier terms
-   *   are covered by the start of this one.
-   * @param primary - The primary of the term, whose log counts separately.
+   * @param record - The group's record; departures of earlier terms are covered
+   *   by the start of its term. A record of an earlier term than the last one is
+   *   ignored.
    * @param instances - The instances that are in the directory.
    */
   update(
-    term: number,
-    primary: string,
+    {term, primary, confirmers}: PrimaryRecord,
     instances: readonly GroupInstance[],
   ): void {
-    if (term > this.term) this.departures = [];
-    else {
-      const now = new Map(instances.map(({id, bornAtMs}) => [id, bornAtMs]));
-      for (const [id, incarnation] of this.present) {
-        const isPresent = now.has(id) && now.get(id) === incarnation;
-        if (!isPresent && id !== primary)
-          this.departures.push({
-            instance: {id, bornAtMs: incarnation},
-            bound: undefined,
-          });
-      }
+    const present = instances.map(({id, bornAtMs}) => ({id, bornAtMs}));
+    if (term > this.term) {
+      this.term = term;
+      this.primary = primary;
+      this.departures = [];
+      this.recorded = undefined;
+      this.present = present;
     }
-    this.term = Math.max(this.term, term);
-    this.present = new Map(instances.map(({id, bornAtMs}) => [id, bornAtMs]));
+    // An instance that has returned in the same incarnation has to report itself.
+    this.departures = this.departures.filter(
+      ({instance, bound}) =>
+        bound !== undefined || !includes(present, instance),
+    );
+    this.addDepartures(this.present, present);
+    if (confirmers !== undefined && term === this.term)
+      this.applyRecorded(confirmers, present);
+    this.present = present;
   }
 
   /** Instances whose confirmed commits are not bounded by a known position. */
@@ -62,7 +72,35 @@
   get bound(): LogPosition | undefined {
     return this.departures.reduce<LogPosition | undefined>(
       (highest, {bound}) => higherPosition(highest, bound),
-      undefined,
+      this.recorded?.departedPosition,
+    );
+  }
+
+  /** Returns what a further record of the same term has to carry. */
+  confirmersFor({
+    term,
+    confirmers,
+  }: PrimaryRecord): RecordedConfirmers | undefined {
+    if (term !== this.term) return confirmers;
+    const {present, unbounded, primary, bound} = this;
+    return {
+      instances: confirmersAmong([...present, ...unbounded], primary),
+      departedPosition: bound,
+    };
+  }
+
+  /**
+   * Returns whether a record lacks an instance that may have confirmed commits
+   * of its term, or lists one whose commits are bounded by now.
+   */
+  isRecordOutdated(record: PrimaryRecord): boolean {
+    const recorded = record.confirmers?.instances;
+    const instances = this.confirmersFor(record)?.instances;
+    if (recorded === undefined || instances === undefined)
+      return recorded !== instances;
+    return (
+      recorded.length !== instances.length ||
+      instances.some(each => !includes(recorded, each))
     );
   }
 
@@ -77,4 +115,74 @@
       if (departed.includes(departure.instance)) departure.bound ??= position;
     }
   }
+
+  /** Adds a departure for each instance that is no longer in the directory. */
+  private addDepartures(
+    before: readonly GroupInstance[],
+    present: readonly GroupInstance[],
+  ): void {
+    for (const instance of before) {
+      if (instance.id === this.primary || includes(present, instance)) continue;
+      this.departures.push({instance, bound: undefined});
+    }
+  }
+
+  private applyRecorded(
+    confirmers: RecordedConfirmers,
+    present: readonly GroupInstance[],
+  ): void {
+    const listedBefore = this.recorded?.instances ?? [];
+    const {instances, departedPosition} = confirmers;
+    // Within a term an instance is taken off the list only once it is bounded.
+    for (const departure of this.departures) {
+      const isTakenOff =
+        includes(listedBefore, departure.instance) &&
+        !includes(instances, departure.instance);
+      if (isTakenOff) departure.bound ??= departedPosition;
+    }
+    const isKnown = (instance: GroupInstance): boolean =>
+      this.departures.some(
+        ({instance: departed, bound}) =>
+          isSame(departed, instance) &&
+          (bound === undefined || includes(listedBefore, instance)),
+      );
+    this.addDepartures(
+      instances.filter(each => !isKnown(each)),
+      present,
+    );
+    this.recorded = confirmers;
+  }
+}
+
+/**
+ * Returns the instances that may confirm commits of a primary, each once and in
+ * order of their names.
+ */
+export function confirmersAmong(
+  instances: readonly GroupInstance[],
+  primary: string | undefined,
+): GroupInstance[] {
+  return instances
+    .filter(
+      (each, index) =>
+        each.id !== primary &&
+        instances.findIndex(other => isSame(other, each)) === index,
+    )
+    .map(({id, bornAtMs}) => ({id, bornAtMs}))
+    .sort(
+      (left, right) =>
+        Number(left.id > right.id) - Number(left.id < right.id) ||
+        (left.bornAtMs ?? 0) - (right.bornAtMs ?? 0),
+    );
+}
+
+function includes(
+  instances: readonly GroupInstance[],
+  instance: GroupInstance,
+): boolean {
+  return instances.some(each => isSame(each, instance));
+}
+
+function isSame(left: GroupInstance, right: GroupInstance): boolean {
+  return left.id === right.id && left.bornAtMs === right.bornAtMs;
 }
--- a/packages/decisions/src/core/primary-change/held-reports.ts
+++ b/packages/decisions/src/core/primary-change/held-reports.ts
@@ -1,15 +1,6 @@
 import type {LogPosition} from '../groups/index.js';
 import {comparePositions} from '../groups/index.js';
-import type {ReplicationReport} from './types.js';
-
-/** Identifies one start of an instance, in Unix milliseconds, if it is known. */
-export type Incarnation = number | undefined;
-
-/** An instance of a group, and its incarnation. */
-export interface GroupInstance {
-  readonly id: string;
-  readonly bornAtMs: Incarnation;
-}
+import type {GroupInstance, Incarnation, ReplicationReport} from './types.js';
 
 /** Returns the higher of two positions, or the only one that is known. */
 export function higherPosition(
--- a/packages/decisions/src/core/primary-change/types.ts
+++ b/packages/decisions/src/core/primary-change/types.ts
@@ -42,21 +42,31 @@
    * further record of the term repeats it.
    */
   readonly initialPosition?: LogPosition | undefined;
+  /**
+   * Instances that may have confirmed commits of the term. Undefined if no
+   * coordinator has recorded them.
+   */
+  readonly confirmers?: RecordedConfirmers | undefined;
 }
 
-/** The fields of a record that stay the same for the whole term. */
-export type TermFields = Pick<
-  PrimaryRecord,
-  'term' | 'primary' | 'initialPosition'
->;
+/** Identifies one start of an instance, in Unix milliseconds, if it is known. */
+export type Incarnation = number | undefined;
 
-/** Returns the fields that every further record of the same term repeats. */
-export function termFields({
-  term,
-  primary,
-  initialPosition,
-}: PrimaryRecord): TermFields {
-  return {term, primary, initialPosition};
+/** An instance of a group, and its incarnation. */
+export interface GroupInstance {
+  readonly id: string;
+  readonly bornAtMs: Incarnation;
+}
+
+/** What every coordinator has to know of the instances that may have confirmed commits of a term. */
+export interface RecordedConfirmers {
+  /**
+   * Instances that belonged to the group during the term, without the primary.
+   * One that left stays until {@link departedPosition} includes its commits.
+   */
+  readonly instances: readonly GroupInstance[];
+  /** Position that includes every commit confirmed by instances that left and are no longer listed. */
+  readonly departedPosition?: LogPosition | undefined;
 }
 
 /** Report of an instance after it was asked to stop replicating. */
--- a/packages/decisions/test/primary-change/group-under-faults.ts
+++ b/packages/decisions/test/primary-change/group-under-faults.ts
@@ -1,19 +1,26 @@
 import type {
   LogPosition,
+  PrimaryRecord,
   PromotionCandidate,
   ReplicationReport,
   TargetInputs,
 } from '../../src/index.js';
 import {
   chooseTarget,
+  confirmersAmong,
   DepartedInstances,
   HeldReports,
   higherPosition,
+  PrimaryPhase,
+  termFields,
 } from '../../src/index.js';
 
 /** Changes how the coordinator of the model forms the inputs of its choice. */
 export type InputFilter = (inputs: TargetInputs) => TargetInputs;
 
+/** Changes what a coordinator reads that has just begun. */
+export type RecordFilter = (record: PrimaryRecord) => PrimaryRecord;
+
 /** One instance of the model. */
 interface ModelInstance {
   readonly id: string;
@@ -38,15 +45,21 @@
   promotions = 0;
   private readonly instances: ModelInstance[] = [];
   private readonly acknowledged = new Map<string, LogPosition>();
-  private readonly departed = new DepartedInstances();
-  private term = 1;
-  private primary = 'i1';
-  private initialPosition: LogPosition | undefined;
+  private departed = new DepartedInstances();
+  /** The record in the store. */
+  private record: PrimaryRecord = {
+    term: 1,
+    primary: 'i1',
+    phase: PrimaryPhase.Steady,
+  };
   private held: HeldReports | undefined;
   private oldPrimaryReport = new HeldReports();
   private created = 0;
 
-  constructor(private readonly filter: InputFilter = inputs => inputs) {
+  constructor(
+    private readonly filter: InputFilter = inputs => inputs,
+    private readonly recordFilter: RecordFilter = record => record,
+  ) {
     for (let index = 0; index < 3; index += 1) this.add();
     this.updateDirectory();
   }
@@ -108,12 +121,36 @@
     if (instance === undefined || this.instances.length < 3) return;
     this.instances.splice(this.instances.indexOf(instance), 1);
     this.updateDirectory();
-    this.boundDepartures();
+  }
+
+  /** Lets the coordinator ask the primary for its position, if it can answer. */
+  boundDepartures(): void {
+    const leader = this.find(this.primary);
+    if (this.held !== undefined || leader?.isUp !== true) return;
+    const position = reportOf(leader, this.term).received;
+    this.departed.recordBound(this.departed.unbounded, position);
+    this.recordConfirmers();
+  }
+
+  /** Replaces the coordinator by one that knows only the record and the directory. */
+  changeCoordinator(): void {
+    this.departed = new DepartedInstances();
+    this.departed.update(this.recordFilter(this.record), this.instances);
+    if (this.held === undefined) return;
+    this.held = new HeldReports();
+    this.oldPrimaryReport = new HeldReports();
   }
 
   /** Starts a change of primary, or takes its next step. */
   changePrimary(): void {
-    this.held ??= new HeldReports();
+    if (this.held === undefined) {
+      this.held = new HeldReports();
+      this.writeRecord({
+        ...termFields(this.record),
+        phase: PrimaryPhase.Changing,
+        confirmers: this.departed.confirmersFor(this.record),
+      });
+    }
     for (const instance of this.instances.filter(({isUp}) => isUp)) {
       const reports =
         instance.id === this.primary ? this.oldPrimaryReport : this.held;
@@ -136,12 +173,15 @@
   }
 
   private lead(target: ModelInstance, position: LogPosition): void {
-    this.term += 1;
-    this.primary = target.id;
-    this.initialPosition = position;
     this.held = undefined;
     this.oldPrimaryReport = new HeldReports();
-    this.updateDirectory();
+    this.writeRecord({
+      term: this.term + 1,
+      primary: target.id,
+      phase: PrimaryPhase.Steady,
+      initialPosition: position,
+      confirmers: {instances: confirmersAmong(this.instances, target.id)},
+    });
     this.replicate();
   }
 
@@ -156,7 +196,7 @@
       wasPromotionOrdered: false,
       minimumPosition: [this.departed.bound, held.highestPosition].reduce(
         higherPosition,
-        this.initialPosition,
+        this.record.initialPosition,
       ),
       unverifiedDepartures: this.departed.unbounded
         .filter(each => !held.hasReported(each))
@@ -175,15 +215,31 @@
     return receivers.length;
   }
 
-  private boundDepartures(): void {
-    const leader = this.find(this.primary);
-    if (this.held !== undefined || leader?.isUp !== true) return;
-    const position = reportOf(leader, this.term).received;
-    this.departed.recordBound(this.departed.unbounded, position);
+  private updateDirectory(): void {
+    this.departed.update(this.record, this.instances);
+    this.recordConfirmers();
   }
 
-  private updateDirectory(): void {
-    this.departed.update(this.term, this.primary, this.instances);
+  /** Updates the record of a steady group as the coordinator does. */
+  private recordConfirmers(): void {
+    const {departed, record} = this;
+    const isDue =
+      record.phase === PrimaryPhase.Steady && departed.isRecordOutdated(record);
+    if (isDue)
+      this.writeRecord({...record, confirmers: departed.confirmersFor(record)});
+  }
+
+  private writeRecord(record: PrimaryRecord): void {
+    this.record = record;
+    this.departed.update(record, this.instances);
+  }
+
+  private get term(): number {
+    return this.record.term;
+  }
+
+  private get primary(): string {
+    return this.record.primary;
   }
 
   private at(index: number): ModelInstance | undefined {
--- a/packages/decisions/test/primary-change/target-under-faults.test.ts
+++ b/packages/decisions/test/primary-change/target-under-faults.test.ts
@@ -2,7 +2,7 @@
 import {expect} from 'earl';
 import fc from 'fast-check';
 import type {TargetInputs} from '../../src/index.js';
-import type {InputFilter} from './group-under-faults.js';
+import type {InputFilter, RecordFilter} from './group-under-faults.js';
 import {GroupUnderFaults} from './group-under-faults.js';
 
 const INDEX = fc.nat({max: 5});
@@ -28,10 +28,12 @@
     }),
   },
   {
-    weight: 1,
+    weight: 2,
     arbitrary: fc.record({kind: fc.constant('leave' as const), index: INDEX}),
   },
-  {weight: 1, arbitrary: fc.constant({kind: 'add'} as const)},
+  {weight: 2, arbitrary: fc.constant({kind: 'add'} as const)},
+  {weight: 3, arbitrary: fc.constant({kind: 'bound'} as const)},
+  {weight: 3, arbitrary: fc.constant({kind: 'coordinator'} as const)},
 );
 
 type GroupEvent =
@@ -55,13 +57,21 @@
       return group.leave(event.index);
     case 'add':
       return group.add();
+    case 'bound':
+      return group.boundDepartures();
+    case 'coordinator':
+      return group.changeCoordinator();
   }
 }
 
 /** Plays random histories; returns the groups in their last state. */
-function playHistories(runs: number, filter?: InputFilter): GroupUnderFaults[] {
+function playHistories(
+  runs: number,
+  filter?: InputFilter,
+  recordFilter?: RecordFilter,
+): GroupUnderFaults[] {
   return fc.sample(HISTORY, {seed: 26, numRuns: runs}).map(history => {
-    const group = new GroupUnderFaults(filter);
+    const group = new GroupUnderFaults(filter, recordFilter);
     for (const event of history) apply(group, event);
     return group;
   });
@@ -93,6 +103,24 @@
   },
 ];
 
+/** Filters that hide from a new coordinator what the one before knew. */
+const BROKEN_RECORDS: ReadonlyArray<{
+  readonly name: string;
+  readonly filter: RecordFilter;
+}> = [
+  {
+    name: 'a new coordinator does not know who belonged to the group in the term',
+    filter: record => ({...record, confirmers: undefined}),
+  },
+  {
+    name: 'a new coordinator does not know up to where departed instances confirmed',
+    filter: ({confirmers, ...record}) => ({
+      ...record,
+      confirmers: confirmers && {instances: confirmers.instances},
+    }),
+  },
+];
+
 describe('chooseTarget in a group whose instances go deaf, crash, restart and leave', () => {
   it('drops no acknowledged commit without saying so', () => {
     const groups = playHistories(20_000);
@@ -112,4 +140,11 @@
       expect(countLossy(playHistories(20_000, filter)) > 0).toEqual(true);
     });
   }
+
+  for (const {name, filter} of BROKEN_RECORDS) {
+    it(`loses acknowledged commits if ${name}`, () => {
+      const groups = playHistories(20_000, undefined, filter);
+      expect(countLossy(groups) > 0).toEqual(true);
+    });
+  }
 });
--- a/packages/gateway/src/core/coordinator/coordinator-task.ts
+++ b/packages/gateway/src/core/coordinator/coordinator-task.ts
@@ -1,4 +1,5 @@
 import {
+  confirmersAmong,
   shouldReplacePrimary,
   PrimaryPhase,
   rankNodes,
@@ -13,6 +14,7 @@
 import type {CoordinatorKey} from './coordinator-key.js';
 import {COORDINATOR_KEY} from './coordinator-key.js';
 import {PrimaryChangeReason, PrimaryChange} from './primary-change.js';
+import {areConfirmersOutdated, recordConfirmers} from './record-confirmers.js';
 import {writePrimaryRecord} from './write-primary-record.js';
 
 /** Interval between two checks of the groups, in milliseconds. */
@@ -274,6 +276,9 @@
     if (primary?.isLeaving && this.hasSuccessor(group, primary.id)) {
       return this.change(group, PrimaryChangeReason.Leaving);
     }
+    if (areConfirmersOutdated(this.context, group)) {
+      return () => recordConfirmers(this.context, group);
+    }
     return undefined;
   }
 
@@ -326,6 +331,7 @@
       term: leader.term,
       primary: leader.id,
       phase: PrimaryPhase.Steady,
+      confirmers: {instances: confirmersAmong(instances, leader.id)},
     });
   }
 }
--- a/packages/gateway/src/core/coordinator/group-departures.ts
+++ b/packages/gateway/src/core/coordinator/group-departures.ts
@@ -85,6 +85,6 @@
   ): void {
     const record = group.storedRecord?.record;
     if (record === undefined) return;
-    this.of(group.name).update(record.term, record.primary, instances);
+    this.of(group.name).update(record, instances);
   }
 }
--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -3,9 +3,11 @@
   PrimaryRecord,
   ReplicationReport,
   TargetChoice,
+  TermFields,
 } from '@sapphireglade/decisions';
 import {
   chooseTarget,
+  confirmersAmong,
   elapsedMs,
   formatPosition,
   PrimaryPhase,
@@ -123,7 +125,7 @@
       isWritten && this.failedPromotions === 0
         ? old
         : await writePrimaryRecord(this.context, this.group, {
-            ...termFields(old.record),
+            ...this.fieldsOfTerm(old.record),
             phase: PrimaryPhase.Changing,
             isPlanned: this.reason === PrimaryChangeReason.Leaving,
             orders: this.failedPromotions,
@@ -133,6 +135,13 @@
     return known;
   }
 
+  /** Returns what every record of the change repeats. */
+  private fieldsOfTerm(record: PrimaryRecord): TermFields {
+    const departed = this.context.departures.of(this.group.name);
+    const confirmers = departed.confirmersFor(record);
+    return {...termFields(record), confirmers};
+  }
+
   /** Completes the change if an earlier coordinator promoted an instance. */
   private async adoptPrimary(known: VersionedPrimaryRecord): Promise<boolean> {
     if (this.reason !== PrimaryChangeReason.Unfinished) return false;
@@ -234,7 +243,7 @@
     const {context, group} = this;
     const sentAt = readClocks();
     const {revision} = await writePrimaryRecord(context, group, {
-      ...termFields(old),
+      ...this.fieldsOfTerm(old),
       phase: PrimaryPhase.Changing,
       isPlanned: old.isPlanned,
       orders: this.failedPromotions + 1,
@@ -284,11 +293,13 @@
     leader: ReplicationReport,
     initialPosition: LogPosition | undefined,
   ): Promise<void> {
+    const instances = this.context.directory.findByGroup(this.group.name);
     await writePrimaryRecord(this.context, this.group, {
       term: leader.term,
       primary: leader.id,
       phase: PrimaryPhase.Steady,
       initialPosition,
+      confirmers: {instances: confirmersAmong(instances, leader.id)},
     });
     this.countStep('led');
     this.log('Another instance leads.', {
--- /dev/null
+++ b/packages/gateway/src/core/coordinator/record-confirmers.ts
@@ -0,0 +1,53 @@
+import type {DatabaseGroup} from '../groups/index.js';
+import type {PrimaryChangeContext} from './primary-change-context.js';
+import {
+  RecordConflictError,
+  writePrimaryRecord,
+} from './write-primary-record.js';
+
+/**
+ * Returns whether the record of a group names other instances than those that
+ * may have confirmed commits of its term.
+ */
+export function areConfirmersOutdated(
+  {departures}: PrimaryChangeContext,
+  {name, storedRecord}: DatabaseGroup,
+): boolean {
+  return (
+    storedRecord !== undefined &&
+    departures.of(name).isRecordOutdated(storedRecord.record)
+  );
+}
+
+/**
+ * Writes the instances that may have confirmed commits of the term into the
+ * record of a steady group, so that the next coordinator knows who is missing.
+ *
+ * @param context - Dependencies of the coordinator.
+ * @param group - The group, which has a record.
+ * @throws SapphiregladeError if the store does not respond.
+ */
+export async function recordConfirmers(
+  context: PrimaryChangeContext,
+  group: DatabaseGroup,
+): Promise<void> {
+  const record = group.storedRecord?.record;
+  if (record === undefined) return;
+  const departed = context.departures.of(group.name);
+  const confirmers = departed.confirmersFor(record);
+  try {
+    await writePrimaryRecord(context, group, {...record, confirmers});
+  } catch (error) {
+    // Another proxy has changed the record; the next check compares it again.
+    if (!(error instanceof RecordConflictError)) throw error;
+    return;
+  }
+  context.log.info(
+    'The instances that may have confirmed commits were recorded.',
+    {
+      group: group.name,
+      instances: confirmers?.instances.map(({id}) => id).join(' '),
+      departed: departed.unbounded.map(({id}) => id).join(' '),
+    },
+  );
+}
--- a/packages/gateway/src/core/groups/database-group.ts
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -9,6 +9,7 @@
   ChangeExpectation,
   comparePositions,
   elapsedMs,
+  isSameSteadyPrimary,
   PrimaryPositionHistory,
   ReplicationLagEstimate,
   PositionSource,
@@ -125,6 +126,7 @@
     if (this.stored !== undefined && update.revision <= this.stored.revision) {
       return;
     }
+    const isSame = isSameSteadyPrimary(this.stored?.record, update.record);
     this.stored = update;
     const {term, lastPosition, phase} = update.record;
     // The record is older than the state that the instances have reported.
@@ -136,6 +138,7 @@
       this.markNotReplaced(now);
     }
     this.known = update;
+    if (isSame) return this.recordChanges.next(update);
     this.updateChangeProgress(update);
     if (lastPosition !== undefined && !isBehind) {
       this.observeRecordedPosition(lastPosition);
@@ -274,8 +277,7 @@
   }
 
   /**
-   * Returns the instances that may hold acknowledged commits, without the
-   * primary.
+   * Returns the instances besides the primary that may hold acknowledged commits.
    *
    * @param nowMs - The time, in milliseconds of the steady clock.
    * @returns Those that can be queried, and how many others there may be. A
--- a/packages/gateway/test/groups/database-group.test.ts
+++ b/packages/gateway/test/groups/database-group.test.ts
@@ -173,6 +173,52 @@
     });
   });
 
+  describe('a record that only says more about the same steady primary', () => {
+    const REWRITTEN: PrimaryRecord = {
+      ...STEADY,
+      confirmers: {instances: [{id: 'replica', bornAtMs: 1}]},
+    };
+
+    it('keeps the responses to earlier queries of the primary', () => {
+      const group = new DatabaseGroup('ledger');
+      const pool = addInstance(group, 'old');
+      group.applyRecord({record: STEADY, revision: 10});
+      group.confirmRecord(before(0));
+      const sentAtMs = performance.now();
+      group.applyRecord({record: REWRITTEN, revision: 11});
+
+      pool.positions$.next({sentAtMs, position: LAST_OF_OLD_TERM});
+
+      const found = group.positions.findPositionSince(sentAtMs);
+      expect(found?.position).toEqual(LAST_OF_OLD_TERM);
+    });
+
+    it('keeps the highest position that the primary has reported', () => {
+      const group = new DatabaseGroup('ledger');
+      const pool = addInstance(group, 'old');
+      group.applyRecord({record: STEADY, revision: 10});
+      group.confirmRecord(before(0));
+      const sentAtMs = performance.now();
+      pool.positions$.next({sentAtMs, position: LAST_OF_OLD_TERM});
+      group.applyRecord({record: REWRITTEN, revision: 11});
+      pool.positions$.next({
+        sentAtMs: sentAtMs + 50,
+        position: {term: 0, position: 0},
+      });
+
+      const found = group.positions.findPositionSince(sentAtMs + 25);
+      expect(found?.position).toEqual(undefined);
+    });
+
+    it('is the stored and the current record', () => {
+      const group = new DatabaseGroup('ledger');
+      group.applyRecord({record: STEADY, revision: 10});
+      group.applyRecord({record: REWRITTEN, revision: 11});
+      expect(group.storedRecord?.record).toEqual(REWRITTEN);
+      expect(group.record?.revision).toEqual(11);
+    });
+  });
+
   describe('a discovered primary that the store does not record', () => {
     it('is not confirmed by responses and lease renewals of the store', () => {
       const group = new DatabaseGroup('ledger');
--- a/packages/gateway/test/resumed-primary-change.test.ts
+++ b/packages/gateway/test/resumed-primary-change.test.ts
@@ -137,6 +137,12 @@
       term: 2,
       primary: `${GROUP}-1`,
       phase: PrimaryPhase.Steady,
+      confirmers: {
+        instances: [
+          {id: `${GROUP}-0`, bornAtMs: 1},
+          {id: `${GROUP}-2`, bornAtMs: 1},
+        ],
+      },
     });
     expect(promotions.orders).toEqual([]);
   });
