--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -3,12 +3,15 @@
   PrimaryRecord,
   ReplicationReport,
   TargetChoice,
+  TermFields,
 } from '@sapphireglade/decisions';
 import {
   chooseTarget,
+  confirmersAmong,
   elapsedMs,
   formatPosition,
   PrimaryPhase,
+  termFields,
 } from '@sapphireglade/decisions';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {DatabaseGroup, VersionedPrimaryRecord} from '../groups/index.js';
@@ -17,6 +20,7 @@
 import {HeldInstances} from './held-instances.js';
 import type {PrimaryChangeContext} from './primary-change-context.js';
 import {PromotionResult} from './promotion-service.js';
+import {TargetChoiceLog} from './target-choice-log.js';
 import {writePrimaryRecord} from './write-primary-record.js';
 import {ViewRevocation} from './view-revocation.js';
 
@@ -116,14 +120,12 @@
   private async announce(
     old: VersionedPrimaryRecord,
   ): Promise<VersionedPrimaryRecord> {
-    const {term, primary, phase} = old.record;
-    const isWritten = phase === PrimaryPhase.Changing;
+    const isWritten = old.record.phase === PrimaryPhase.Changing;
     const known =
       isWritten && this.failedPromotions === 0
         ? old
         : await writePrimaryRecord(this.context, this.group, {
-            term,
-            primary,
+            ...this.fieldsOfTerm(old.record),
             phase: PrimaryPhase.Changing,
             isPlanned: this.reason === PrimaryChangeReason.Leaving,
             orders: this.failedPromotions,
@@ -133,6 +135,13 @@
     return known;
   }
 
+  /** Returns what every record of the change repeats. */
+  private fieldsOfTerm(record: PrimaryRecord): TermFields {
+    const departed = this.context.departures.of(this.group.name);
+    const confirmers = departed.confirmersFor(record);
+    return {...termFields(record), confirmers};
+  }
+
   /** Completes the change if an earlier coordinator promoted an instance. */
   private async adoptPrimary(known: VersionedPrimaryRecord): Promise<boolean> {
     if (this.reason !== PrimaryChangeReason.Unfinished) return false;
@@ -185,9 +194,12 @@
   ): Promise<void> {
     let known = announced;
     let loggedReason = '';
+    const choices = new TargetChoiceLog(this.context.log, this.group.name);
     for (;;) {
       await this.held.holdReplicas(known);
-      const choice = chooseTarget(this.held.targetInputs(known));
+      const inputs = this.held.targetInputs(known);
+      const choice = chooseTarget(inputs);
+      choices.record(inputs, choice);
       if (choice.kind === 'promote') {
         await this.awaitViewRevocation();
         if (!this.held.areIntact(known)) continue;
@@ -231,8 +243,7 @@
     const {context, group} = this;
     const sentAt = readClocks();
     const {revision} = await writePrimaryRecord(context, group, {
-      term: old.term,
-      primary: old.primary,
+      ...this.fieldsOfTerm(old),
       phase: PrimaryPhase.Changing,
       isPlanned: old.isPlanned,
       orders: this.failedPromotions + 1,
@@ -282,11 +293,13 @@
     leader: ReplicationReport,
     initialPosition: LogPosition | undefined,
   ): Promise<void> {
+    const instances = this.context.directory.findByGroup(this.group.name);
     await writePrimaryRecord(this.context, this.group, {
       term: leader.term,
       primary: leader.id,
       phase: PrimaryPhase.Steady,
       initialPosition,
+      confirmers: {instances: confirmersAmong(instances, leader.id)},
     });
     this.countStep('led');
     this.log('Another instance leads.', {
