Ignore a registration that precedes a later one of the same start

What callers may see: statements sent to an instance that had already announced that it leaves (DRAIN), after the store came back from a backup.

Cause: a restored store lists registrations as they were at the time of the backup, and the revisions that told old from new go back as well.

One of the same start with a lower sequence marks the entry as present and changes nothing else.

--- a/packages/gateway/src/core/directory/instance-directory.ts
+++ b/packages/gateway/src/core/directory/instance-directory.ts
@@ -79,6 +79,10 @@
   /** Adds or updates a registered instance. */
   register(instance: RegisteredInstance): void {
     const entry = this.entries.get(instance.id);
+    if (entry !== undefined && isOlderRegistration(instance, entry.instance)) {
+      entry.missingSinceMs = undefined;
+      return;
+    }
     this.entries.set(instance.id, {instance, missingSinceMs: undefined});
     const previous = entry?.instance;
     if (previous?.availabilityZone !== instance.availabilityZone)
@@ -170,6 +174,22 @@
   }
 }
 
+/**
+ * Returns whether a registration precedes another one of the same incarnation; a
+ * restored store lists such registrations.
+ */
+function isOlderRegistration(
+  registration: RegisteredInstance,
+  other: RegisteredInstance,
+): boolean {
+  return (
+    registration.bornAtMs === other.bornAtMs &&
+    registration.sequence !== undefined &&
+    other.sequence !== undefined &&
+    registration.sequence < other.sequence
+  );
+}
+
 /** Returns whether both registrations of an instance are the same. */
 function isSameRegistration(
   previous: RegisteredInstance,
--- a/packages/gateway/src/core/directory/types.ts
+++ b/packages/gateway/src/core/directory/types.ts
@@ -11,4 +11,6 @@
   readonly slots: number;
   /** When this incarnation of the instance started, in Unix milliseconds. */
   readonly bornAtMs: number | undefined;
+  /** Rises with each registration of an incarnation, if it is known. */
+  readonly sequence?: number | undefined;
 }
