Read everything again when the store was restored from a backup

Cause: a watcher compared the revision of a restored store with one of before the restore. It got 410, read the list, dropped it as older, and began again each 200 ms; it also reported the dropped list as a confirmation of what it had.

Ruled out: the order of configurations goes by the operator's version.

Change: CoordinationStore is the one place that knows the generation of the store. A client returns each response with its generation, refusals too. A newer one is announced before the response is passed on; a response from before a known restore, or one whose call crossed a restore, counts as missing, except for a list, which needs no earlier state. Watchers then forget their revision and read the list at once. A list that is not applied confirms nothing. Store content that proxies relay to each other names its generation. The generation is logged and a metric.

--- a/packages/gateway/src/core/metrics/catalogue.ts
+++ b/packages/gateway/src/core/metrics/catalogue.ts
@@ -51,6 +51,9 @@
   sapphireglade_store_reachable: defineGauge(
     'Whether the last call to the store was answered: 1 or 0.',
   ),
+  sapphireglade_store_generation: defineGauge(
+    'Generation of the store; rises when it is restored from a backup.',
+  ),
   sapphireglade_members: defineGauge('Live proxies that the store lists.'),
   sapphireglade_owner_links: defineGauge(
     'Links to owners of groups that are open.',
--- a/packages/gateway/src/core/metrics/gateway-gauges.ts
+++ b/packages/gateway/src/core/metrics/gateway-gauges.ts
@@ -14,6 +14,7 @@
   readonly configuration: LatestConfiguration;
   readonly isReady: () => boolean;
   readonly isStoreReachable: () => boolean;
+  readonly storeGeneration: () => number;
   readonly sessions: () => number;
   readonly members: () => number;
   readonly openLinks: () => number;
@@ -40,6 +41,9 @@
   metrics.registerGauge('sapphireglade_store_reachable', () =>
     singleReading(sources.isStoreReachable()),
   );
+  metrics.registerGauge('sapphireglade_store_generation', () =>
+    singleReading(sources.storeGeneration()),
+  );
   metrics.registerGauge('sapphireglade_configuration_version', () =>
     singleReading(configuration.current?.version ?? 0),
   );
--- a/packages/gateway/src/core/process/store-watchers.ts
+++ b/packages/gateway/src/core/process/store-watchers.ts
@@ -69,10 +69,12 @@
   private readonly directory: StoreWatcher;
   private readonly memberMirror = new StoreMirror(MEMBER_PREFIX);
   private readonly configurationMirror: StoreMirror;
+  private readonly store: CoordinationStore;
 
   constructor(options: StoreWatchersOptions) {
     const {store, log, ownsAnyGroup, isCoordinator, externalListeners} =
       options;
+    this.store = store;
     const usesRelay = (): boolean => options.isRelayUsed() && !isCoordinator();
     this.configurationMirror = new StoreMirror(
       externalListeners.configuration.prefix,
@@ -136,6 +138,7 @@
         mirror: this.configurationMirror,
         revision: () => knownRevision(this.configuration),
       },
+      () => this.store.generation,
     );
   }
 
--- a/packages/gateway/src/core/store-relay/messages.ts
+++ b/packages/gateway/src/core/store-relay/messages.ts
@@ -16,6 +16,11 @@
 /** Schema of the relay request. */
 export const relayRequestSchema = z.object({
   kind: z.literal(RELAY_REQUEST_KIND),
+  /**
+   * Generation of the store to which the revisions belong; earlier versions
+   * leave it out.
+   */
+  generation: z.number().optional(),
   /** Last revision received of each section; left out if there is none. */
   known: z.object({
     members: z.number().optional(),
@@ -45,6 +50,8 @@
 
 /** Schema of the relay response. */
 export const relayResponseSchema = z.object({
+  /** Generation of the store; earlier versions leave it out. */
+  generation: z.number().default(0),
   members: changesSchema,
   configuration: changesSchema,
 });
--- a/packages/gateway/src/core/store-relay/store-relay-client.ts
+++ b/packages/gateway/src/core/store-relay/store-relay-client.ts
@@ -1,7 +1,7 @@
 import type {Logger} from '@sapphireglade/runtime';
 import {SupervisedTask} from '@sapphireglade/runtime';
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {StorePrefixListener} from '../store/index.js';
+import type {CoordinationStore, StorePrefixListener} from '../store/index.js';
 import type {RelayResponse, RelayRequest} from './messages.js';
 import {
   RELAY_REQUEST_KIND,
@@ -20,6 +20,8 @@
 
 /** Options of the relay client. */
 export interface StoreRelayClientOptions {
+  /** The store, which tracks the generation of the content. */
+  readonly store: CoordinationStore;
   /**
    * Returns whether this proxy may receive store content from other proxies.
    */
@@ -46,8 +48,12 @@
   private isRelayUsed = false;
   private isStopped = false;
 
+  /** Whether the last lists may lack what live writers repeat after a restore. */
+  private isPartial = false;
+
   constructor(private readonly options: StoreRelayClientOptions) {
     super('store-relay-client');
+    options.store.restored$.subscribe(() => this.known.clear());
   }
 
   /** Whether store content is currently received from other proxies. */
@@ -84,8 +90,11 @@
       this.isRelayUsed = false;
       return;
     }
+    const {store} = this.options;
+    if (this.isPartial && store.isSettled) this.known.clear();
     const response = await this.options.sendRequest({
       kind: RELAY_REQUEST_KIND,
+      generation: store.generation,
       known: {
         members: this.known.get(RelayedSection.Members),
         configuration: this.known.get(RelayedSection.Configuration),
@@ -97,6 +106,10 @@
       this.known.clear();
       return;
     }
+    store.observeGeneration(result.data.generation);
+    // A proxy that has not seen the restore yet relays what it had before.
+    if (result.data.generation !== store.generation) return;
+    this.isPartial = store.restoresSeen > 0 && !store.isSettled;
     for (const section of Object.values(RelayedSection))
       this.applySection(section, result.data);
   }
@@ -121,7 +134,7 @@
       ...item,
       value: Buffer.from(item.value),
     }));
-    if (isWhole) listener.onSnapshot(stored);
+    if (isWhole && !this.isPartial) listener.onSnapshot(stored);
     else for (const item of stored) listener.onPut(item);
     for (const each of removals) listener.onDelete(each.key, each.revision);
     this.known.set(section, Math.max(knownRevision, revision));
--- a/packages/gateway/src/core/store-relay/store-relay-server.ts
+++ b/packages/gateway/src/core/store-relay/store-relay-server.ts
@@ -17,10 +17,12 @@
   /**
    * @param members - The list of live proxies.
    * @param configuration - The operators' configuration.
+   * @param generation - Returns the current generation of the store.
    */
   constructor(
     private readonly members: RelaySource,
     private readonly configuration: RelaySource,
+    private readonly generation: () => number,
   ) {}
 
   /**
@@ -30,8 +32,12 @@
    *   follow the store or gets no response from it, so that the requester uses
    *   another source.
    */
-  answer({known}: RelayRequest): RelayResponse {
+  answer({known: requested, ...request}: RelayRequest): RelayResponse {
+    const generation = this.generation();
+    // Revisions of another generation cannot be compared.
+    const known = (request.generation ?? 0) === generation ? requested : {};
     return {
+      generation,
       members: changesOf(this.members, known.members),
       configuration: changesOf(this.configuration, known.configuration),
     };
--- a/packages/gateway/src/core/store/index.ts
+++ b/packages/gateway/src/core/store/index.ts
@@ -3,6 +3,8 @@
  * content.
  */
 export * from './coordination-store.js';
+export * from './store-client.js';
+export * from './store-types.js';
 export * from './store-watcher.js';
 export * from './store-prefix-listener.js';
 export * from './store-mirror.js';
--- a/packages/gateway/src/core/store/store-mirror.ts
+++ b/packages/gateway/src/core/store/store-mirror.ts
@@ -1,4 +1,4 @@
-import type {StoredItem} from './coordination-store.js';
+import type {StoredItem} from './store-types.js';
 import {StorePrefixListener} from './store-prefix-listener.js';
 
 /** Maximum number of removals that are tracked individually. */
@@ -52,6 +52,12 @@
     );
   }
 
+  override onRestored(): void {
+    this.items.clear();
+    this.removals = [];
+    this.compactedRevision = 0;
+  }
+
   /**
    * Returns the changes since a revision.
    *
--- a/packages/gateway/src/core/store/store-prefix-listener.ts
+++ b/packages/gateway/src/core/store/store-prefix-listener.ts
@@ -1,4 +1,4 @@
-import type {StoredItem} from './coordination-store.js';
+import type {StoredItem} from './store-types.js';
 
 /** A listener for one section of the store: all keys with a prefix. */
 export abstract class StorePrefixListener {
@@ -13,4 +13,13 @@
 
   /** Applies the removal of a key. */
   abstract onDelete(key: string, revision: number): void;
+
+  /**
+   * Forgets the revisions of the section, because the store was restored from a
+   * backup. A list of the restored content follows, which at first may lack
+   * keys that are written again.
+   */
+  onRestored(): void {
+    return undefined;
+  }
 }
--- a/packages/gateway/src/core/store/store-watcher.ts
+++ b/packages/gateway/src/core/store/store-watcher.ts
@@ -8,7 +8,8 @@
   TIMED_OUT,
   withTimeout,
 } from '../time/index.js';
-import type {CoordinationStore, StoreEvent} from './coordination-store.js';
+import type {CoordinationStore} from './coordination-store.js';
+import type {StoredItem, StoreEvent} from './store-types.js';
 import type {StorePrefixListener} from './store-prefix-listener.js';
 
 /** Time that a watch may take in addition to its wait, in milliseconds. */
@@ -81,12 +82,17 @@
   private isConnected = false;
   private hasSnapshot = false;
   private lastSyncedAtMs = -Infinity;
+  /** Whether the last list may lack what live writers repeat after a restore. */
+  private isListPartial = false;
+  /** Whether the restored content has not been read yet. */
+  private isRestoreUnread = false;
   /** Whether the next or current watch must return immediately. */
   private isRefreshRequested = false;
   private interrupt: () => void = () => undefined;
 
   constructor(private readonly options: StoreWatcherOptions) {
     super(`store-watcher of "${options.watchedPrefix}"`);
+    options.store.restored$.subscribe(() => this.onRestored());
   }
 
   /** Whether every section has been read. */
@@ -119,6 +125,16 @@
     this.interrupt();
   }
 
+  /** Forgets the revisions and reads everything again immediately. */
+  private onRestored(): void {
+    this.knownRevision = 0;
+    this.hasSnapshot = false;
+    this.lastSyncedAtMs = -Infinity;
+    this.isRestoreUnread = true;
+    for (const listener of this.options.listeners) listener.onRestored();
+    this.interrupt();
+  }
+
   protected override onStart(): Promise<void> {
     void this.follow();
     return Promise.resolve();
@@ -149,8 +165,9 @@
       : this.options.minimumIntervalMs();
     const remainingMs = intervalMs + beganAtMs - steadyNowMs();
     if (remainingMs <= 0) return;
-    // A refresh cannot be served while the watcher is paused.
-    if (this.isRefreshRequested && !this.options.isPaused()) return;
+    // Neither can be served while the watcher is paused.
+    const isUrgent = this.isRefreshRequested || this.isRestoreUnread;
+    if (isUrgent && !this.options.isPaused()) return;
     const abortController = new AbortController();
     this.interrupt = () => abortController.abort();
     try {
@@ -168,8 +185,12 @@
   private async step(): Promise<boolean> {
     const sentAt = readClocks();
     const isPolling = this.options.shouldPoll();
-    if (isPolling || !this.hasSnapshot) await this.loadSnapshot(isPolling);
-    else if (!(await this.watchOnce())) return false;
+    const isListDue = this.isListPartial && this.options.store.isSettled;
+    const isApplied =
+      isPolling || !this.hasSnapshot || isListDue
+        ? await this.loadSnapshot(isPolling)
+        : await this.watchOnce();
+    if (!isApplied) return false;
     this.lastSyncedAtMs = sentAt.steadyMs;
     this.options.onConfirmed(sentAt);
     return true;
@@ -178,26 +199,44 @@
   /**
    * Reads all sections with one request; the watch continues after its
    * revision.
+   *
+   * @returns Whether the response was applied.
    */
-  private async loadSnapshot(allowStale: boolean): Promise<void> {
-    const {store, listeners, watchedPrefix} = this.options;
+  private async loadSnapshot(allowStale: boolean): Promise<boolean> {
+    const {store, watchedPrefix} = this.options;
     const response = await withTimeout(
       store.list(watchedPrefix, {allowStale}),
       LIST_TIMEOUT_MS,
     );
     if (response === TIMED_OUT) throw new Error('The store did not respond.');
+    if (response.generation !== store.generation) return false;
+    // A response older than the current state must not restore it.
+    if (response.revision < this.knownRevision) {
+      this.markConnected();
+      return false;
+    }
+    this.isListPartial = store.restoresSeen > 0 && !store.isSettled;
+    for (const listener of this.options.listeners)
+      this.applyList(listener, response.items);
     // A stale response proves nothing; the sections are read again before they
     // are watched.
     this.hasSnapshot = !allowStale;
-    // A response older than the current state must not restore it.
-    if (response.revision < this.knownRevision) return;
-    for (const listener of listeners) {
-      const items = response.items.filter(({key}) =>
-        key.startsWith(listener.prefix),
-      );
-      listener.onSnapshot(items);
-    }
+    this.isRestoreUnread = false;
     this.knownRevision = response.revision;
+    return true;
+  }
+
+  /**
+   * Applies a list to one section. A list that may lack what is written again
+   * after a restore removes nothing.
+   */
+  private applyList(
+    listener: StorePrefixListener,
+    items: readonly StoredItem[],
+  ): void {
+    const section = items.filter(({key}) => key.startsWith(listener.prefix));
+    if (this.isListPartial) for (const item of section) listener.onPut(item);
+    else listener.onSnapshot(section);
   }
 
   /**
@@ -227,6 +266,7 @@
           'The store compacted its history; reading all sections again.',
           {
             afterRevision: this.knownRevision,
+            generation: store.generation,
           },
         );
         this.hasSnapshot = false;
--- a/packages/gateway/test/store-relay.test.ts
+++ b/packages/gateway/test/store-relay.test.ts
@@ -12,7 +12,11 @@
   StoreRelayClient,
 } from '../src/core/store-relay/index.js';
 import type {StoredItem} from '../src/index.js';
-import {StoreMirror, StorePrefixListener} from '../src/index.js';
+import {
+  CoordinationStore,
+  StoreMirror,
+  StorePrefixListener,
+} from '../src/index.js';
 
 /** Longer than the interval between two requests, in milliseconds. */
 const TWO_POLLS_MS = 1_400;
@@ -81,6 +85,7 @@
   let mirror: StoreMirror;
   let syncedRevision: number | undefined;
   let canUseRelay: boolean;
+  let store: CoordinationStore;
   let requests: RelayRequest[];
   let client: StoreRelayClient;
 
@@ -93,6 +98,7 @@
     const server = new StoreRelayServer(
       {mirror, revision},
       {mirror: new StoreMirror('c'), revision},
+      () => store.generation,
     );
     try {
       return Promise.resolve(server.answer(request));
@@ -110,8 +116,10 @@
     mirror.onSnapshot([item('m/a', 3)]);
     syncedRevision = 5;
     canUseRelay = true;
+    store = new CoordinationStore(undefined as never, createSilentLogger());
     requests = [];
     client = new StoreRelayClient({
+      store,
       canUseRelay: () => canUseRelay,
       sendRequest,
       listeners: {members, configuration},
--- a/packages/gateway/test/support/linked-proxy.ts
+++ b/packages/gateway/test/support/linked-proxy.ts
@@ -81,6 +81,7 @@
   private readonly relayServer = new StoreRelayServer(
     {mirror: new StoreMirror('members/'), revision: () => this.followed},
     {mirror: new StoreMirror('configuration'), revision: () => this.followed},
+    () => 0,
   );
   readonly configuration = new LatestConfiguration(createSilentLogger());
   readonly service: ForwardingService;
--- a/packages/gateway/test/support/memory-store.ts
+++ b/packages/gateway/test/support/memory-store.ts
@@ -1,15 +1,17 @@
 import {ErrorKind, SapphiregladeError} from '@sapphireglade/decisions';
+import {createSilentLogger} from '@sapphireglade/runtime';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {
   GrantedLease,
+  ListedItems,
   StoredItem,
-  StoredItems,
   StoreEvent,
+  StoreResponse,
   StoreTransaction,
   TransactionResult,
   WatchResult,
 } from '../../src/index.js';
-import {CoordinationStore} from '../../src/index.js';
+import {CoordinationStore, StoreClient} from '../../src/index.js';
 
 /** One-way latency to the store, in milliseconds. */
 const ONE_WAY_LATENCY_MS = 1;
@@ -145,8 +147,8 @@
   }
 }
 
-/** One client of the store. */
-export class MemoryStore extends CoordinationStore {
+/** Sends the calls of one proxy to the shared state. */
+export class MemoryStoreClient extends StoreClient {
   /** Whether calls of this client fail. */
   isPartitioned = false;
   /** Wait time of the last watch of each prefix, in milliseconds. */
@@ -156,7 +158,7 @@
     super();
   }
 
-  override async list(prefix: string): Promise<StoredItems> {
+  override async list(prefix: string): Promise<StoreResponse<ListedItems>> {
     await this.simulateLatency();
     const items = [...this.state.items.values()].filter(({key}) =>
       key.startsWith(prefix),
@@ -168,7 +170,7 @@
     prefix: string,
     afterRevision: number,
     waitMs: number,
-  ): Promise<WatchResult> {
+  ): Promise<StoreResponse<WatchResult>> {
     this.watchWaitMsByPrefix.set(prefix, waitMs);
     await this.simulateLatency();
     const {state} = this;
@@ -191,7 +193,7 @@
     conditions,
     puts,
     removals = [],
-  }: StoreTransaction): Promise<TransactionResult> {
+  }: StoreTransaction): Promise<StoreResponse<TransactionResult>> {
     await this.simulateLatency();
     const {state} = this;
     const areConditionsMet = conditions.every(
@@ -207,19 +209,21 @@
     return this.answer({kind: 'committed', revision: state.revision});
   }
 
-  override async grantLease(ttlMs: number): Promise<GrantedLease> {
+  override async grantLease(
+    ttlMs: number,
+  ): Promise<StoreResponse<GrantedLease>> {
     await this.simulateLatency();
     return this.answer({leaseId: this.state.grantLease(ttlMs), ttlMs});
   }
 
-  override async renewLease(leaseId: number): Promise<boolean> {
+  override async renewLease(leaseId: number): Promise<StoreResponse<boolean>> {
     await this.simulateLatency();
     return this.answer(this.state.renewLease(leaseId));
   }
 
-  override async revokeLease(leaseId: number): Promise<void> {
+  override async revokeLease(leaseId: number): Promise<StoreResponse<void>> {
     await this.simulateLatency();
-    this.state.revokeLease(leaseId);
+    return this.answer(this.state.revokeLease(leaseId));
   }
 
   private async simulateLatency(): Promise<void> {
@@ -227,9 +231,9 @@
     this.failIfPartitioned();
   }
 
-  private answer<Answer>(answer: Answer): Answer {
+  private answer<Result>(result: Result): StoreResponse<Result> {
     this.failIfPartitioned();
-    return answer;
+    return {generation: this.state.generation, result};
   }
 
   private failIfPartitioned(): void {
@@ -240,3 +244,28 @@
     );
   }
 }
+
+/** The store as one proxy uses it. */
+export class MemoryStore extends CoordinationStore {
+  private readonly calls: MemoryStoreClient;
+
+  constructor(state: MemoryStoreState) {
+    const calls = new MemoryStoreClient(state);
+    super(calls, createSilentLogger());
+    this.calls = calls;
+  }
+
+  /** Whether calls of this proxy fail. */
+  get isPartitioned(): boolean {
+    return this.calls.isPartitioned;
+  }
+
+  set isPartitioned(isPartitioned: boolean) {
+    this.calls.isPartitioned = isPartitioned;
+  }
+
+  /** Wait time of the last watch of each prefix, in milliseconds. */
+  get watchWaitMsByPrefix(): ReadonlyMap<string, number> {
+    return this.calls.watchWaitMsByPrefix;
+  }
+}
--- a/packages/gateway/test/support/primary-change-context.ts
+++ b/packages/gateway/test/support/primary-change-context.ts
@@ -9,7 +9,7 @@
 import {
   LatestConfiguration,
   ControlConnections,
-  COORDINATOR_KEY,
+  coordinatorKey,
   GatewayMetrics,
   GroupDepartures,
   InstanceDirectory,
@@ -69,11 +69,12 @@
   log = createSilentLogger(),
 }: PrimaryChangeContextOptions): PrimaryChangeContext {
   const store = new MemoryStore(state);
+  store.observeGeneration(state.generation);
   const directory = new InstanceDirectory(log);
   for (const {id, bornAtMs} of registered) {
     directory.register({...registeredInstance(id, group.name), bornAtMs});
   }
-  state.put(COORDINATOR_KEY, self);
+  state.put(coordinatorKey(state.generation), self);
   const {revision} = state;
   const configuration = new LatestConfiguration(log);
   configuration.applyIfNewer({
