Drop leases, keys and releases from before a restore of the store

What callers may see: reads at a primary that was replaced, or a live proxy whose view lease another one's change of primary ends (STALE), after the store came back from a backup.

Cause: the ids of leases and the revisions in keys are given out again. A proxy that renews a lease of before the restore may keep the lease of another proxy alive; a change that revokes 'the lease of a proxy' may end that of another; and a release of an old record may count for a new one. A proxy whose key was lost is not waited for although its view is still valid.

Change: leases are dropped on a restore and requested anew; the key of a proxy and a release name the generation of the store to which they belong. Only a lease of the present generation is revoked; a proxy without one cannot extend a view through the store, so its view just expires.

The tests of view leases and revocations read the new values; nothing else of them changed.

--- a/packages/gateway/src/core/coordinator/view-revocation.ts
+++ b/packages/gateway/src/core/coordinator/view-revocation.ts
@@ -60,10 +60,9 @@
   /** Names of the proxies that have not published their release. */
   get silent(): string[] {
     const {knownProxies, releases, self} = this.context;
-    const {revision} = this.known;
     return knownProxies.names
       .filter(name => name !== self)
-      .filter(name => !releases.hasReleased(this.group, name, revision));
+      .filter(name => !releases.hasReleased(this.group, name, this.known));
   }
 
   /**
--- a/packages/gateway/src/core/membership/index.ts
+++ b/packages/gateway/src/core/membership/index.ts
@@ -3,6 +3,7 @@
  * proxy.
  */
 export * from './known-proxies.js';
+export * from './known-proxy-recovery.js';
 export * from './member-registration-task.js';
 export * from './member-list.js';
 export * from './types.js';
--- a/packages/gateway/src/core/membership/known-proxies.ts
+++ b/packages/gateway/src/core/membership/known-proxies.ts
@@ -6,12 +6,30 @@
 
 /** Content of the key of one proxy. */
 interface KnownProxyEntry {
-  /** View lease of the proxy. */
-  readonly lease: number;
-  /** Revision at which the key was written. */
+  /** View lease of the proxy; undefined if it is not known. */
+  readonly lease: number | undefined;
+  /** Generation of the store that granted the lease. */
+  readonly generation: number;
+  /**
+   * Revision at which the key was written; 0 if the store has lost the key by a
+   * restore.
+   */
   readonly revision: number;
 }
 
+/**
+ * Returns the value of the key of a proxy.
+ *
+ * @param generation - Generation of the store.
+ * @param lease - View lease of the proxy; undefined if it is not known.
+ */
+export function knownProxyValue(
+  generation: number,
+  lease: number | undefined,
+): string {
+  return `${generation}/${lease ?? ''}`;
+}
+
 /**
  * Every proxy that may be running, whether or not it can reach the store.
  *
@@ -24,7 +42,8 @@
   private earlierNames: readonly string[] | undefined;
   private readonly keys = new Map<string, KnownProxyEntry>();
 
-  constructor() {
+  /** @param generation - Returns the current generation of the store. */
+  constructor(private readonly generation: () => number = () => 0) {
     super(KNOWN_PROXY_PREFIX);
   }
 
@@ -54,9 +73,26 @@
     return this.keys.has(name);
   }
 
-  /** Returns the view lease of a proxy, if it has published one. */
+  /**
+   * Returns the view lease of a proxy, if it has published one since the store
+   * was last restored. An earlier lease is void, and its id may belong to
+   * another proxy.
+   */
   leaseOf(name: string): number | undefined {
-    return this.keys.get(name)?.lease;
+    const entry = this.keys.get(name);
+    return entry?.generation === this.generation() ? entry.lease : undefined;
+  }
+
+  /** Names of the proxies whose keys the store has lost by a restore. */
+  get lostNames(): string[] {
+    return [...this.keys]
+      .filter(([, {revision}]) => revision === 0)
+      .map(([name]) => name);
+  }
+
+  override onRestored(): void {
+    for (const [name, entry] of this.keys)
+      this.keys.set(name, {...entry, revision: 0});
   }
 
   /**
@@ -75,8 +111,14 @@
 
   override onPut(item: StoredItem): void {
     const name = item.key.slice(KNOWN_PROXY_PREFIX.length);
-    const lease = Number(item.value.toString('utf8'));
-    this.keys.set(name, {lease, revision: item.revision});
+    const [generation = '', lease = ''] = item.value
+      .toString('utf8')
+      .split('/');
+    this.keys.set(name, {
+      lease: lease === '' ? undefined : Number(lease),
+      generation: Number(generation),
+      revision: item.revision,
+    });
   }
 
   override onDelete(key: string): void {
--- a/packages/gateway/src/core/membership/member-registration-task.ts
+++ b/packages/gateway/src/core/membership/member-registration-task.ts
@@ -56,6 +56,7 @@
 
   constructor(private readonly options: MemberRegistrationOptions) {
     super('member');
+    options.store.restored$.subscribe(() => this.onStoreRestored());
   }
 
   /** Publishes the groups whose primary this proxy cannot use. */
@@ -90,6 +91,13 @@
     }
   }
 
+  /** Registers anew; the restored store may have granted the id of the lease to another proxy. */
+  private onStoreRestored(): void {
+    this.lease = undefined;
+    this.publishedValue = undefined;
+    this.wake();
+  }
+
   private async keepRegistered(): Promise<void> {
     while (!this.abortController.signal.aborted) {
       try {
--- a/packages/gateway/src/core/membership/view-lease-task.ts
+++ b/packages/gateway/src/core/membership/view-lease-task.ts
@@ -4,7 +4,7 @@
 import {SupervisedTask} from '@sapphireglade/runtime';
 import type {CoordinationStore, StoreTransaction} from '../store/index.js';
 import {readClocks, steadyNowMs} from '../time/index.js';
-import {KNOWN_PROXY_PREFIX} from './known-proxies.js';
+import {KNOWN_PROXY_PREFIX, knownProxyValue} from './known-proxies.js';
 
 /**
  * TTL of the lease, in milliseconds; slightly above the shortest that the
@@ -72,8 +72,8 @@
 export class ViewLeaseTask extends SupervisedTask {
   private lease: ViewLease | undefined;
   /**
-   * When the name of this proxy was first published, in milliseconds of the
-   * steady clock.
+   * When the name of this proxy was first published since the store was last
+   * restored, in milliseconds of the steady clock.
    */
   private firstPublishedAtMs = Infinity;
   private timer: NodeJS.Timeout | undefined;
@@ -85,6 +85,7 @@
 
   constructor(private readonly options: ViewLeaseOptions) {
     super('view-lease');
+    options.store.restored$.subscribe(() => this.onStoreRestored());
   }
 
   /** Id of the lease, once it is published to the other proxies. */
@@ -180,7 +181,11 @@
       const result = await store.transact({
         conditions: [this.keyCondition],
         puts: [
-          {key: KNOWN_PROXY_PREFIX + name, value: String(leaseId), leaseId: 0},
+          {
+            key: KNOWN_PROXY_PREFIX + name,
+            value: knownProxyValue(store.generation, leaseId),
+            leaseId: 0,
+          },
         ],
       });
       if (result.kind !== 'committed') {
@@ -218,6 +223,17 @@
     }
   }
 
+  /**
+   * Drops the lease: the restored store may have granted its id to another
+   * proxy, and no change of primary waits for this proxy until it is published
+   * again.
+   */
+  private onStoreRestored(): void {
+    this.lease = undefined;
+    this.writtenRevision = undefined;
+    this.firstPublishedAtMs = Infinity;
+  }
+
   private handleLeaseLost(): void {
     this.options.log.warn('The view lease has expired; requesting another.', {
       lease: this.lease?.id,
--- a/packages/gateway/src/core/primary-health/primary-releases.ts
+++ b/packages/gateway/src/core/primary-health/primary-releases.ts
@@ -24,16 +24,16 @@
  */
 export const RELEASE_PREFIX = 'sapphireglade/released/';
 
+/** The version of a record that a proxy has applied. */
+type ReleasedRecord = Pick<VersionedPrimaryRecord, 'revision' | 'generation'>;
+
 /**
  * Publishes in the store that this proxy no longer uses an old primary, and
  * tracks the releases of the other proxies.
  */
 export class PrimaryReleases extends StorePrefixListener {
-  /**
-   * Revision of the last record that each proxy has applied, by group and name
-   * of the proxy.
-   */
-  private readonly revisions = new Map<string, number>();
+  /** The last record that each proxy has applied, by group and name of the proxy. */
+  private readonly released = new Map<string, ReleasedRecord>();
 
   constructor(
     private readonly self: string,
@@ -67,9 +67,21 @@
    * Returns whether a proxy has released the primary that a record took out of
    * use.
    */
-  hasReleased(group: string, member: string, recordRevision: number): boolean {
-    const revision = this.revisions.get(`${group}/${member}`);
-    return revision !== undefined && revision >= recordRevision;
+  hasReleased(
+    group: string,
+    member: string,
+    {revision, generation = 0}: ReleasedRecord,
+  ): boolean {
+    const released = this.released.get(`${group}/${member}`);
+    return (
+      released !== undefined &&
+      released.generation === generation &&
+      released.revision >= revision
+    );
+  }
+
+  override onRestored(): void {
+    this.released.clear();
   }
 
   override onSnapshot(items: readonly StoredItem[]): void {
@@ -78,14 +90,14 @@
 
   override onPut(item: StoredItem): void {
     const name = item.key.slice(RELEASE_PREFIX.length);
-    const revision = Number(item.value.toString('utf8'));
-    if (Number.isSafeInteger(revision)) this.revisions.set(name, revision);
+    const record = parseRelease(item.value.toString('utf8'));
+    if (record !== undefined) this.released.set(name, record);
     else
       this.log.error('A release is invalid and was ignored.', {key: item.key});
   }
 
   override onDelete(key: string): void {
-    this.revisions.delete(key.slice(RELEASE_PREFIX.length));
+    this.released.delete(key.slice(RELEASE_PREFIX.length));
   }
 
   /**
@@ -105,7 +117,7 @@
         puts: [
           {
             key: `${RELEASE_PREFIX}${group}/${this.self}`,
-            value: String(known.revision),
+            value: releaseValue(known),
             leaseId,
           },
         ],
@@ -121,6 +133,22 @@
   }
 }
 
+/** Returns the value of a release. */
+export function releaseValue({
+  revision,
+  generation = 0,
+}: ReleasedRecord): string {
+  return `${generation}/${revision}`;
+}
+
+/** Parses the value of a release. Returns undefined if it is invalid. */
+function parseRelease(value: string): ReleasedRecord | undefined {
+  const [generation, revision] = value.split('/').map(Number);
+  return Number.isSafeInteger(generation) && Number.isSafeInteger(revision)
+    ? {generation, revision: revision!}
+    : undefined;
+}
+
 /** Waits until no statement or transaction uses an instance. */
 async function waitUntilIdle(group: DatabaseGroup, id: string): Promise<void> {
   const deadlineMs = steadyNowMs() + TRANSACTION_DRAIN_TIMEOUT_MS;
--- a/packages/gateway/test/membership/late-store-calls.test.ts
+++ b/packages/gateway/test/membership/late-store-calls.test.ts
@@ -85,7 +85,8 @@
   /** Revokes the lease named by the store, as a change of primary does. */
   function revokeNamedLease(): void {
     const value = state.items.get(KNOWN_PROXY_PREFIX + SELF)?.value;
-    if (value !== undefined) state.revokeLease(Number(value.toString()));
+    const lease = value?.toString().split('/').at(-1);
+    if (lease !== undefined) state.revokeLease(Number(lease));
   }
 
   it('extends no view after the lease named by the store was revoked, although an older one was published late', async () => {
--- a/packages/gateway/test/view-lease.test.ts
+++ b/packages/gateway/test/view-lease.test.ts
@@ -66,7 +66,7 @@
 
   function publishedLease(): number {
     const value = state.items.get(KNOWN_PROXY_PREFIX + SELF)?.value;
-    return Number(value?.toString());
+    return Number(value?.toString().split('/').at(-1));
   }
 
   it('publishes its lease, so that other proxies can revoke it', () => {
--- a/packages/gateway/test/view-revocation.test.ts
+++ b/packages/gateway/test/view-revocation.test.ts
@@ -9,10 +9,12 @@
 } from '../src/index.js';
 import {
   KNOWN_PROXY_PREFIX,
+  knownProxyValue,
   KnownProxies,
   MEMBER_PREFIX,
   MemberList,
   RELEASE_PREFIX,
+  releaseValue,
   PrimaryReleases,
   steadyNowMs,
   StoreWatcher,
@@ -46,7 +48,7 @@
     state = new MemoryStoreState();
     store = new MemoryStore(state);
     const log = createSilentLogger();
-    const knownProxies = new KnownProxies();
+    const knownProxies = new KnownProxies(() => store.generation);
     const members = new MemberList(log);
     const releases = new PrimaryReleases(SELF, store, undefined as never, log);
     watcher = new StoreWatcher({
@@ -82,7 +84,10 @@
   /** Publishes the keys of the other proxy and returns its lease. */
   function publishOther(isLive: boolean): number {
     const lease = state.grantLease(60_000);
-    state.put(KNOWN_PROXY_PREFIX + OTHER, String(lease));
+    state.put(
+      KNOWN_PROXY_PREFIX + OTHER,
+      knownProxyValue(state.generation, lease),
+    );
     const member = {
       name: OTHER,
       incarnation: 'x',
@@ -99,7 +104,7 @@
   function announce(): VersionedPrimaryRecord {
     const record = {term: 1, primary: 'a', phase: PrimaryPhase.Changing};
     state.put('sapphireglade/primary/ledger', JSON.stringify(record));
-    return {record, revision: state.revision};
+    return {record, revision: state.revision, generation: state.generation};
   }
 
   function begin(known: VersionedPrimaryRecord): ViewRevocation {
@@ -108,8 +113,8 @@
   }
 
   /** Publishes the release of a record by the other proxy. */
-  function release({revision}: VersionedPrimaryRecord): void {
-    state.put(`${RELEASE_PREFIX}${GROUP}/${OTHER}`, String(revision));
+  function release(known: VersionedPrimaryRecord): void {
+    state.put(`${RELEASE_PREFIX}${GROUP}/${OTHER}`, releaseValue(known));
   }
 
   /** Waits until a condition holds. */
