Use a primary record only in the store generation that wrote it

Cause: after a restore a record may lack the changes of primary since, its revision is given out again, and a coordinator of before the restore can still meet its conditions.

Change: a record names the generation that wrote it, and counts only in that one. The key of the coordinator names the generation too, so a coordinator ends with its generation, and a claim removes the keys of earlier ones. The next coordinator waits until the directory has settled, asks all instances of a group, and either writes the record of their leader again or begins a change of primary as after an order whose end nobody saw (decideRecordRecovery). Until then views of proxies that know the primary go on by verification, and a process that knows only the restored record uses none. A record is not written without a coordinator: revision 0 was a condition that an empty key meets. Fencing tokens hold the generation above the revision, so they rise.

--- a/packages/decisions/src/core/primary-change/types.ts
+++ b/packages/decisions/src/core/primary-change/types.ts
@@ -19,6 +19,8 @@
   readonly primary: string;
   /** Phase of the group. */
   readonly phase: PrimaryPhase;
+  /** Generation of the store in which the record was written. */
+  readonly generation?: number | undefined;
   /**
    * Whether the primary is replaced while it still works. This affects only how
    * long the change takes; nothing else may depend on it.
--- a/packages/gateway/src/core/coordinator/coordinator-task.ts
+++ b/packages/gateway/src/core/coordinator/coordinator-task.ts
@@ -1,21 +1,20 @@
 import {
-  confirmersAmong,
   shouldReplacePrimary,
   PrimaryPhase,
   rankNodes,
 } from '@sapphireglade/decisions';
 import {SupervisedTask} from '@sapphireglade/runtime';
 import type {DatabaseGroup} from '../groups/index.js';
+import {isOutdated} from '../groups/index.js';
 import type {ViewLeaseTask} from '../membership/index.js';
 import {KNOWN_PROXY_PREFIX} from '../membership/index.js';
 import {steadyNowMs} from '../time/index.js';
-import {CommandKind} from '../upstream/index.js';
 import type {PrimaryChangeContext} from './primary-change-context.js';
 import type {CoordinatorKey} from './coordinator-key.js';
-import {COORDINATOR_KEY} from './coordinator-key.js';
+import {COORDINATOR_KEY_PREFIX} from './coordinator-key.js';
 import {PrimaryChangeReason, PrimaryChange} from './primary-change.js';
 import {areConfirmersOutdated, recordConfirmers} from './record-confirmers.js';
-import {writePrimaryRecord} from './write-primary-record.js';
+import {RecordRecovery} from './record-recovery.js';
 
 /** Interval between two checks of the groups, in milliseconds. */
 const CHECK_INTERVAL_MS = 100;
@@ -82,6 +81,7 @@
   private isRemovingDeparted = false;
   private readonly changing = new Set<string>();
   private readonly context: PrimaryChangeContext;
+  private readonly recordRecovery: RecordRecovery;
 
   constructor(private readonly options: CoordinatorTaskOptions) {
     super('coordinator');
@@ -90,6 +90,10 @@
       coordinatorRevision: () =>
         this.isCoordinator ? options.key.revision : 0,
     };
+    this.recordRecovery = new RecordRecovery(this.context, {
+      isUpToDate: options.isUpToDate,
+      onRefreshNeeded: options.onRefreshNeeded,
+    });
   }
 
   /** Whether this proxy is the coordinator. */
@@ -125,9 +129,9 @@
     const {context, key} = this.options;
     try {
       await context.store.transact({
-        conditions: [{key: COORDINATOR_KEY, revision: key.revision}],
+        conditions: [{key: key.key, revision: key.revision}],
         puts: [],
-        removals: [COORDINATOR_KEY],
+        removals: [key.key],
       });
     } catch (error) {
       context.log.warn('The coordinator key could not be removed.', {
@@ -179,9 +183,10 @@
         key: KNOWN_PROXY_PREFIX + name,
         revision: knownProxies.revisionOf(name),
       }));
+    const {key} = this.options;
     store
       .transact({
-        conditions,
+        conditions: [...conditions, {key: key.key, revision: key.revision}],
         puts: [],
         removals: conditions.map(({key}) => key),
       })
@@ -208,7 +213,7 @@
     const names = context.members.names.filter(name =>
       context.knownProxies.has(name),
     );
-    const rank = rankNodes(COORDINATOR_KEY, names).indexOf(context.self);
+    const rank = rankNodes(COORDINATOR_KEY_PREFIX, names).indexOf(context.self);
     const isTurn =
       steadyNowMs() - this.vacantSinceMs >= rank * CLAIM_DELAY_PER_RANK_MS;
     if (rank >= 0 && isTurn && !this.isClaiming) void this.claim();
@@ -218,20 +223,24 @@
     const {context, holder, lease, key} = this.options;
     const {leaseId} = lease;
     if (leaseId === undefined) return;
+    const claimed = key.key;
     this.isClaiming = true;
     try {
       const result = await context.store.transact({
-        conditions: [{key: COORDINATOR_KEY, revision: 0}],
-        puts: [{key: COORDINATOR_KEY, value: holder, leaseId}],
+        conditions: [{key: claimed, revision: 0}],
+        puts: [{key: claimed, value: holder, leaseId}],
+        // Ends what coordinators from before a restore may still have under way.
+        removals: key.outdatedKeys,
       });
       if (result.kind === 'committed') {
         // The watch event may arrive late, or no watch may be running.
         const {revision} = result;
         const value = Buffer.from(holder);
-        key.onPut({key: COORDINATOR_KEY, value, revision, leaseId});
+        key.onPut({key: claimed, value, revision, leaseId});
       }
       context.log.info('This proxy claimed the coordinator role.', {
         result: result.kind,
+        generation: context.store.generation,
       });
     } catch (error) {
       this.claimPendingUntilMs = steadyNowMs() + CLAIM_PENDING_MS;
@@ -265,7 +274,8 @@
     group: DatabaseGroup,
   ): (() => Promise<void>) | undefined {
     const stored = group.storedRecord;
-    if (stored === undefined) return () => this.recordInitialPrimary(group);
+    if (stored === undefined || isOutdated(stored))
+      return () => this.recordRecovery.run(group);
     if (stored.record.phase === PrimaryPhase.Changing) {
       return this.change(group, PrimaryChangeReason.Unfinished);
     }
@@ -308,30 +318,4 @@
       .findByGroup(group.name)
       .some(({id, isLeaving}) => id !== leaving && !isLeaving);
   }
-
-  /**
-   * Writes the first record of a group, once all its instances respond and one
-   * of them is primary.
-   */
-  private async recordInitialPrimary(group: DatabaseGroup): Promise<void> {
-    const instances = this.context.directory.findByGroup(group.name);
-    const reports = await Promise.all(
-      instances.map(instance =>
-        this.context.control.sendCommand(instance, {kind: CommandKind.Status}),
-      ),
-    );
-    const leaders = reports
-      .filter(report => report !== undefined)
-      .filter(({isPrimary}) => isPrimary)
-      .sort((left, right) => right.term - left.term);
-    const leader = leaders[0];
-    const isComplete = reports.every(report => report !== undefined);
-    if (leader === undefined || !isComplete) return;
-    await writePrimaryRecord(this.context, group, {
-      term: leader.term,
-      primary: leader.id,
-      phase: PrimaryPhase.Steady,
-      confirmers: {instances: confirmersAmong(instances, leader.id)},
-    });
-  }
 }
--- a/packages/gateway/src/core/coordinator/group-departures.ts
+++ b/packages/gateway/src/core/coordinator/group-departures.ts
@@ -4,6 +4,7 @@
   RegisteredInstance,
 } from '../directory/index.js';
 import type {DatabaseGroup, GroupRegistry} from '../groups/index.js';
+import {isOutdated} from '../groups/index.js';
 import {CommandKind} from '../upstream/index.js';
 import type {ControlConnections} from './control-connections.js';
 
@@ -83,8 +84,9 @@
     group: DatabaseGroup,
     instances: readonly RegisteredInstance[],
   ): void {
-    const record = group.storedRecord?.record;
-    if (record === undefined) return;
+    const stored = group.storedRecord;
+    if (stored === undefined || isOutdated(stored)) return;
+    const {record} = stored;
     this.of(group.name).update(record, instances);
   }
 }
--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -9,6 +9,7 @@
   chooseTarget,
   confirmersAmong,
   elapsedMs,
+  fencingTokenOf,
   formatPosition,
   PrimaryPhase,
   termFields,
@@ -242,7 +243,7 @@
   ): Promise<boolean> {
     const {context, group} = this;
     const sentAt = readClocks();
-    const {revision} = await writePrimaryRecord(context, group, {
+    const written = await writePrimaryRecord(context, group, {
       ...this.fieldsOfTerm(old),
       phase: PrimaryPhase.Changing,
       isPlanned: old.isPlanned,
@@ -251,14 +252,18 @@
       lastPosition,
     });
     if (elapsedMs(sentAt, readClocks()) > TOKEN_VALIDITY_MS) return false;
+    // The store may have been restored since.
+    this.assertStillCoordinator();
+    const {generation = 0, revision} = written;
+    const fencingToken = fencingTokenOf(generation, revision);
     const answer = await context.promotions.promote({
       group: group.name,
       instance: target,
       holder: context.self,
-      fencingToken: revision,
+      fencingToken,
     });
     this.countStep('ordered');
-    this.log('A promotion was ordered.', {target, token: revision, answer});
+    this.log('A promotion was ordered.', {target, token: fencingToken, answer});
     const isPossible =
       answer === PromotionResult.Accepted || answer === PromotionResult.Unknown;
     return (
--- /dev/null
+++ b/packages/gateway/src/core/coordinator/record-recovery.ts
@@ -0,0 +1,168 @@
+import type {
+  PrimaryRecord,
+  RecordedConfirmers,
+  RecordRecovery as Recovery,
+} from '@sapphireglade/decisions';
+import {
+  confirmersAmong,
+  decideRecordRecovery,
+  PrimaryPhase,
+} from '@sapphireglade/decisions';
+import type {DatabaseGroup} from '../groups/index.js';
+import {RESTORE_SETTLE_MS} from '../store/index.js';
+import {steadyNowMs} from '../time/index.js';
+import {CommandKind} from '../upstream/index.js';
+import type {PrimaryChangeContext} from './primary-change-context.js';
+import {writePrimaryRecord} from './write-primary-record.js';
+
+/**
+ * Age below which an instance may have been held for a lost order before it
+ * started, in milliseconds; an order takes effect within seconds, and the clocks
+ * of VMs differ.
+ */
+const RECENT_START_MS = 10_000;
+
+/** What the recovery needs to know about the directory. */
+export interface RecordRecoveryOptions {
+  /**
+   * Returns whether the directory is in sync by a response that was requested
+   * after a time of the steady clock, in milliseconds.
+   */
+  readonly isUpToDate: (sinceMs: number) => boolean;
+  /** Called while the directory is out of date. */
+  readonly onRefreshNeeded: () => void;
+}
+
+/**
+ * Writes the record of a group that has none, or whose record was written
+ * before the store was restored from a backup.
+ */
+export class RecordRecovery {
+  /**
+   * Since when a group waits for its instances, in milliseconds of the steady
+   * clock, and in which generation of the store.
+   */
+  private readonly waiting = new Map<
+    string,
+    {readonly generation: number; readonly sinceMs: number}
+  >();
+  private readonly loggedReasons = new Map<string, string>();
+
+  constructor(
+    private readonly context: PrimaryChangeContext,
+    private readonly options: RecordRecoveryOptions,
+  ) {}
+
+  /**
+   * Asks the instances of a group, and writes what they show.
+   *
+   * @param group - The group.
+   * @throws RecordConflictError if another proxy is the coordinator by now.
+   * @throws SapphiregladeError if the store does not respond.
+   */
+  async run(group: DatabaseGroup): Promise<void> {
+    const {store, directory, control} = this.context;
+    // Until then the directory and the list of proxies may be incomplete.
+    const settledAtMs = store.generationSinceMs + RESTORE_SETTLE_MS;
+    if (!store.isSettled) return;
+    if (!this.options.isUpToDate(settledAtMs)) {
+      this.options.onRefreshNeeded();
+      return;
+    }
+    const {generation} = store;
+    const instances = directory.findByGroup(group.name);
+    const reports = await Promise.all(
+      instances.map(instance =>
+        control.sendCommand(instance, {kind: CommandKind.Status}),
+      ),
+    );
+    if (store.generation !== generation) return;
+    const sinceMs = this.waitsSinceMs(group.name, generation);
+    await this.apply(
+      group,
+      decideRecordRecovery({
+        restored: group.storedRecord?.record,
+        remembered: group.recordBeforeRestore?.record,
+        instances: instances.map(({id, isLeaving, bornAtMs}, index) => ({
+          id,
+          isLeaving,
+          report: reports[index],
+          mayHaveLostHold: hasStartedRecently(bornAtMs),
+        })),
+        waitedMs: steadyNowMs() - sinceMs,
+      }),
+    );
+  }
+
+  private async apply(group: DatabaseGroup, recovery: Recovery): Promise<void> {
+    this.logRecovery(group, recovery);
+    if (recovery.kind === 'wait') return;
+    // After a change record, the next check finds an unfinished change of primary.
+    const record =
+      recovery.kind === 'change' ? recovery.record : toSteadyRecord(recovery);
+    await writePrimaryRecord(this.context, group, {
+      ...record,
+      confirmers: this.confirmersOf(group, record),
+    });
+    this.waiting.delete(group.name);
+  }
+
+  /** Returns who may have confirmed commits of the term, as far as it is known. */
+  private confirmersOf(
+    group: DatabaseGroup,
+    {term, primary}: PrimaryRecord,
+  ): RecordedConfirmers | undefined {
+    const {departures, directory} = this.context;
+    const known = [group.recordBeforeRestore, group.storedRecord]
+      .map(versioned => versioned?.record)
+      .find(record => record?.term === term && record.primary === primary);
+    if (known !== undefined)
+      return departures.of(group.name).confirmersFor(known);
+    const instances = directory.findByGroup(group.name);
+    return {instances: confirmersAmong(instances, primary)};
+  }
+
+  private waitsSinceMs(group: string, generation: number): number {
+    const known = this.waiting.get(group);
+    if (known?.generation === generation) return known.sinceMs;
+    const sinceMs = steadyNowMs();
+    this.waiting.set(group, {generation, sinceMs});
+    return sinceMs;
+  }
+
+  private logRecovery(group: DatabaseGroup, recovery: Recovery): void {
+    const reason = recovery.kind === 'wait' ? recovery.reason : undefined;
+    const text = `${recovery.kind} ${reason}`;
+    if (this.loggedReasons.get(group.name) === text) return;
+    this.loggedReasons.set(group.name, text);
+    this.context.log.info(
+      'The record of a primary is missing or older than the restored store.',
+      {
+        group: group.name,
+        action: recovery.kind,
+        waitsFor: reason,
+        restoredTerm: group.storedRecord?.record.term,
+        rememberedTerm: group.recordBeforeRestore?.record.term,
+        generation: this.context.store.generation,
+      },
+    );
+  }
+}
+
+/** Returns the record of a leader that stays in use. */
+function toSteadyRecord({
+  leader,
+  initialPosition,
+}: Extract<Recovery, {kind: 'confirm'}>): PrimaryRecord {
+  return {
+    term: leader.term,
+    primary: leader.id,
+    phase: PrimaryPhase.Steady,
+    initialPosition,
+  };
+}
+
+/** Returns whether an instance started so recently that an earlier hold may have been lost. */
+function hasStartedRecently(bornAtMs: number | undefined): boolean {
+  return bornAtMs === undefined || Date.now() - bornAtMs < RECENT_START_MS;
+}
--- a/packages/gateway/src/core/coordinator/write-primary-record.ts
+++ b/packages/gateway/src/core/coordinator/write-primary-record.ts
@@ -2,7 +2,7 @@
 import type {DatabaseGroup, VersionedPrimaryRecord} from '../groups/index.js';
 import {primaryRecordKey} from '../groups/index.js';
 import type {PrimaryChangeContext} from './primary-change-context.js';
-import {COORDINATOR_KEY} from './coordinator-key.js';
+import {coordinatorKey} from './coordinator-key.js';
 
 /**
  * The record was not written, because another proxy changed it or is the
@@ -30,9 +30,14 @@
   group: DatabaseGroup,
   record: PrimaryRecord,
 ): Promise<VersionedPrimaryRecord> {
+  const {generation} = context.store;
+  const coordinatorRevision = context.coordinatorRevision();
+  // Revision 0 would be met by a store without a coordinator.
+  if (coordinatorRevision === 0) throw new RecordConflictError(group.name);
+  const written: PrimaryRecord = {...record, generation};
   const result = await context.store.transact({
     conditions: [
-      {key: COORDINATOR_KEY, revision: context.coordinatorRevision()},
+      {key: coordinatorKey(generation), revision: coordinatorRevision},
       {
         key: primaryRecordKey(group.name),
         revision: group.storedRecord?.revision ?? 0,
@@ -41,13 +46,13 @@
     puts: [
       {
         key: primaryRecordKey(group.name),
-        value: JSON.stringify(record),
+        value: JSON.stringify(written),
         leaseId: 0,
       },
     ],
   });
   if (result.kind !== 'committed') throw new RecordConflictError(group.name);
-  const stored = {record, revision: result.revision};
+  const stored = {record: written, revision: result.revision, generation};
   group.applyRecord(stored);
   return stored;
 }
--- a/packages/gateway/src/core/groups/database-group.ts
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -21,7 +21,10 @@
 import type {InstancePool, ReportedPosition} from '../pool/index.js';
 import {readClocks, steadyNowMs} from '../time/index.js';
 import {toInstanceCandidate} from './instance-candidate.js';
+import type {GroupMember} from './group-member.js';
+import {PrimaryProblem} from './primary-problem.js';
 import type {VersionedPrimaryRecord} from './types.js';
+import {isOutdated} from './types.js';
 
 /**
  * Validity of a view of the primary, in milliseconds. A change of primary waits
@@ -44,30 +47,6 @@
  */
 const SETTLED_MS = 10_000;
 
-/** Reasons why the primary cannot be used at present. */
-export const PrimaryProblem = {
-  /** No primary is recorded yet. */
-  Unknown: 'unknown',
-  /** The primary is being replaced. */
-  Changing: 'changing',
-  /** The view of the record has expired, so it may be out of date. */
-  Unconfirmed: 'unconfirmed',
-  /** The recorded primary is not in the directory. */
-  Missing: 'missing',
-} as const;
-
-/** A reason why the primary cannot be used. */
-export type PrimaryProblem =
-  (typeof PrimaryProblem)[keyof typeof PrimaryProblem];
-
-/** An instance of the group and the pool of connections to it. */
-export interface GroupMember {
-  readonly instance: RegisteredInstance;
-  readonly pool: InstancePool;
-  /** How far the instance is behind the primary as a replica. */
-  readonly lag: ReplicationLagEstimate;
-}
-
 /** The state of one group cached by one proxy. */
 export class DatabaseGroup {
   /** Positions observed at the instances. */
@@ -80,6 +59,7 @@
   private trackedSinceMs = steadyNowMs();
   private readonly recordChanges = new Subject<VersionedPrimaryRecord>();
   private stored: VersionedPrimaryRecord | undefined;
+  private beforeRestore: VersionedPrimaryRecord | undefined;
   private known: VersionedPrimaryRecord | undefined;
   /** Time at which the current primary was set, in milliseconds of the steady clock. */
   private primarySinceMs = Infinity;
@@ -111,23 +91,42 @@
     return this.known;
   }
 
-  /** The newest record received from the store. */
+  /**
+   * The newest record received from the store since it was last restored; may
+   * have been written before.
+   */
   get storedRecord(): VersionedPrimaryRecord | undefined {
     return this.stored;
   }
 
+  /** The newest record received before the store was restored from a backup. */
+  get recordBeforeRestore(): VersionedPrimaryRecord | undefined {
+    return this.beforeRestore;
+  }
+
+  /** Handles that the store was restored from a backup, which may lack the newest record. */
+  onStoreRestored(): void {
+    if (this.stored !== undefined && !isOutdated(this.stored))
+      this.beforeRestore = this.stored;
+    this.stored = undefined;
+  }
+
   /** The instances of the group that can be used, by id. */
   get members(): ReadonlyMap<string, GroupMember> {
     return this.membersById;
   }
 
-  /** Applies a record unless a newer one was applied before. */
+  /**
+   * Applies a record unless a newer one was applied before. One that was written
+   * before a restore of the store proves nothing and is only kept.
+   */
   applyRecord(update: VersionedPrimaryRecord): void {
     if (this.stored !== undefined && update.revision <= this.stored.revision) {
       return;
     }
-    const isSame = isSameSteadyPrimary(this.stored?.record, update.record);
     this.stored = update;
+    if (isOutdated(update)) return;
+    const isSame = isSameSteadyPrimary(this.known?.record, update.record);
     const {term, lastPosition, phase} = update.record;
     // The record is older than the state that the instances have reported.
     const isBehind = term < this.highestLedTerm;
@@ -186,7 +185,7 @@
     if (this.known === undefined || term <= this.known.record.term) return;
     if (term < this.highestLedTerm) return;
     const record = {term, primary, phase: PrimaryPhase.Steady};
-    this.known = {record, revision: this.known.revision};
+    this.known = {...this.known, record};
     this.highestLedTerm = term;
     this.primarySinceMs = steadyNowMs();
     this.highestPrimaryPosition = undefined;
--- a/packages/gateway/src/core/groups/instance-candidate.ts
+++ b/packages/gateway/src/core/groups/instance-candidate.ts
@@ -1,5 +1,5 @@
 import type {InstanceCandidate} from '@sapphireglade/decisions';
-import type {GroupMember} from './database-group.js';
+import type {GroupMember} from './group-member.js';
 
 /**
  * Describes a member as a candidate for instance selection.
--- a/packages/gateway/src/core/groups/primary-records.ts
+++ b/packages/gateway/src/core/groups/primary-records.ts
@@ -16,8 +16,14 @@
 
 /** Applies the primary records of the store to the groups. */
 export class PrimaryRecords extends StorePrefixListener {
+  /**
+   * @param groups - The groups.
+   * @param generation - Returns the generation of the store that is read.
+   * @param log - Receives a line for each record.
+   */
   constructor(
     private readonly groups: GroupRegistry,
+    private readonly generation: () => number,
     private readonly log: Logger,
   ) {
     super(PRIMARY_RECORD_PREFIX);
@@ -39,7 +45,8 @@
     const group = this.groups.getOrCreate(name);
     const viewAgeMs = group.viewFreshness.ageMs(readClocks());
     const {target, lastPosition} = record;
-    group.applyRecord({record, revision: item.revision});
+    const generation = this.generation();
+    group.applyRecord({record, revision: item.revision, generation});
     this.log.info('A primary was recorded.', {
       group: name,
       primary: record.primary,
@@ -48,10 +55,16 @@
       target,
       lastPosition: lastPosition && formatPosition(lastPosition),
       revision: item.revision,
+      generation,
+      writtenInGeneration: record.generation,
       viewAgeMs: Math.round(viewAgeMs),
     });
   }
 
+  override onRestored(): void {
+    for (const group of this.groups.all) group.onStoreRestored();
+  }
+
   override onDelete(key: string): void {
     this.log.warn('A primary record was removed.', {key});
   }
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -23,6 +23,7 @@
   KnownProxies,
   MemberList,
   MemberRegistrationTask,
+  recoverKnownProxies,
   ViewLeaseTask,
 } from '../membership/index.js';
 import {
@@ -76,7 +77,8 @@
     const {name, availabilityZone, listen} = settings.current;
     const {region, regionOf} = this;
     const failoverLog = logFor(LogPart.Failover);
-    const knownProxies = new KnownProxies();
+    const generation = (): number => store.generation;
+    const knownProxies = new KnownProxies(generation);
     this.configuration = new LatestConfiguration(logFor(LogPart.Configuration));
     this.directory = new InstanceDirectory(logFor(LogPart.Upstream));
     this.members = new MemberList(logFor(LogPart.Membership));
@@ -100,7 +102,7 @@
       isInOwnRegion: zone => this.regionOf(zone) === this.region,
       log: logFor(LogPart.Pool),
     });
-    const key = new CoordinatorKey();
+    const key = new CoordinatorKey(generation);
     const externalListeners = adapters.createStoreListeners(
       this.configuration,
       this.directory,
@@ -118,7 +120,7 @@
         releases,
         knownProxies,
         key,
-        new PrimaryRecords(this.groups, failoverLog),
+        new PrimaryRecords(this.groups, generation, failoverLog),
       ],
       externalListeners,
       configurationWithinMs: () => settings.current.configurationWithinMs,
@@ -130,7 +132,8 @@
         // Other proxies do not wait for the views of a proxy that was not listed when the read was sent.
         const isKnown =
           this.viewLease.wasPublishedBefore(sentAt) ||
-          knownProxies.earlierProxies(name).length > 0;
+          (store.restoresSeen === 0 &&
+            knownProxies.earlierProxies(name).length > 0);
         if (isKnown) this.groups.confirmAllRecords(sentAt);
       },
       log: logFor(LogPart.Store),
@@ -153,6 +156,7 @@
       log: logFor(LogPart.Routing),
     });
     this.relayClient = new StoreRelayClient({
+      store,
       canUseRelay: () =>
         !this.ownership.ownsAny &&
         !this.isStopping &&
@@ -177,6 +181,12 @@
       log: logFor(LogPart.Membership),
     });
     followAllGroups(releases, this.groups);
+    recoverKnownProxies({
+      store,
+      knownProxies,
+      isFollowing: () => !this.relayClient.isActive,
+      log: logFor(LogPart.Membership),
+    });
     this.primaryHealthCheckTask = new PrimaryHealthCheckTask(
       this.groups,
       this.member,
@@ -332,6 +342,7 @@
       groups: this.groups,
       configuration: this.configuration,
       isReady: () => this.isReady,
+      storeGeneration: () => this.adapters.store.generation,
       isStoreReachable: () => this.storeWatchers.proxyKeys.isStoreReachable,
       sessions: () => this.adapters.callerServer.openConnections,
       members: () => this.members.names.length,
--- a/packages/gateway/test/coordinator/coordinator-without-groups.test.ts
+++ b/packages/gateway/test/coordinator/coordinator-without-groups.test.ts
@@ -7,10 +7,11 @@
 import {
   LatestConfiguration,
   ControlConnections,
-  COORDINATOR_KEY,
+  coordinatorKey,
   CoordinatorKey,
   CoordinatorTask,
   KNOWN_PROXY_PREFIX,
+  knownProxyValue,
   KnownProxies,
   MEMBER_PREFIX,
   MemberList,
@@ -78,7 +79,8 @@
       revision: 1,
       leaseId: 0,
     });
-    knownProxies.onPut(item(KNOWN_PROXY_PREFIX + SELF, String(leaseId)));
+    const value = knownProxyValue(store.generation, leaseId);
+    knownProxies.onPut(item(KNOWN_PROXY_PREFIX + SELF, value));
     const record = {
       name: SELF,
       incarnation: 'first',
@@ -100,7 +102,7 @@
     } as Partial<PrimaryChangeContext> as PrimaryChangeContext;
     const coordinator = new CoordinatorTask({
       context,
-      key: new CoordinatorKey(),
+      key: new CoordinatorKey(() => store.generation),
       lease: {leaseId} as never,
       holder: `${SELF}/first`,
       isConnected: () => true,
@@ -108,7 +110,7 @@
       onRefreshNeeded: () => undefined,
     });
     await coordinator.start();
-    while (!state.items.has(COORDINATOR_KEY)) await sleep(5);
+    while (!state.items.has(coordinatorKey(state.generation))) await sleep(5);
     await sleep(20);
     expect(coordinator.isCoordinator).toEqual(true);
     await coordinator.stop(0);
--- a/packages/gateway/test/fleet/idle-coordinator.test.ts
+++ b/packages/gateway/test/fleet/idle-coordinator.test.ts
@@ -1,7 +1,7 @@
 import {after, before, describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
-import {COORDINATOR_KEY} from '../../src/index.js';
+import {coordinatorKey} from '../../src/index.js';
 import {MemoryFleet} from '../support/memory-fleet.js';
 
 /** Number of proxies of the fleet; more than own a group. */
@@ -24,7 +24,8 @@
   after(() => fleet.stop());
 
   it('still replaces a primary', async () => {
-    const holder = fleet.store.items.get(COORDINATOR_KEY)!.value.toString();
+    const {items, generation} = fleet.store;
+    const holder = items.get(coordinatorKey(generation))!.value.toString();
     const coordinator = fleet.proxies.find(({name}) =>
       holder.startsWith(`${name}/`),
     )!;
--- a/packages/gateway/test/fleet/primary-change.test.ts
+++ b/packages/gateway/test/fleet/primary-change.test.ts
@@ -43,7 +43,8 @@
 
 /** Returns a proxy that is not the coordinator. */
 function nonCoordinatorOf({proxies, store}: MemoryFleet): FleetProxy {
-  const holder = store.items.get('sapphireglade/coordinator')?.value.toString();
+  const key = `sapphireglade/coordinator/${store.generation}`;
+  const holder = store.items.get(key)?.value.toString();
   return proxies.find(({name}) => !holder?.startsWith(`${name}/`))!;
 }
 
