--- a/packages/decisions/src/core/restored-store/record-recovery.ts
+++ b/packages/decisions/src/core/restored-store/record-recovery.ts
@@ -40,8 +40,12 @@
       readonly kind: 'confirm';
       /** The instance to record as the primary of its term. */
       readonly leader: ReplicationReport;
-      /** Position at which its term began, if it is known. */
-      readonly initialPosition?: LogPosition | undefined;
+      /**
+       * Position to record as the start of its term. It includes every commit
+       * acknowledged so far, also those of an instance that confirmed them and
+       * left, or lost its log, while no record named the term.
+       */
+      readonly initialPosition: LogPosition;
     }
   | {readonly kind: 'wait'; readonly reason: string}
   | {
@@ -82,7 +86,7 @@
   const isTimeLeft = waitedMs < MAXIMUM_RECOVERY_WAIT_MS;
   if (leader !== undefined) {
     const missing = missingProof(instances, leader);
-    if (missing === undefined) return confirmRecovery(leader, evidence);
+    if (missing === undefined) return confirmRecovery(leader);
     const isFollowed = reports.some(each => isFollower(each, leader.term));
     if (isFollowed && isTimeLeft) return waitRecovery(missing);
   }
@@ -162,17 +166,8 @@
     : `${leader} or all that follow it may have started after they were held`;
 }
 
-function confirmRecovery(
-  leader: ReplicationReport,
-  {records}: Evidence,
-): RecordRecovery {
-  const known = records.find(
-    ({term, primary, phase}) =>
-      term === leader.term &&
-      primary === leader.id &&
-      phase === PrimaryPhase.Steady,
-  );
-  return {kind: 'confirm', leader, initialPosition: known?.initialPosition};
+function confirmRecovery(leader: ReplicationReport): RecordRecovery {
+  return {kind: 'confirm', leader, initialPosition: leader.received};
 }
 
 function waitRecovery(reason: string): RecordRecovery {
