Record the start of a term of a primary that was found, not promoted

What callers may see: acknowledged commits that the next primary lacks, if a coordinator found another instance leading than the target of the record, or wrote the first record of a group.

Cause: the record of such a term had no start, so a replica that received nothing in it was taken for complete once all instances that were left had reported. Who left before the record is not among the departures.

Change: the position that the leader reported when it was found counts as the start of its term. It includes every commit of earlier terms, and may be higher than the real start; then a target has to have more than it needs.

Tests: confirming-replica-gone.test.ts, "... if another instance than the target was found to lead" (lost writes before: ["write"]), and departures-before-a-new-coordinator.test.ts, "... when it was first recorded" (promoted before: ledger-2, which has not got the write). The exact record in resumed-primary-change.test.ts has the start of the term now.

--- a/packages/gateway/src/core/coordinator/coordinator-task.ts
+++ b/packages/gateway/src/core/coordinator/coordinator-task.ts
@@ -331,6 +331,7 @@
       term: leader.term,
       primary: leader.id,
       phase: PrimaryPhase.Steady,
+      initialPosition: leader.received,
       confirmers: {instances: confirmersAmong(instances, leader.id)},
     });
   }
--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -288,7 +288,13 @@
     return false;
   }
 
-  /** Records the new primary and lets the replicas replicate from it. */
+  /**
+   * Records the new primary and lets the replicas replicate from it.
+   *
+   * @param leader - Report of the instance that leads.
+   * @param initialPosition - Where its term began. If that is unknown, its
+   *   position of now counts, which includes the commits of earlier terms.
+   */
   private async completeChange(
     leader: ReplicationReport,
     initialPosition: LogPosition | undefined,
@@ -298,7 +304,7 @@
       term: leader.term,
       primary: leader.id,
       phase: PrimaryPhase.Steady,
-      initialPosition,
+      initialPosition: initialPosition ?? leader.received,
       confirmers: {instances: confirmersAmong(instances, leader.id)},
     });
     this.countStep('led');
--- a/packages/gateway/test/coordinator/confirming-replica-gone.test.ts
+++ b/packages/gateway/test/coordinator/confirming-replica-gone.test.ts
@@ -80,12 +80,10 @@
   }
 
   /** Runs a change until it ends, or for a limited time. */
-  async function replacePrimary(): Promise<void> {
-    const change = new PrimaryChange(
-      context,
-      view,
-      PrimaryChangeReason.Unusable,
-    ).run();
+  async function replacePrimary(
+    reason: PrimaryChangeReason = PrimaryChangeReason.Unusable,
+  ): Promise<void> {
+    const change = new PrimaryChange(context, view, reason).run();
     await Promise.race([change.catch(() => undefined), sleep(CHANGE_MS)]);
   }
 
@@ -164,6 +162,31 @@
     expect(promotions.targets).toEqual([confirming.id, confirming.id]);
   });
 
+  it('promotes no instance that lacks the start of the term, if another instance than the target was found to lead', async () => {
+    await acknowledgeWrite(primary);
+    const record: PrimaryRecord = {
+      term: 1,
+      primary: primary.id,
+      phase: PrimaryPhase.Changing,
+      orders: 2,
+      target: primary.id,
+      lastPosition: primary.position,
+    };
+    state.put(primaryRecordKey(GROUP), JSON.stringify(record));
+    view.applyRecord({record, revision: state.revision});
+    primary.isDown = true;
+    removeFromDirectory(primary);
+    confirming.isPrimary = true;
+    confirming.term = 2;
+    await replacePrimary(PrimaryChangeReason.Unfinished);
+    expect(view.record?.record.primary).toEqual(confirming.id);
+
+    await replacePrimary();
+
+    expect(group.lost).toEqual([]);
+    expect(promotions.targets).toEqual([confirming.id]);
+  });
+
   it('records the position at which the term of the next primary began', async () => {
     await acknowledgeWrite(primary);
     const {position} = primary;
--- a/packages/gateway/test/coordinator/departures-before-a-new-coordinator.test.ts
+++ b/packages/gateway/test/coordinator/departures-before-a-new-coordinator.test.ts
@@ -87,8 +87,11 @@
       isCoordinating: () => coordinating === self,
     });
     contexts.push(context);
-    const {value, revision} = state.items.get(primaryRecordKey(GROUP))!;
-    view.applyRecord({record: JSON.parse(value.toString()), revision});
+    const item = state.items.get(primaryRecordKey(GROUP));
+    if (item !== undefined) {
+      const record = JSON.parse(item.value.toString());
+      view.applyRecord({record, revision: item.revision});
+    }
     return {view, context};
   }
 
@@ -215,6 +218,20 @@
     expect(group.lost).toEqual([]);
   });
 
+  it('promotes no replica that lacks what the primary had when it was first recorded', async () => {
+    await acknowledgeWrite('write');
+    state.remove(primaryRecordKey(GROUP));
+    confirming.isDown = true;
+    const first = beginCoordinating(FIRST, [primary, behind]);
+    await coordinateWhile(first, () => {
+      expect(first.view.record?.record.primary).toEqual(primary.id);
+      primary.isDown = true;
+    });
+    await replacePrimary(beginCoordinating(SECOND, [primary, behind]));
+    expect(promotions.targets).toEqual([]);
+    expect(group.lost).toEqual([]);
+  });
+
   it('reports what may be missing, although it did not see who left', async () => {
     const first = beginCoordinating(FIRST, group.instances);
     await coordinateWhile(first, async () => {
--- a/packages/gateway/test/resumed-primary-change.test.ts
+++ b/packages/gateway/test/resumed-primary-change.test.ts
@@ -137,6 +137,7 @@
       term: 2,
       primary: `${GROUP}-1`,
       phase: PrimaryPhase.Steady,
+      initialPosition: {term: 1, position: 0},
       confirmers: {
         instances: [
           {id: `${GROUP}-0`, bornAtMs: 1},
