Do not wait for an instance that the coordinator before has accounted for

What callers see: a change of primary by a new coordinator that waits for the old primary, or promotes with an error line, although a replica has all commits.

Cause: the coordinator before had taken that instance off the list at 18.6 s, with the position 2.198. The next one kept it in its own directory longer, and counted it as a departure of its own once it was removed there.

Change: an instance that was taken off the list within the term, and not put on it again, counts as bounded by the recorded position whenever the directory drops it.

Test: departed-instances.test.ts, "takes it over if its own directory drops the instance later", failed before.

--- a/packages/decisions/src/core/primary-change/departed-instances.ts
+++ b/packages/decisions/src/core/primary-change/departed-instances.ts
@@ -29,6 +29,8 @@
   private departures: Departure[] = [];
   /** What the last record of the term said, if any did. */
   private recorded: RecordedConfirmers | undefined;
+  /** Instances that a record of the term listed and the last one does not. */
+  private takenOff: readonly GroupInstance[] = [];
 
   /**
    * Updates the record and the list of instances.
@@ -48,6 +50,7 @@
       this.primary = primary;
       this.departures = [];
       this.recorded = undefined;
+      this.takenOff = [];
       this.present = present;
     }
     // An instance that has returned in the same incarnation has to report itself.
@@ -123,7 +126,11 @@
   ): void {
     for (const instance of before) {
       if (instance.id === this.primary || includes(present, instance)) continue;
-      this.departures.push({instance, bound: undefined});
+      // The directory of this proxy may be behind that of the coordinator.
+      const bound = includes(this.takenOff, instance)
+        ? this.recorded?.departedPosition
+        : undefined;
+      this.departures.push({instance, bound});
     }
   }
 
@@ -134,11 +141,12 @@
     const listedBefore = this.recorded?.instances ?? [];
     const {instances, departedPosition} = confirmers;
     // Within a term an instance is taken off the list only once it is bounded.
+    this.takenOff = [...this.takenOff, ...listedBefore].filter(
+      each => !includes(instances, each),
+    );
     for (const departure of this.departures) {
-      const isTakenOff =
-        includes(listedBefore, departure.instance) &&
-        !includes(instances, departure.instance);
-      if (isTakenOff) departure.bound ??= departedPosition;
+      if (includes(this.takenOff, departure.instance))
+        departure.bound ??= departedPosition;
     }
     const isKnown = (instance: GroupInstance): boolean =>
       this.departures.some(
--- a/packages/decisions/test/primary-change/departed-instances.test.ts
+++ b/packages/decisions/test/primary-change/departed-instances.test.ts
@@ -91,6 +91,33 @@
     expect(departed.bound).toEqual(AFTER_DEPARTURE);
   });
 
+  it('takes it over if its own directory drops the instance later', () => {
+    const departed = new DepartedInstances();
+    departed.update(recordWith({instances: [LEFT, REMAINING]}), ALL);
+    const bounded = recordWith({
+      instances: [REMAINING],
+      departedPosition: AFTER_DEPARTURE,
+    });
+    departed.update(bounded, ALL);
+    departed.update(bounded, [PRIMARY, REMAINING]);
+    expect(departed.unbounded).toEqual([]);
+    expect(departed.bound).toEqual(AFTER_DEPARTURE);
+  });
+
+  it('counts an instance again that was listed again', () => {
+    const departed = new DepartedInstances();
+    departed.update(recordWith({instances: [LEFT, REMAINING]}), ALL);
+    const departedPosition = AFTER_DEPARTURE;
+    departed.update(
+      recordWith({instances: [REMAINING], departedPosition}),
+      ALL,
+    );
+    const listed = recordWith({instances: [LEFT, REMAINING], departedPosition});
+    departed.update(listed, ALL);
+    departed.update(listed, [PRIMARY, REMAINING]);
+    expect(departed.unbounded).toEqual([LEFT]);
+  });
+
   it('keeps a departure that the coordinator never listed', () => {
     const departed = new DepartedInstances();
     departed.update(recordWith({instances: [REMAINING]}), ALL);
