--- a/packages/decisions/test/restored-store/model-group.ts
+++ b/packages/decisions/test/restored-store/model-group.ts
@@ -1,5 +1,5 @@
 import type {LogPosition, ReplicationReport} from '../../src/index.js';
-import {DepartedInstances} from '../../src/index.js';
+import {DepartedInstances, PrimaryPhase} from '../../src/index.js';
 
 /** How long an order may be under way until it takes effect, in model time. */
 export const ORDER_LIFETIME = 60;
@@ -167,8 +167,7 @@
   /** Tells the list of departures which instances there are. */
   updateDepartures(term: number, primary: string): void {
     this.departed.update(
-      term,
-      primary,
+      {term, primary, phase: PrimaryPhase.Steady},
       this.instances.map(({id, logNumber}) => ({id, bornAtMs: logNumber})),
     );
   }
--- a/packages/gateway/src/core/coordinator/record-recovery.ts
+++ b/packages/gateway/src/core/coordinator/record-recovery.ts
@@ -158,7 +158,8 @@
     term: leader.term,
     primary: leader.id,
     phase: PrimaryPhase.Steady,
-    initialPosition,
+    // Includes what departed instances may have confirmed.
+    initialPosition: initialPosition ?? leader.received,
   };
 }
 
--- a/packages/gateway/test/resumed-primary-change.test.ts
+++ b/packages/gateway/test/resumed-primary-change.test.ts
@@ -138,6 +138,7 @@
       primary: `${GROUP}-1`,
       phase: PrimaryPhase.Steady,
       generation: state.generation,
+      initialPosition: {term: 1, position: 0},
       confirmers: {
         instances: [
           {id: `${GROUP}-0`, bornAtMs: 1},
