Adopt a found primary only if it can stem from the last promotion ordered

What callers may see: acknowledged commits that the next primary lacks (LOST). Found by the random model of a restored store, in a history without a restore.

Cause: a coordinator that takes over an unfinished change adopts any instance that leads a later term. After two orders that may be the instance of the first one, which led for a while, stepped down and started again. It is recorded and acknowledges commits; then the second order takes effect at another instance, which was chosen without them.

Change: with N promotions ordered since the term of the record, an instance counts as their result only from that term plus N on; otherwise the change goes on and holds every instance.

Test: resumed-primary-change.test.ts, 'adopts no instance that an earlier promotion than the last made the primary', failed before (no promotion ordered).

--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -149,8 +149,10 @@
     const reports = await this.held.sendToAll(this.held.replicas(known), {
       kind: CommandKind.Status,
     });
+    // An earlier promotion than the last is followed by the last one.
+    const promotedTerm = known.record.term + Math.max(1, this.failedPromotions);
     const [leader] = reports
-      .filter(({isPrimary, term}) => isPrimary && term > known.record.term)
+      .filter(({isPrimary, term}) => isPrimary && term >= promotedTerm)
       .sort((left, right) => right.term - left.term);
     if (leader === undefined) return false;
     const {target, lastPosition} = known.record;
--- a/packages/gateway/test/coordinator/departures-before-a-new-coordinator.test.ts
+++ b/packages/gateway/test/coordinator/departures-before-a-new-coordinator.test.ts
@@ -13,6 +13,7 @@
   CoordinatorTask,
   DatabaseGroup,
   primaryRecordKey,
+  RESTORE_SETTLE_MS,
 } from '../../src/index.js';
 import {GroupPromotions} from '../support/group-promotions.js';
 import {
@@ -89,8 +90,9 @@
     contexts.push(context);
     const item = state.items.get(primaryRecordKey(GROUP));
     if (item !== undefined) {
-      const record = JSON.parse(item.value.toString());
-      view.applyRecord({record, revision: item.revision});
+      const record = JSON.parse(item.value.toString()) as PrimaryRecord;
+      const {generation} = record;
+      view.applyRecord({record, revision: item.revision, generation});
     }
     return {view, context};
   }
@@ -223,6 +225,8 @@
     state.remove(primaryRecordKey(GROUP));
     confirming.isDown = true;
     const first = beginCoordinating(FIRST, [primary, behind]);
+    // The directory has to settle before a first record is written.
+    await sleep(RESTORE_SETTLE_MS);
     await coordinateWhile(first, () => {
       expect(first.view.record?.record.primary).toEqual(primary.id);
       primary.isDown = true;
--- a/packages/gateway/test/resumed-primary-change.test.ts
+++ b/packages/gateway/test/resumed-primary-change.test.ts
@@ -159,6 +159,15 @@
     expect(view.record?.record.primary).toEqual(`${GROUP}-2`);
   });
 
+  it('adopts no instance that an earlier promotion than the last made the primary', async () => {
+    storeRecord({...announced, orders: 2, target: `${GROUP}-2`});
+    group.instances[0]!.isPrimary = false;
+    group.instances[1]!.isPrimary = true;
+    group.instances[1]!.term = 2;
+    await resume();
+    expect(promotions.orders.length).toEqual(1);
+  });
+
   it('skips the term that the earlier promotion may have started', async () => {
     storeRecord({...announced, orders: 1, target: `${GROUP}-1`});
     await resume();
