Check the hold of followers in one place

No leader is named while an instance is held at a higher term, so the second check could never matter.

Run: node scripts/run-tests.js restored-store, 51 of 51 cases passed. Trial with the remaining check taken out: three unit cases fail; the model breaks no rule, but fewer promotions follow restores than its test asks for.

--- a/packages/decisions/src/core/restored-store/record-recovery.ts
+++ b/packages/decisions/src/core/restored-store/record-recovery.ts
@@ -141,9 +141,9 @@
   return {records, reports, term, heldTerm, leader};
 }
 
-/** Returns whether an instance follows a term, and is not held at a higher one. */
+/** Returns whether an instance follows a term; there is no leader if one is held at a higher term. */
 function isFollower(report: ReplicationReport, term: number): boolean {
-  return !report.isPrimary && report.term === term && report.heldTerm <= term;
+  return !report.isPrimary && report.term === term;
 }
 
 /** Returns what is missing to rule out an order; undefined if nothing is. */
