Step down a primary that returns by another name during a change

What callers see: a change of primary that orders the promotion of an instance which does not take a new term, and goes on only after the limit of 4 s.

Cause: a crashed primary comes back as primary with its log, and its id may be new. A promotion of the present primary changes nothing. While it leads, it may also go on after its position was taken.

Change: an instance that reports to lead after it was held is stepped down and held again; it counts as held once it no longer leads.

Test: returned-primary.test.ts; before, ledger-3 still led when another instance was promoted.

--- a/packages/gateway/src/core/coordinator/held-instances.ts
+++ b/packages/gateway/src/core/coordinator/held-instances.ts
@@ -59,10 +59,11 @@
     if (this.wasPromotionOrdered) {
       await this.sendToAll(missing, {kind: CommandKind.StepDown, term});
     }
-    const reports = await this.sendToAll(missing, {
+    const held = await this.sendToAll(missing, {
       kind: CommandKind.HoldTerm,
       term,
     });
+    const reports = await this.stepDownReturnedPrimaries(missing, held, term);
     if (reports.length > 0) this.heldAtMs = steadyNowMs();
     for (const report of reports) {
       const instance = missing.find(({id}) => id === report.id);
@@ -70,6 +71,30 @@
     }
   }
 
+  /**
+   * Steps down the instances that still lead, because a hold stops only
+   * replicas. A primary that crashed returns as one, perhaps by another name.
+   *
+   * @returns The reports of the instances that are held.
+   */
+  private async stepDownReturnedPrimaries(
+    instances: readonly RegisteredInstance[],
+    reports: readonly ReplicationReport[],
+    term: number,
+  ): Promise<ReplicationReport[]> {
+    const leaders = instances.filter(({id}) =>
+      reports.some(report => report.id === id && report.isPrimary),
+    );
+    const replicas = reports.filter(({isPrimary}) => !isPrimary);
+    if (leaders.length === 0) return replicas;
+    await this.sendToAll(leaders, {kind: CommandKind.StepDown, term});
+    const held = await this.sendToAll(leaders, {
+      kind: CommandKind.HoldTerm,
+      term,
+    });
+    return [...replicas, ...held.filter(({isPrimary}) => !isPrimary)];
+  }
+
   /** Steps the old primary down, if it is reachable and has not reported since it started. */
   async stepDownOldPrimary(known: VersionedPrimaryRecord): Promise<void> {
     const old = this.context.directory.find(known.record.primary);
--- /dev/null
+++ b/packages/gateway/test/coordinator/returned-primary.test.ts
@@ -0,0 +1,78 @@
+import type {PrimaryRecord} from '@sapphireglade/decisions';
+import {PrimaryPhase} from '@sapphireglade/decisions';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {expect} from 'earl';
+import {
+  PrimaryChangeReason,
+  PrimaryChange,
+} from '../../src/core/coordinator/primary-change.js';
+import type {PrimaryChangeContext} from '../../src/index.js';
+import {DatabaseGroup, primaryRecordKey} from '../../src/index.js';
+import {GroupPromotions} from '../support/group-promotions.js';
+import {createPrimaryChangeContext} from '../support/primary-change-context.js';
+import type {MemoryInstance} from '../support/memory-group.js';
+import {MemoryGroup} from '../support/memory-group.js';
+import {MemoryStoreState} from '../support/memory-store.js';
+
+const GROUP = 'ledger';
+const SELF = 'proxy-1';
+
+/** Records which instances led when the first promotion was ordered. */
+class RecordingPromotions extends GroupPromotions {
+  leaders: readonly string[] | undefined;
+
+  protected override onOrdered(): void {
+    this.leaders ??= this.group.instances
+      .filter(({isPrimary, isDown}) => isPrimary && !isDown)
+      .map(({id}) => id);
+  }
+}
+
+describe('a change of primary while the primary returns by another name', () => {
+  let state: MemoryStoreState;
+  let group: MemoryGroup;
+  let view: DatabaseGroup;
+  let promotions: RecordingPromotions;
+  let context: PrimaryChangeContext;
+  let primary: MemoryInstance;
+  let returned: MemoryInstance;
+
+  beforeEach(async () => {
+    state = new MemoryStoreState();
+    group = new MemoryGroup(GROUP, 4);
+    primary = group.instances[0]!;
+    returned = group.instances[3]!;
+    view = new DatabaseGroup(GROUP);
+    promotions = new RecordingPromotions(group);
+    context = createPrimaryChangeContext({
+      self: SELF,
+      state,
+      group,
+      promotions,
+      view,
+    });
+    const record: PrimaryRecord = {
+      term: 1,
+      primary: primary.id,
+      phase: PrimaryPhase.Steady,
+    };
+    state.put(primaryRecordKey(GROUP), JSON.stringify(record));
+    view.applyRecord({record, revision: state.revision});
+    await group.commit(primary, 'write');
+    primary.isDown = true;
+    returned.log = primary.log.slice();
+    returned.isPrimary = true;
+  });
+
+  afterEach(() => {
+    context.control.closeAll();
+    group.close();
+    state.close();
+  });
+
+  it('steps it down before another instance is promoted', async () => {
+    await new PrimaryChange(context, view, PrimaryChangeReason.Unusable).run();
+    expect(promotions.leaders).toEqual([]);
+    expect(promotions.targets.length).toEqual(1);
+  });
+});
