Write the first record of a group without waiting for its instances to age

Cause: the rule for records from before a restore does not count instances that started within 10 s, as they may have lost a hold. Every instance of a new system has.

The tests of whole gateways and of departures before a new coordinator pass.

--- a/packages/gateway/src/core/coordinator/record-recovery.ts
+++ b/packages/gateway/src/core/coordinator/record-recovery.ts
@@ -2,6 +2,7 @@
   PrimaryRecord,
   RecordedConfirmers,
   RecordRecovery as Recovery,
+  ReplicationReport,
 } from '@sapphireglade/decisions';
 import {
   confirmersAmong,
@@ -77,6 +78,10 @@
       ),
     );
     if (store.generation !== generation) return;
+    if (this.isFirstRecord(group)) {
+      await this.recordFirstPrimary(group, reports);
+      return;
+    }
     const sinceMs = this.waitsSinceMs(group.name, generation);
     await this.apply(
       group,
@@ -94,17 +99,56 @@
     );
   }
 
+  /** Whether the group has just been created, as far as this process knows. */
+  private isFirstRecord({
+    storedRecord,
+    recordBeforeRestore,
+  }: DatabaseGroup): boolean {
+    return (
+      storedRecord === undefined &&
+      recordBeforeRestore === undefined &&
+      this.context.store.restoresSeen === 0
+    );
+  }
+
+  /**
+   * Writes the first record of a group, once all its instances respond and one
+   * of them is primary.
+   */
+  private async recordFirstPrimary(
+    group: DatabaseGroup,
+    reports: readonly (ReplicationReport | undefined)[],
+  ): Promise<void> {
+    const [leader] = reports
+      .filter(report => report !== undefined)
+      .filter(({isPrimary}) => isPrimary)
+      .sort((left, right) => right.term - left.term);
+    const isComplete = reports.every(report => report !== undefined);
+    if (leader === undefined || !isComplete) return;
+    await this.write(group, toSteadyRecord(leader));
+  }
+
   private async apply(group: DatabaseGroup, recovery: Recovery): Promise<void> {
     this.logRecovery(group, recovery);
     if (recovery.kind === 'wait') return;
     // After a change record, the next check finds an unfinished change of primary.
-    const record =
-      recovery.kind === 'change' ? recovery.record : toSteadyRecord(recovery);
+    await this.write(
+      group,
+      recovery.kind === 'change'
+        ? recovery.record
+        : toSteadyRecord(recovery.leader),
+    );
+    this.waiting.delete(group.name);
+  }
+
+  private async write(
+    group: DatabaseGroup,
+    record: PrimaryRecord,
+  ): Promise<void> {
     await writePrimaryRecord(this.context, group, {
       ...record,
       confirmers: this.confirmersOf(group, record),
     });
-    this.waiting.delete(group.name);
   }
 
   /** Returns who may have confirmed commits of the term, as far as it is known. */
@@ -151,15 +195,17 @@
 
 /** Returns the record of a leader that stays in use. */
 function toSteadyRecord({
-  leader,
-  initialPosition,
-}: Extract<Recovery, {kind: 'confirm'}>): PrimaryRecord {
+  term,
+  id,
+  received,
+}: ReplicationReport): PrimaryRecord {
   return {
-    term: leader.term,
-    primary: leader.id,
+    term,
+    primary: id,
     phase: PrimaryPhase.Steady,
-    // Includes what departed instances may have confirmed.
-    initialPosition: initialPosition ?? leader.received,
+    // Includes every commit of earlier terms, and what departed instances may
+    // have confirmed.
+    initialPosition: received,
   };
 }
 
