Give a transaction of the stand-in store one revision

Cause, in the stand-ins: each put and each removal of one transaction got a revision of its own, and the response named the last one. A claim writes the key of the new generation and removes the old one, so the coordinator took the key to have a revision that it does not have; its writes met no condition, and lists with the true revision were ignored as older. The platform's transactions are all-or-nothing and have one `rev`; that its items carry that very `rev` is read from its pages, not tried.

--- a/packages/gateway/test/memory-store-state.test.ts
+++ b/packages/gateway/test/memory-store-state.test.ts
@@ -105,6 +105,23 @@
     });
   });
 
+  it('gives one revision to all that a transaction changes', () => {
+    state.put('removed', 'x');
+    const {revision} = state;
+    state.apply([{key: 'put', value: 'y', leaseId: 0}], ['removed', 'absent']);
+    expect(state.revision).toEqual(revision + 1);
+    expect(state.items.get('put')?.revision).toEqual(state.revision);
+    expect(state.items.has('removed')).toEqual(false);
+    const changes = state.events.filter(each => each.revision > revision);
+    expect(changes.map(({key}) => key)).toEqual(['put', 'removed']);
+  });
+
+  it('has no new revision after a transaction that changes nothing', () => {
+    const {revision} = state;
+    state.apply([], ['absent']);
+    expect(state.revision).toEqual(revision);
+  });
+
   it('keeps its history while it is not restored', () => {
     const first = state.revision;
     state.put('a', '1');
--- a/packages/gateway/test/support/memory-store.ts
+++ b/packages/gateway/test/support/memory-store.ts
@@ -44,22 +44,34 @@
 
   /** Writes a key. */
   put(key: string, value: string, leaseId = 0): void {
-    this.revision += 1;
-    const item = {
-      key,
-      value: Buffer.from(value),
-      revision: this.revision,
-      leaseId,
-    };
-    this.items.set(key, item);
-    this.events.push({key, revision: this.revision, item});
+    this.apply([{key, value, leaseId}], []);
   }
 
   /** Removes a key, if it exists. */
   remove(key: string): void {
-    if (!this.items.delete(key)) return;
+    this.apply([], [key]);
+  }
+
+  /**
+   * Applies a transaction. All that it changes gets the same revision, which is
+   * then the revision of the store.
+   *
+   * @param puts - The items to write.
+   * @param removals - The keys to remove; those that do not exist are ignored.
+   */
+  apply(puts: StoreTransaction['puts'], removals: readonly string[]): void {
+    const removed = removals.filter(key => this.items.delete(key));
+    if (puts.length + removed.length === 0) return;
     this.revision += 1;
-    this.events.push({key, revision: this.revision, item: undefined});
+    const {revision} = this;
+    for (const {key, value, leaseId} of puts) {
+      const item = {key, value: Buffer.from(value), revision, leaseId};
+      this.items.set(key, item);
+      this.events.push({key, revision, item});
+    }
+    for (const key of removed) {
+      this.events.push({key, revision, item: undefined});
+    }
   }
 
   /** Drops the history of changes. */
@@ -204,8 +216,7 @@
       ({leaseId}) => leaseId === 0 || state.leases.has(leaseId),
     );
     if (!hasLeases) return this.answer({kind: 'lease-ended'});
-    for (const {key, value, leaseId} of puts) state.put(key, value, leaseId);
-    for (const key of removals) state.remove(key);
+    state.apply(puts, removals);
     return this.answer({kind: 'committed', revision: state.revision});
   }
 
