End a change of primary that crosses a restore, and list lost proxies one by one

What callers may see: a group without a primary until the revision of the restored store has passed its old value, or a stale read at a proxy that nobody waited for.

Cause: a change asked only whether this proxy coordinates, not whether in the role in which the change began. If the proxy claimed the role again within one command to a silent instance, the change went on in the new generation with a record of the old one. The names that a restore had lost were written in one transaction, once: one name that had returned by itself failed all of them.

Change: a change keeps the generation and the revision of the role, and compares both before each write and while it waits. Names are written one by one until none is lost; they stay listed meanwhile.

--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -67,12 +67,18 @@
   /** Number of promotions that may have been ordered without a new primary being observed. */
   private failedPromotions = 0;
   private revocation: ViewRevocation | undefined;
+  /** Generation of the store in which the change began. */
+  private readonly generation: number;
+  /** Revision of the coordinator key with which the change began. */
+  private readonly coordinatorRevision: number;
 
   constructor(
     private readonly context: PrimaryChangeContext,
     private readonly group: DatabaseGroup,
     private readonly reason: PrimaryChangeReason,
   ) {
+    this.generation = context.store.generation;
+    this.coordinatorRevision = context.coordinatorRevision();
     this.held = new HeldInstances(
       context,
       group.name,
@@ -125,7 +131,7 @@
     const known =
       isWritten && this.failedPromotions === 0
         ? old
-        : await writePrimaryRecord(this.context, this.group, {
+        : await this.write({
             ...this.fieldsOfTerm(old.record),
             phase: PrimaryPhase.Changing,
             isPlanned: this.reason === PrimaryChangeReason.Leaving,
@@ -245,7 +251,7 @@
   ): Promise<boolean> {
     const {context, group} = this;
     const sentAt = readClocks();
-    const written = await writePrimaryRecord(context, group, {
+    const written = await this.write({
       ...this.fieldsOfTerm(old),
       phase: PrimaryPhase.Changing,
       isPlanned: old.isPlanned,
@@ -281,6 +287,7 @@
   ): Promise<boolean> {
     const deadlineMs = steadyNowMs() + PROMOTION_TIMEOUT_MS;
     while (steadyNowMs() < deadlineMs) {
+      this.assertStillCoordinator();
       const endpoint = this.context.directory.find(id);
       if (endpoint === undefined) return false;
       const report = await this.context.control.sendCommand(endpoint, {
@@ -307,7 +314,7 @@
     initialPosition: LogPosition | undefined,
   ): Promise<void> {
     const instances = this.context.directory.findByGroup(this.group.name);
-    await writePrimaryRecord(this.context, this.group, {
+    await this.write({
       term: leader.term,
       primary: leader.id,
       phase: PrimaryPhase.Steady,
@@ -349,8 +356,22 @@
     );
   }
 
+  /** Writes a record of this change. */
+  private write(record: PrimaryRecord): Promise<VersionedPrimaryRecord> {
+    this.assertStillCoordinator();
+    return writePrimaryRecord(this.context, this.group, record);
+  }
+
+  /**
+   * Throws if the role was lost since the change began, even if this proxy has
+   * claimed it again: the record may be another one by now.
+   */
   private assertStillCoordinator(): void {
-    if (this.context.coordinatorRevision() !== 0) return;
+    const {store, coordinatorRevision} = this.context;
+    const isSameRole =
+      coordinatorRevision() === this.coordinatorRevision &&
+      store.generation === this.generation;
+    if (this.coordinatorRevision !== 0 && isSameRole) return;
     throw new Error('This proxy no longer coordinates.');
   }
 
--- a/packages/gateway/src/core/coordinator/view-revocation.ts
+++ b/packages/gateway/src/core/coordinator/view-revocation.ts
@@ -97,7 +97,9 @@
    * may have published its key just before the record was written.
    */
   private get isUpToDate(): boolean {
-    return this.context.followedRevision() >= this.known.revision;
+    const {store, followedRevision} = this.context;
+    const {generation = 0, revision} = this.known;
+    return store.generation === generation && followedRevision() >= revision;
   }
 
   private revokeLeases(): void {
--- a/packages/gateway/src/core/membership/known-proxies.ts
+++ b/packages/gateway/src/core/membership/known-proxies.ts
@@ -104,7 +104,10 @@
   }
 
   override onSnapshot(items: readonly StoredItem[]): void {
-    this.keys.clear();
+    // A key that a restore has lost is kept until it is written again.
+    const lost = this.lostNames;
+    for (const name of this.names)
+      if (!lost.includes(name)) this.keys.delete(name);
     for (const item of items) this.onPut(item);
     this.earlierNames ??= this.names;
   }
--- a/packages/gateway/src/core/membership/known-proxy-recovery.ts
+++ b/packages/gateway/src/core/membership/known-proxy-recovery.ts
@@ -13,15 +13,17 @@
 /** Maximum random delay that keeps proxies from writing together, in milliseconds. */
 const MAXIMUM_JITTER_MS = 300;
 
-/** Maximum number of keys that one transaction writes. */
-const MAXIMUM_KEYS_PER_CALL = 15;
+/** Delay between two keys, and after a failed call, in milliseconds. */
+const RETRY_DELAY_MS = 100;
 
 /** Options of the recovery. */
 export interface KnownProxyRecoveryOptions {
   readonly store: CoordinationStore;
   readonly knownProxies: KnownProxies;
-  /** Returns whether the keys of the proxies are followed and up to date. */
+  /** Returns whether the keys of the proxies are followed. */
   readonly isFollowing: () => boolean;
+  /** Returns whether they were read since the store was last restored. */
+  readonly isUpToDate: () => boolean;
   readonly log: Logger;
 }
 
@@ -42,29 +44,41 @@
 
 async function recoverAfter(
   generation: number,
-  {store, knownProxies, log}: KnownProxyRecoveryOptions,
+  options: KnownProxyRecoveryOptions,
 ): Promise<void> {
+  const {store, knownProxies, isUpToDate} = options;
   await sleep(REPUBLISH_TIME_MS + Math.random() * MAXIMUM_JITTER_MS);
-  const names = knownProxies.lostNames.slice(0, MAXIMUM_KEYS_PER_CALL);
-  if (names.length === 0 || store.generation !== generation) return;
-  const keys = names.map(name => KNOWN_PROXY_PREFIX + name);
+  while (store.generation === generation) {
+    // Before the restored list was read, every name counts as lost.
+    if (isUpToDate()) {
+      const [name] = knownProxies.lostNames;
+      if (name === undefined) return;
+      await recover(name, generation, options);
+    }
+    await sleep(RETRY_DELAY_MS);
+  }
+}
+
+/** Writes the key of one proxy, unless the proxy or another one has. */
+async function recover(
+  name: string,
+  generation: number,
+  {store, log}: KnownProxyRecoveryOptions,
+): Promise<void> {
+  const key = KNOWN_PROXY_PREFIX + name;
   try {
     const {kind} = await store.transact({
-      conditions: keys.map(key => ({key, revision: 0})),
-      puts: keys.map(key => ({
-        key,
-        value: knownProxyValue(generation, undefined),
-        leaseId: 0,
-      })),
+      conditions: [{key, revision: 0}],
+      puts: [{key, value: knownProxyValue(generation, undefined), leaseId: 0}],
     });
-    log.info('Proxies that the restored store had lost were listed again.', {
-      members: names.join(' '),
+    log.info('A proxy that the restored store had lost is listed again.', {
+      member: name,
       result: kind,
     });
   } catch (error) {
     log.warn(
-      'Proxies that the restored store had lost could not be listed again.',
-      {members: names.join(' '), error: String(error)},
+      'A proxy that the restored store had lost could not be listed again; retrying.',
+      {member: name, error: String(error)},
     );
   }
 }
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -185,6 +185,7 @@
       store,
       knownProxies,
       isFollowing: () => !this.relayClient.isActive,
+      isUpToDate: () => this.storeWatchers.isConnected,
       log: logFor(LogPart.Membership),
     });
     this.primaryHealthCheckTask = new PrimaryHealthCheckTask(
