Take a promotion for done only in the term that it can have begun

What callers may see: acknowledged commits that the next primary lacks (LOST), if an earlier promotion of the same target takes effect late.

It finds the instance in the term of the last one now; what it expects is the same.

--- a/packages/gateway/test/coordinator/confirming-replica-gone.test.ts
+++ b/packages/gateway/test/coordinator/confirming-replica-gone.test.ts
@@ -177,7 +177,7 @@
     primary.isDown = true;
     removeFromDirectory(primary);
     confirming.isPrimary = true;
-    confirming.term = 2;
+    confirming.term = 3;
     await replacePrimary(PrimaryChangeReason.Unfinished);
     expect(view.record?.record.primary).toEqual(confirming.id);
 
