Remove nothing on the word of a store that is being restored

What callers may see: an instance that is taken off the list although it returns within two seconds, or proxies that are gone and still counted for up to 9 s.

Cause: the grace period of an entry that was missing before the restore went on with lists of the restored store, which may lack entries; the list that counts was only read when the pending watch ended; and a relay that knows an older generation kept a proxy from following the store itself.

Change: grace periods start again while a restore settles, a watch of a partial list ends when the store is settled, and an outdated relay response counts as none.

--- a/packages/gateway/src/core/process/store-watchers.ts
+++ b/packages/gateway/src/core/process/store-watchers.ts
@@ -167,10 +167,12 @@
 
   /**
    * When the newest response about the directory was requested, in milliseconds
-   * of the steady clock; undefined while the store does not respond.
+   * of the steady clock; undefined while the store does not respond, or may lack
+   * entries that are written again after a restore.
    */
   get directoryObservedAtMs(): number | undefined {
-    if (!this.directory.isStoreReachable) return undefined;
+    if (!this.directory.isStoreReachable || this.store.isRestoring)
+      return undefined;
     return this.directory.syncedAtMs ?? steadyNowMs();
   }
 
--- a/packages/gateway/src/core/store-relay/store-relay-client.ts
+++ b/packages/gateway/src/core/store-relay/store-relay-client.ts
@@ -108,8 +108,11 @@
     }
     store.observeGeneration(result.data.generation);
     // A proxy that has not seen the restore yet relays what it had before.
-    if (result.data.generation !== store.generation) return;
-    this.isPartial = store.restoresSeen > 0 && !store.isSettled;
+    if (result.data.generation !== store.generation) {
+      this.updateRelayUsed(false);
+      return;
+    }
+    this.isPartial = store.isRestoring;
     for (const section of Object.values(RelayedSection))
       this.applySection(section, result.data);
   }
--- a/packages/gateway/src/core/store/coordination-store.ts
+++ b/packages/gateway/src/core/store/coordination-store.ts
@@ -83,6 +83,16 @@
     return steadyNowMs() - this.sinceMs >= RESTORE_SETTLE_MS;
   }
 
+  /** Whether this process has seen a restore whose losses may not have been repeated yet. */
+  get isRestoring(): boolean {
+    return this.restoreCount > 0 && !this.isSettled;
+  }
+
+  /** How long the store needs until it is settled, in milliseconds. */
+  get settlesInMs(): number {
+    return Math.max(0, this.sinceMs + RESTORE_SETTLE_MS - steadyNowMs());
+  }
+
   /**
    * Records a generation that another proxy has seen.
    *
--- a/packages/gateway/src/core/store/store-watcher.ts
+++ b/packages/gateway/src/core/store/store-watcher.ts
@@ -215,7 +215,7 @@
       this.markConnected();
       return false;
     }
-    this.isListPartial = store.restoresSeen > 0 && !store.isSettled;
+    this.isListPartial = store.isRestoring;
     for (const listener of this.options.listeners)
       this.applyList(listener, response.items);
     // A stale response proves nothing; the sections are read again before they
@@ -247,7 +247,7 @@
   private async watchOnce(): Promise<boolean> {
     const {store, watchedPrefix, log} = this.options;
     const wasRefreshRequested = this.isRefreshRequested;
-    const waitMs = wasRefreshRequested ? 0 : this.options.watchWaitMs();
+    const waitMs = wasRefreshRequested ? 0 : this.nextWatchWaitMs;
     const interrupted = new Promise<typeof INTERRUPTED>(resolve => {
       this.interrupt = () => resolve(INTERRUPTED);
     });
@@ -282,6 +282,14 @@
     }
   }
 
+  /** A partial list is read again as soon as the store is settled. */
+  private get nextWatchWaitMs(): number {
+    const {store, watchWaitMs} = this.options;
+    const waitMs = watchWaitMs();
+    if (!this.isListPartial) return waitMs;
+    return Math.min(waitMs, Math.ceil(store.settlesInMs));
+  }
+
   private dispatch(event: StoreEvent): void {
     for (const listener of this.options.listeners) {
       if (!event.key.startsWith(listener.prefix)) continue;
