Record no first primary while an instance is held

What callers may see: a stale read, if a store is restored to before the first record of a group, a change of primary was under way, and the coordinator has started since. Found by a review by reading; without a test of its own.

Change: a held instance shows that a change has begun, so the record is recovered by the rule for restored stores.

--- a/packages/gateway/src/core/coordinator/record-recovery.ts
+++ b/packages/gateway/src/core/coordinator/record-recovery.ts
@@ -78,7 +78,7 @@
       ),
     );
     if (store.generation !== generation) return;
-    if (this.isFirstRecord(group)) {
+    if (this.isFirstRecord(group) && !reports.some(isHeld)) {
       await this.recordFirstPrimary(group, reports);
       return;
     }
@@ -209,6 +209,11 @@
   };
 }
 
+/** Returns whether an instance is held, so that a change of primary has begun. */
+function isHeld(report: ReplicationReport | undefined): boolean {
+  return report !== undefined && report.heldTerm > report.term;
+}
+
 /** Returns whether an instance started so recently that an earlier hold may have been lost. */
 function hasStartedRecently(bornAtMs: number | undefined): boolean {
   return bornAtMs === undefined || Date.now() - bornAtMs < RECENT_START_MS;
