Wait for the release of records that name no generation, and drop a term rule

The rule that a promotion which was just ordered is done only in the term after all orders is taken back: it was not shown which term a platform begins after an order that had no effect, and if it begins the next one the change would order again for ever. The rule for taking over a change stays.

--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -274,17 +274,15 @@
     this.log('A promotion was ordered.', {target, token: fencingToken, answer});
     const isPossible =
       answer === PromotionResult.Accepted || answer === PromotionResult.Unknown;
-    // An earlier promotion of the target may take effect first.
-    const term = old.term + this.failedPromotions + 1;
     return (
-      isPossible && (await this.awaitPromotion(target, term, lastPosition))
+      isPossible && (await this.awaitPromotion(target, old.term, lastPosition))
     );
   }
 
   /** Waits until the promoted instance is primary. Returns false after the time limit. */
   private async awaitPromotion(
     id: string,
-    minimumTerm: number,
+    oldTerm: number,
     initialPosition: LogPosition,
   ): Promise<boolean> {
     const deadlineMs = steadyNowMs() + PROMOTION_TIMEOUT_MS;
@@ -295,7 +293,7 @@
       const report = await this.context.control.sendCommand(endpoint, {
         kind: CommandKind.Status,
       });
-      if (report?.isPrimary && report.term >= minimumTerm) {
+      if (report?.isPrimary && report.term > oldTerm) {
         await this.completeChange(report, initialPosition);
         return true;
       }
--- a/packages/gateway/src/core/coordinator/view-revocation.ts
+++ b/packages/gateway/src/core/coordinator/view-revocation.ts
@@ -98,7 +98,7 @@
    */
   private get isUpToDate(): boolean {
     const {store, followedRevision} = this.context;
-    const {generation = 0, revision} = this.known;
+    const {generation = store.generation, revision} = this.known;
     return store.generation === generation && followedRevision() >= revision;
   }
 
