Log and measure how old the list of instances is at whoever chooses from it

What callers saw: nothing new.

Change, no logic: the directory keeps the time of its newest up-to-date response and, for an instance that leaves or is missing, the last one before that.

--- a/packages/gateway/src/core/directory/instance-directory.ts
+++ b/packages/gateway/src/core/directory/instance-directory.ts
@@ -1,6 +1,8 @@
+import type {ClockReading} from '@sapphireglade/decisions';
+import {elapsedMs} from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
 import {Subject} from 'rxjs';
-import {steadyNowMs} from '../time/index.js';
+import {readClocks, steadyNowMs} from '../time/index.js';
 import type {RegisteredInstance} from './types.js';
 
 /**
@@ -20,6 +22,11 @@
 interface DirectoryEntry {
   instance: RegisteredInstance;
   missingSinceMs: number | undefined;
+  /**
+   * Confirmation of the directory before the one in which the instance was
+   * leaving or missing; undefined if there was none.
+   */
+  stayedAt: ClockReading | undefined;
 }
 
 /**
@@ -30,6 +37,7 @@
   private readonly entries = new Map<string, DirectoryEntry>();
   private readonly changes = new Subject<void>();
   private zones = 0;
+  private confirmedAt: ClockReading | undefined;
 
   /**
    * @param log - Receives a line for each instance that registers or is
@@ -63,6 +71,33 @@
     return this.instances.filter(instance => instance.group === group);
   }
 
+  /**
+   * Handles that every change of the directory up to a request has been applied.
+   *
+   * @param sentAt - When the request was sent.
+   */
+  confirm(sentAt: ClockReading): void {
+    this.confirmedAt = sentAt;
+  }
+
+  /**
+   * Time since the request whose response was the newest confirmed state, in
+   * milliseconds; Infinity if there was none.
+   */
+  get ageMs(): number {
+    return ageOf(this.confirmedAt);
+  }
+
+  /**
+   * Returns the time since an instance was last confirmed not to be leaving, in
+   * milliseconds; Infinity if it never was.
+   */
+  stayedAgoMs(id: string): number {
+    const entry = this.entries.get(id);
+    if (entry === undefined) return Infinity;
+    return ageOf(isStaying(entry) ? this.confirmedAt : entry.stayedAt);
+  }
+
   /** Increases when an instance joins or leaves an availability zone. */
   get zoneVersion(): number {
     return this.zones;
@@ -83,7 +118,12 @@
       entry.missingSinceMs = undefined;
       return;
     }
-    this.entries.set(instance.id, {instance, missingSinceMs: undefined});
+    const wasStaying = entry === undefined || isStaying(entry);
+    this.entries.set(instance.id, {
+      instance,
+      missingSinceMs: undefined,
+      stayedAt: wasStaying ? this.confirmedAt : entry.stayedAt,
+    });
     const previous = entry?.instance;
     if (previous?.availabilityZone !== instance.availabilityZone)
       this.zones += 1;
@@ -97,10 +137,12 @@
   markMissing(id: string): void {
     const entry = this.entries.get(id);
     if (entry === undefined || entry.missingSinceMs !== undefined) return;
+    if (isStaying(entry)) entry.stayedAt = this.confirmedAt;
     entry.missingSinceMs = steadyNowMs();
     this.log.warn('The entry of an instance was removed.', {
       instance: id,
       group: entry.instance.group,
+      stayedAgoMs: wholeMilliseconds(ageOf(entry.stayedAt)),
     });
   }
 
@@ -170,10 +212,26 @@
       leaving: instance.isLeaving,
       claimsPrimary: instance.claimsPrimary,
       bornAtMs: instance.bornAtMs,
+      stayedAgoMs: wholeMilliseconds(this.stayedAgoMs(instance.id)),
     });
   }
 }
 
+/** Returns whether an entry is present and its instance is not leaving. */
+function isStaying({instance, missingSinceMs}: DirectoryEntry): boolean {
+  return missingSinceMs === undefined && !instance.isLeaving;
+}
+
+/** Returns the time since a reading of the clocks, in milliseconds. */
+function ageOf(reading: ClockReading | undefined): number {
+  return reading === undefined ? Infinity : elapsedMs(reading, readClocks());
+}
+
+/** Rounds a time for a log line; undefined if it is unknown. */
+function wholeMilliseconds(milliseconds: number): number | undefined {
+  return Number.isFinite(milliseconds) ? Math.round(milliseconds) : undefined;
+}
+
 /**
  * Returns whether a registration precedes another one of the same incarnation; a
  * restored store lists such registrations.
--- a/packages/gateway/src/core/metrics/catalogue.ts
+++ b/packages/gateway/src/core/metrics/catalogue.ts
@@ -66,6 +66,9 @@
     'Time since the view of the primary was confirmed, by group.',
     ['group'],
   ),
+  sapphireglade_directory_age_seconds: defineGauge(
+    'Time since the newest up-to-date response about the instances was requested.',
+  ),
   sapphireglade_connections: defineGauge(
     'Connections that are open, by group and instance.',
     ['group', 'instance'],
--- a/packages/gateway/src/core/metrics/gateway-gauges.ts
+++ b/packages/gateway/src/core/metrics/gateway-gauges.ts
@@ -1,6 +1,7 @@
 import process from 'node:process';
 import type {GaugeSample} from '@sapphireglade/runtime';
 import type {LatestConfiguration} from '../configuration/index.js';
+import type {InstanceDirectory} from '../directory/index.js';
 import type {GroupRegistry} from '../groups/index.js';
 import type {InstancePool} from '../pool/index.js';
 import {readClocks} from '../time/index.js';
@@ -12,6 +13,7 @@
 export interface GaugeSources {
   readonly groups: GroupRegistry;
   readonly configuration: LatestConfiguration;
+  readonly directory: InstanceDirectory;
   readonly isReady: () => boolean;
   readonly isStoreReachable: () => boolean;
   readonly storeGeneration: () => number;
@@ -25,7 +27,7 @@
   metrics: GatewayMetrics,
   sources: GaugeSources,
 ): void {
-  const {groups, configuration} = sources;
+  const {groups, configuration, directory} = sources;
   metrics.registerGauge('sapphireglade_ready', () =>
     singleReading(sources.isReady()),
   );
@@ -62,6 +64,11 @@
       value: viewFreshness.ageMs(readClocks()) / MILLISECONDS_PER_SECOND,
     })),
   );
+  metrics.registerGauge('sapphireglade_directory_age_seconds', () =>
+    Number.isFinite(directory.ageMs)
+      ? singleReading(directory.ageMs / MILLISECONDS_PER_SECOND)
+      : [],
+  );
   metrics.registerGauge('sapphireglade_connections', () =>
     readEachPool(groups, pool => pool.connections),
   );
--- a/packages/gateway/src/core/ownership/group-ownership.ts
+++ b/packages/gateway/src/core/ownership/group-ownership.ts
@@ -107,6 +107,7 @@
   update(groups: Iterable<string>): void {
     if (this.isFrozen) return;
     const isSettled = this.isSettled();
+    const {directory} = this.options;
     for (const group of groups) {
       const isOwner =
         isSettled && this.ownersOf(group).includes(this.options.self);
@@ -117,7 +118,13 @@
         isOwner
           ? 'This proxy became an owner of a group.'
           : 'This proxy is no longer an owner of a group.',
-        {group, owners: this.ownersOf(group).join(' ')},
+        {
+          group,
+          owners: this.ownersOf(group).join(' '),
+          directoryAgeMs: Number.isFinite(directory.ageMs)
+            ? Math.round(directory.ageMs)
+            : undefined,
+        },
       );
     }
   }
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -35,7 +35,11 @@
 import {StoreRelayClient} from '../store-relay/index.js';
 import {GroupOwnership} from '../ownership/index.js';
 import type {SessionContext} from '../sessions/index.js';
-import {CallerSession, StatementExecutor} from '../sessions/index.js';
+import {
+  CallerSession,
+  LateUseLog,
+  StatementExecutor,
+} from '../sessions/index.js';
 import type {RunningSettings} from '../settings/index.js';
 import {StoreWatchers} from './store-watchers.js';
 import {readClocks, withTimeout} from '../time/index.js';
@@ -136,6 +140,7 @@
             knownProxies.earlierProxies(name).length > 0);
         if (isKnown) this.groups.confirmAllRecords(sentAt);
       },
+      onDirectoryConfirmed: sentAt => this.directory.confirm(sentAt),
       log: logFor(LogPart.Store),
     });
     this.forwarding = new ForwardingService({
@@ -271,6 +276,11 @@
     const log = this.logFor(LogPart.Routing);
     return new StatementExecutor({
       groups: this.groups,
+      lateUseLog: new LateUseLog(
+        this.directory,
+        () => this.settings.current.leaveWithinMs,
+        log,
+      ),
       commitBoundProbe: new CommitBoundProbe(this.configuration, log),
       region: this.region,
       regionOf: this.regionOf,
@@ -342,6 +352,7 @@
     registerGatewayGauges(this.metrics, {
       groups: this.groups,
       configuration: this.configuration,
+      directory: this.directory,
       isReady: () => this.isReady,
       storeGeneration: () => this.adapters.store.generation,
       isStoreReachable: () => this.storeWatchers.proxyKeys.isStoreReachable,
--- a/packages/gateway/src/core/process/store-watchers.ts
+++ b/packages/gateway/src/core/process/store-watchers.ts
@@ -58,6 +58,8 @@
   readonly isRelayUsed: () => boolean;
   /** Called with the time at which an answered read of the proxy keys was sent. */
   readonly onProxyKeysConfirmed: (sentAt: ClockReading) => void;
+  /** Called with the time at which an answered read of the directory was sent, if the answer was up to date and complete. */
+  readonly onDirectoryConfirmed: (sentAt: ClockReading) => void;
   readonly log: Logger;
 }
 
@@ -123,7 +125,10 @@
       isPaused: () => false,
       listeners: [externalListeners.directory],
       log,
-      onConfirmed: () => undefined,
+      onConfirmed: sentAt => {
+        // The instances may still have to repeat that they leave.
+        if (!store.isRestoring) options.onDirectoryConfirmed(sentAt);
+      },
     });
   }
 
--- a/packages/gateway/src/core/sessions/session-context.ts
+++ b/packages/gateway/src/core/sessions/session-context.ts
@@ -2,12 +2,14 @@
 import type {LatestConfiguration} from '../configuration/index.js';
 import type {CommitBoundProbe, GroupRegistry} from '../groups/index.js';
 import type {GatewayMetrics} from '../metrics/index.js';
+import type {LateUseLog} from './late-use-log.js';
 import type {StatementRunner} from './statement-runner.js';
 
 /** Dependencies for running statements on connections of this proxy. */
 export interface ExecutionContext {
   readonly groups: GroupRegistry;
   readonly commitBoundProbe: CommitBoundProbe;
+  readonly lateUseLog: LateUseLog;
   /** Region of this VM. */
   readonly region: string;
   /** Returns the region of an availability zone. */
--- a/packages/gateway/src/core/sessions/statement-executor.ts
+++ b/packages/gateway/src/core/sessions/statement-executor.ts
@@ -174,6 +174,7 @@
       pool.release(bound.connection);
       return {error: unconfirmed, mayBeKept: false};
     }
+    this.context.lateUseLog.record(request, target);
     const outcome = await operation.run(target, bound);
     if (outcome.kind !== 'answered') {
       return this.discardConnection(bound, outcome, !operation.isRetryable);
--- a/packages/gateway/src/core/settings/setting-effects.ts
+++ b/packages/gateway/src/core/settings/setting-effects.ts
@@ -30,6 +30,7 @@
   'store.address': SettingEffect.WhileRunning,
   'promotion.address': SettingEffect.WhileRunning,
   configurationWithinMs: SettingEffect.WhileRunning,
+  leaveWithinMs: SettingEffect.WhileRunning,
   maximumCallers: SettingEffect.WhileRunning,
   stopGraceS: SettingEffect.WhileRunning,
   logLevel: SettingEffect.WhileRunning,
--- a/packages/gateway/src/core/settings/settings-schema.ts
+++ b/packages/gateway/src/core/settings/settings-schema.ts
@@ -40,6 +40,8 @@
   promotion: z.strictObject({address}),
   /** Time within which a new configuration must be in force, in milliseconds. */
   configurationWithinMs: z.number().positive().default(3_000),
+  /** Time within which a leaving instance must no longer receive new statements, in milliseconds. */
+  leaveWithinMs: z.number().positive().default(7_000),
   /** Maximum number of concurrent callers; bounds memory and file descriptors. */
   maximumCallers: z.number().int().positive(),
   /** Maximum duration of a stop, in seconds. */
--- a/packages/gateway/src/core/store/store-watcher.ts
+++ b/packages/gateway/src/core/store/store-watcher.ts
@@ -61,8 +61,8 @@
   readonly isPaused: () => boolean;
   readonly log: Logger;
   /**
-   * Called after each successful response with the time at which its request
-   * was sent.
+   * Called after each response that was up to date, with the time at which its
+   * request was sent.
    */
   readonly onConfirmed: (sentAt: ClockReading) => void;
 }
@@ -192,7 +192,7 @@
         : await this.watchOnce();
     if (!isApplied) return false;
     this.lastSyncedAtMs = sentAt.steadyMs;
-    this.options.onConfirmed(sentAt);
+    if (this.hasSnapshot) this.options.onConfirmed(sentAt);
     return true;
   }
 
--- a/packages/gateway/test/configuration-watch.test.ts
+++ b/packages/gateway/test/configuration-watch.test.ts
@@ -48,6 +48,7 @@
       ownsAnyGroup: () => true,
       isRelayUsed: () => false,
       onProxyKeysConfirmed: () => undefined,
+      onDirectoryConfirmed: () => undefined,
       log: createSilentLogger(),
     });
     await watchers.start();
--- a/packages/gateway/test/coordinator/coordinator-without-groups.test.ts
+++ b/packages/gateway/test/coordinator/coordinator-without-groups.test.ts
@@ -51,6 +51,7 @@
         ownsAnyGroup: () => false,
         isRelayUsed: () => true,
         onProxyKeysConfirmed: () => undefined,
+        onDirectoryConfirmed: () => undefined,
         log,
       });
       await watchers.start();
--- a/packages/gateway/test/support/memory-fleet.ts
+++ b/packages/gateway/test/support/memory-fleet.ts
@@ -273,6 +273,7 @@
     store: {address: 'memory:3'},
     promotion: {address: 'memory:4'},
     configurationWithinMs: 3_000,
+    leaveWithinMs: 7_000,
     maximumCallers: 100,
     stopGraceS: 0.1,
     logLevel: LogLevel.Error,
