--- a/packages/gateway/test/support/memory-connector.ts
+++ b/packages/gateway/test/support/memory-connector.ts
@@ -113,7 +113,8 @@
     text: string,
     atLeast: InstanceReply['position'],
   ): Promise<InstanceReply> {
-    const {instance} = this;
+    const {instance, party} = this;
+    instance.received.push({requestId, proxy: party});
     if (text.startsWith('READ')) {
       const isBehind =
         atLeast !== undefined &&
--- a/packages/gateway/test/support/memory-fleet.ts
+++ b/packages/gateway/test/support/memory-fleet.ts
@@ -15,10 +15,18 @@
   RunningSettings,
   StorePrefixListener,
 } from '../../src/index.js';
-import type {InstanceDirectory, Promotion} from '../../src/index.js';
+import type {
+  InstanceDirectory,
+  Promotion,
+  RegisteredInstance,
+} from '../../src/index.js';
 import {MemoryConnector} from './memory-connector.js';
 import {MemoryGroup} from './memory-group.js';
 import {MemoryStore, MemoryStoreState} from './memory-store.js';
+import {
+  StoredDirectoryListener,
+  storeRegistration,
+} from './stored-directory.js';
 
 /** Prefix of the store keys that hold the configuration. */
 export const CONFIGURATION_PREFIX = 'fixed/configuration';
@@ -125,6 +133,14 @@
   readonly isReady: () => boolean;
 }
 
+/** How a fleet differs from the default one. */
+export interface MemoryFleetOptions {
+  /** Whether the proxies read the directory from the store, instead of being told. */
+  readonly hasStoredDirectory?: boolean;
+  /** Settings of all proxies that differ from the default ones. */
+  readonly settings?: Partial<GatewaySettings>;
+}
+
 /** Several gateways in one process in front of one in-memory group. */
 export class MemoryFleet {
   readonly store = new MemoryStoreState();
@@ -133,6 +149,10 @@
   private readonly directories: InstanceDirectory[] = [];
   private readonly leaving = new Set<string>();
 
+  constructor(private readonly options: MemoryFleetOptions = {}) {
+    if (options.hasStoredDirectory) this.storeRegistrations();
+  }
+
   /** Starts proxies, and waits until all are ready and the primary is recorded. */
   async start(size: number): Promise<void> {
     for (let index = 0; index < size; index += 1) {
@@ -158,7 +178,8 @@
     await Promise.all(this.proxies.map(({gateway}) => gateway.stop()));
   }
 
-  private async startProxy(name: string): Promise<void> {
+  /** Starts a proxy. */
+  async startProxy(name: string): Promise<void> {
     const groups = new Map([[GROUP, this.group]]);
     const callerServer = new MemoryCallerServer();
     const readiness = new MemoryReadinessServer();
@@ -175,13 +196,18 @@
         configuration: new FixedStateListener(CONFIGURATION_PREFIX, () =>
           configuration.applyIfNewer(CONFIGURATION),
         ),
-        directory: new FixedStateListener('fixed/directory', () => {
-          this.directories.push(directory);
-          this.register(directory);
-        }),
+        directory: this.options.hasStoredDirectory
+          ? new StoredDirectoryListener(directory)
+          : new FixedStateListener('fixed/directory', () => {
+              this.directories.push(directory);
+              this.register(directory);
+            }),
       }),
     };
-    const settings = new RunningSettings(settingsOf(name));
+    const settings = new RunningSettings({
+      ...settingsOf(name),
+      ...this.options.settings,
+    });
     const gateway = new GatewayProcess(settings, adapters, () =>
       createSilentLogger(),
     );
@@ -206,22 +232,30 @@
   announceLeaving(id: string): void {
     this.leaving.add(id);
     for (const directory of this.directories) this.register(directory);
+    if (this.options.hasStoredDirectory) this.storeRegistrations();
+  }
+
+  private storeRegistrations(): void {
+    for (const each of this.registrations())
+      storeRegistration(this.store, each);
   }
 
   private register(directory: InstanceDirectory): void {
-    for (const [index, {id}] of this.group.instances.entries()) {
-      directory.register({
-        id,
-        group: GROUP,
-        host: 'memory',
-        port: 1,
-        availabilityZone: `zone-${index}`,
-        isLeaving: this.leaving.has(id),
-        claimsPrimary: index === 0,
-        slots: 3,
-        bornAtMs: 1,
-      });
-    }
+    for (const each of this.registrations()) directory.register(each);
+  }
+
+  private registrations(): RegisteredInstance[] {
+    return this.group.instances.map(({id}, index) => ({
+      id,
+      group: GROUP,
+      host: 'memory',
+      port: 1,
+      availabilityZone: `zone-${index}`,
+      isLeaving: this.leaving.has(id),
+      claimsPrimary: index === 0,
+      slots: 3,
+      bornAtMs: 1,
+    }));
   }
 }
 
--- a/packages/gateway/test/support/memory-group.ts
+++ b/packages/gateway/test/support/memory-group.ts
@@ -32,6 +32,9 @@
   isDown = false;
   /** Time of its start, in Unix milliseconds. */
   bornAtMs = 1;
+  /** The statements that reached it, and the proxies that sent them. */
+  readonly received: {readonly requestId: string; readonly proxy: string}[] =
+    [];
 
   constructor(readonly id: string) {}
 
--- a/packages/gateway/test/support/memory-store.ts
+++ b/packages/gateway/test/support/memory-store.ts
@@ -37,6 +37,10 @@
   revision = 1;
   /** Rises by one each time that the store is restored from a backup. */
   generation = 1;
+  /** What reads that may be stale return; undefined if they are up to date. */
+  staleBackup: StoreBackup | undefined;
+  /** Number of reads that were allowed to be stale. */
+  staleReads = 0;
   /** Revision up to which the history of changes was dropped. */
   droppedRevision = 0;
   private nextLease = 1;
@@ -170,12 +174,18 @@
     super();
   }
 
-  override async list(prefix: string): Promise<StoreResponse<ListedItems>> {
+  override async list(
+    prefix: string,
+    {allowStale}: {readonly allowStale: boolean},
+  ): Promise<StoreResponse<ListedItems>> {
     await this.simulateLatency();
-    const items = [...this.state.items.values()].filter(({key}) =>
+    const {state} = this;
+    if (allowStale) state.staleReads += 1;
+    const source = (allowStale ? state.staleBackup : undefined) ?? state;
+    const items = [...source.items.values()].filter(({key}) =>
       key.startsWith(prefix),
     );
-    return this.answer({items, revision: this.state.revision});
+    return this.answer({items, revision: source.revision});
   }
 
   override async watch(
