Keep a leaving instance leaving until it starts again

Cause: a registration of the same start without a sequence, or with a higher one, took the leave back. A store that comes back from a backup lists what the instance wrote before it left.

Ruled out: registrations with a lower sequence, which were kept out before.

Change: the directory keeps the leave of an incarnation.

--- a/packages/gateway/src/core/directory/instance-directory.ts
+++ b/packages/gateway/src/core/directory/instance-directory.ts
@@ -111,13 +111,22 @@
     return new Set(groups).size;
   }
 
-  /** Adds or updates a registered instance. */
-  register(instance: RegisteredInstance): void {
-    const entry = this.entries.get(instance.id);
-    if (entry !== undefined && isOlderRegistration(instance, entry.instance)) {
+  /**
+   * Adds or updates a registered instance. One that is leaving stays so until it
+   * starts again, because a restored store may list what it wrote before.
+   */
+  register(registration: RegisteredInstance): void {
+    const entry = this.entries.get(registration.id);
+    if (
+      entry !== undefined &&
+      isOlderRegistration(registration, entry.instance)
+    ) {
       entry.missingSinceMs = undefined;
       return;
     }
+    const isLeaving =
+      registration.isLeaving || hasLeft(registration, entry?.instance);
+    const instance = {...registration, isLeaving};
     const wasStaying = entry === undefined || isStaying(entry);
     this.entries.set(instance.id, {
       instance,
@@ -248,6 +257,18 @@
   );
 }
 
+/** Returns whether an incarnation was leaving before it registered again. */
+function hasLeft(
+  {bornAtMs}: RegisteredInstance,
+  previous: RegisteredInstance | undefined,
+): boolean {
+  return (
+    previous?.isLeaving === true &&
+    bornAtMs !== undefined &&
+    bornAtMs === previous.bornAtMs
+  );
+}
+
 /** Returns whether both registrations of an instance are the same. */
 function isSameRegistration(
   previous: RegisteredInstance,
