Repeat a failed read of the store soon instead of after the interval

What callers saw: nothing that is proved; statements at a leaving instance are possible 9 s after its leave if two reads of the directory in a row fail.

Cause: a read that failed, one answered with a lost history, and a list older than the known state were treated like a read that succeeded: the next one was due after the rest of the interval, 3 s for an owner.

Change: after a lost history the sections are read at once; after other failures a delay doubles from 50 ms up to the interval, so that a store that is down gets no more calls than before, but for the first few. A refresh or a restore ends the wait for a list too, and a refresh is answered up to date also by a watcher that polls. A partial list is read again as soon as the store is settled. A poll that fails waits for its interval, as before.

--- a/packages/gateway/src/core/store/store-watcher.ts
+++ b/packages/gateway/src/core/store/store-watcher.ts
@@ -24,7 +24,10 @@
  */
 const INITIAL_RETRY_DELAY_MS = 50;
 
-/** Maximum delay after failed calls, in milliseconds. */
+/**
+ * Maximum delay after failed calls, in milliseconds, of a watcher whose interval
+ * is not longer.
+ */
 const MAXIMUM_RETRY_DELAY_MS = 400;
 
 /**
@@ -33,9 +36,24 @@
  */
 const PAUSED_CHECK_INTERVAL_MS = 200;
 
-/** Result of a watch whose response is no longer awaited. */
+/** Result of a call whose response is no longer awaited. */
 const INTERRUPTED = Symbol('interrupted');
 
+/** What a step of a watcher achieved. */
+const StepResult = {
+  /** The response was applied. */
+  Applied: 'applied',
+  /** The response says nothing new; the next step is due after the interval. */
+  Ignored: 'ignored',
+  /** Another request is needed at once. */
+  RetryNow: 'retry-now',
+  /** Another request is needed after a delay. */
+  RetryLater: 'retry-later',
+} as const;
+
+/** A value of {@link StepResult}. */
+type StepResult = (typeof StepResult)[keyof typeof StepResult];
+
 /** Options of a store watcher. */
 export interface StoreWatcherOptions {
   readonly store: CoordinationStore;
@@ -148,30 +166,62 @@
   private async follow(): Promise<void> {
     while (!this.abortController.signal.aborted) {
       const beganAtMs = steadyNowMs();
-      try {
-        if (this.options.isPaused()) this.hasSnapshot = false;
-        else if (await this.step()) this.markConnected();
-      } catch (error) {
-        await this.failed(error);
+      const result = await this.runStep();
+      if (result === StepResult.RetryNow) continue;
+      if (result === StepResult.RetryLater) await this.backOff();
+      else await this.waitForNextSync(beganAtMs);
+    }
+  }
+
+  private async runStep(): Promise<StepResult> {
+    try {
+      if (this.options.isPaused()) {
+        this.hasSnapshot = false;
+        return StepResult.Ignored;
       }
-      await this.waitForNextSync(beganAtMs);
+      const result = await this.step();
+      if (result === StepResult.Applied) this.markConnected();
+      return result;
+    } catch (error) {
+      this.recordFailure(error);
+      return StepResult.RetryLater;
     }
   }
 
+  /**
+   * Waits before a failed request is repeated; longer with each failure, up to
+   * the interval of the watcher.
+   */
+  private async backOff(): Promise<void> {
+    if (this.abortController.signal.aborted) return;
+    const {minimumIntervalMs, shouldPoll} = this.options;
+    const maximumMs = Math.max(MAXIMUM_RETRY_DELAY_MS, minimumIntervalMs());
+    const delayMs = shouldPoll() ? maximumMs : this.retryDelayMs;
+    this.retryDelayMs = Math.min(maximumMs, this.retryDelayMs * 2);
+    await this.sleepUntilInterrupted(delayMs);
+  }
+
   /** Waits until the next request is due, or a refresh is requested. */
   private async waitForNextSync(beganAtMs: number): Promise<void> {
     const intervalMs = this.options.isPaused()
       ? PAUSED_CHECK_INTERVAL_MS
       : this.options.minimumIntervalMs();
-    const remainingMs = intervalMs + beganAtMs - steadyNowMs();
+    const remainingMs = Math.min(
+      intervalMs + beganAtMs - steadyNowMs(),
+      this.isListPartial ? this.options.store.settlesInMs : Infinity,
+    );
     if (remainingMs <= 0) return;
     // Neither can be served while the watcher is paused.
     const isUrgent = this.isRefreshRequested || this.isRestoreUnread;
     if (isUrgent && !this.options.isPaused()) return;
+    await this.sleepUntilInterrupted(remainingMs);
+  }
+
+  private async sleepUntilInterrupted(milliseconds: number): Promise<void> {
     const abortController = new AbortController();
     this.interrupt = () => abortController.abort();
     try {
-      await sleep(remainingMs, undefined, {signal: abortController.signal});
+      await sleep(milliseconds, undefined, {signal: abortController.signal});
     } catch {
       // Aborted, because a refresh was requested.
     }
@@ -179,41 +229,56 @@
 
   /**
    * Reads all sections, or watches for changes.
-   *
-   * @returns Whether the response was applied.
    */
-  private async step(): Promise<boolean> {
+  private async step(): Promise<StepResult> {
     const sentAt = readClocks();
-    const isPolling = this.options.shouldPoll();
+    // A refresh needs a response that is up to date.
+    const isPolling = this.options.shouldPoll() && !this.isRefreshRequested;
     const isListDue = this.isListPartial && this.options.store.isSettled;
-    const isApplied =
+    const result =
       isPolling || !this.hasSnapshot || isListDue
         ? await this.loadSnapshot(isPolling)
         : await this.watchOnce();
-    if (!isApplied) return false;
+    if (result !== StepResult.Applied) return result;
     this.lastSyncedAtMs = sentAt.steadyMs;
     if (this.hasSnapshot) this.options.onConfirmed(sentAt);
-    return true;
+    return result;
+  }
+
+  /** Awaits a response, unless a refresh or a restore makes it useless. */
+  private async awaitResponse<Response>(
+    response: Promise<Response>,
+    timeoutMs: number,
+  ): Promise<Response | typeof INTERRUPTED> {
+    const interrupted = new Promise<typeof INTERRUPTED>(resolve => {
+      this.interrupt = () => resolve(INTERRUPTED);
+    });
+    const result = await Promise.race([
+      withTimeout(response, timeoutMs),
+      interrupted,
+    ]);
+    if (result === TIMED_OUT) throw new Error('The store did not respond.');
+    return result;
   }
 
   /**
    * Reads all sections with one request; the watch continues after its
    * revision.
-   *
-   * @returns Whether the response was applied.
    */
-  private async loadSnapshot(allowStale: boolean): Promise<boolean> {
+  private async loadSnapshot(allowStale: boolean): Promise<StepResult> {
     const {store, watchedPrefix} = this.options;
-    const response = await withTimeout(
+    const wasRefreshRequested = this.isRefreshRequested;
+    const response = await this.awaitResponse(
       store.list(watchedPrefix, {allowStale}),
       LIST_TIMEOUT_MS,
     );
-    if (response === TIMED_OUT) throw new Error('The store did not respond.');
-    if (response.generation !== store.generation) return false;
+    if (response === INTERRUPTED) return StepResult.RetryNow;
+    if (response.generation !== store.generation) return StepResult.RetryLater;
     // A response older than the current state must not restore it.
     if (response.revision < this.knownRevision) {
+      if (!allowStale) return StepResult.RetryLater;
       this.markConnected();
-      return false;
+      return StepResult.Ignored;
     }
     this.isListPartial = store.isRestoring;
     for (const listener of this.options.listeners)
@@ -222,8 +287,9 @@
     // are watched.
     this.hasSnapshot = !allowStale;
     this.isRestoreUnread = false;
+    if (wasRefreshRequested && !allowStale) this.isRefreshRequested = false;
     this.knownRevision = response.revision;
-    return true;
+    return StepResult.Applied;
   }
 
   /**
@@ -239,28 +305,17 @@
     else listener.onSnapshot(section);
   }
 
-  /**
-   * Watches for changes once.
-   *
-   * @returns Whether the response was applied.
-   */
-  private async watchOnce(): Promise<boolean> {
+  /** Watches for changes once. */
+  private async watchOnce(): Promise<StepResult> {
     const {store, watchedPrefix, log} = this.options;
     const wasRefreshRequested = this.isRefreshRequested;
     const waitMs = wasRefreshRequested ? 0 : this.nextWatchWaitMs;
-    const interrupted = new Promise<typeof INTERRUPTED>(resolve => {
-      this.interrupt = () => resolve(INTERRUPTED);
-    });
     try {
-      const response = await Promise.race([
-        withTimeout(
-          store.watch(watchedPrefix, this.knownRevision, waitMs),
-          waitMs + WATCH_TIMEOUT_MARGIN_MS,
-        ),
-        interrupted,
-      ]);
-      if (response === INTERRUPTED) return false;
-      if (response === TIMED_OUT) throw new Error('The watch got no response.');
+      const response = await this.awaitResponse(
+        store.watch(watchedPrefix, this.knownRevision, waitMs),
+        waitMs + WATCH_TIMEOUT_MARGIN_MS,
+      );
+      if (response === INTERRUPTED) return StepResult.RetryNow;
       if (response.kind === 'history-lost') {
         log.warn(
           'The store compacted its history; reading all sections again.',
@@ -270,11 +325,11 @@
           },
         );
         this.hasSnapshot = false;
-        return false;
+        return StepResult.RetryNow;
       }
       for (const event of response.events) this.dispatch(event);
       this.knownRevision = Math.max(this.knownRevision, response.revision);
-      return true;
+      return StepResult.Applied;
     } finally {
       // A request that was sent before the refresh was requested may be too old
       // for it.
@@ -308,7 +363,7 @@
     });
   }
 
-  private async failed(error: unknown): Promise<void> {
+  private recordFailure(error: unknown): void {
     if (this.abortController.signal.aborted) return;
     if (this.isConnected || this.retryDelayMs === INITIAL_RETRY_DELAY_MS) {
       this.options.log.warn('The store does not respond; retrying.', {
@@ -321,7 +376,5 @@
     // A store that closes its watches may compact its history next, or may have
     // done so.
     this.hasSnapshot = false;
-    await sleep(this.retryDelayMs);
-    this.retryDelayMs = Math.min(MAXIMUM_RETRY_DELAY_MS, this.retryDelayMs * 2);
   }
 }
