Choose an instance only as long as its last confirmation counts

Cause: a proxy without groups polls the directory each 4 s with reads that may be seconds old. One that became an owner, or had just started, chose from that list until the poll's wait was over, and nothing compared the age of the list with the time in which a leaving instance has to be left alone.

Ruled out: that the other owners learn late (1.7 s after the first).

Change: one pure rule, decideInstanceUse. An instance may receive statements while the last up-to-date response that showed it staying is less than leaveWithinMs - 1 s old, whoever chooses and whatever its role was before. Past that the directory is read at once and the instance is withheld meanwhile; a read or write for it waits up to 100 ms or goes to another owner as not run. A store that does not answer, or repeats what a restore has lost, stops nothing: what is not known to leave stays in use. The interval of an owner follows from the same setting (3 s for 7 s, less up to 10% so that owners do not read in step), and a proxy that begins to own a group reads at once.

Evidence: two tests of leaving-instance.test.ts failed before and pass, and a random replay of reads, leaves and statements holds the bound.

--- /dev/null
+++ b/packages/decisions/src/core/instance-use/index.ts
@@ -0,0 +1,2 @@
+/** Decides whether an instance may receive new statements while instances leave. */
+export * from './decide-instance-use.js';
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -11,6 +11,7 @@
 export * from './core/events/index.js';
 export * from './core/failover/index.js';
 export * from './core/instance-choice/index.js';
+export * from './core/instance-use/index.js';
 export * from './core/primary-change/index.js';
 export * from './core/groups/index.js';
 export * from './core/membership/index.js';
--- a/packages/gateway/src/core/groups/database-group.ts
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -9,6 +9,7 @@
   ChangeExpectation,
   comparePositions,
   elapsedMs,
+  InstanceUse,
   isSameSteadyPrimary,
   PrimaryPositionHistory,
   ReplicationLagEstimate,
@@ -17,7 +18,11 @@
   ViewFreshness,
 } from '@sapphireglade/decisions';
 import {Subject} from 'rxjs';
-import type {RegisteredInstance} from '../directory/index.js';
+import type {
+  InstanceUsePolicy,
+  RegisteredInstance,
+} from '../directory/index.js';
+import {RegistrationUsePolicy} from '../directory/index.js';
 import type {InstancePool, ReportedPosition} from '../pool/index.js';
 import {readClocks, steadyNowMs} from '../time/index.js';
 import {toInstanceCandidate} from './instance-candidate.js';
@@ -75,10 +80,15 @@
     targetAtMs: undefined,
   };
 
-  /** @param changeExpectation - Shared by the groups of a process. */
+  /**
+   * @param name - Name of the group.
+   * @param changeExpectation - Shared by the groups of a process.
+   * @param usePolicy - Decides whether an instance receives statements.
+   */
   constructor(
     readonly name: string,
     readonly changeExpectation: ChangeExpectation = new ChangeExpectation(),
+    private readonly usePolicy: InstanceUsePolicy = new RegistrationUsePolicy(),
   ) {}
 
   /** Emits each newer record. */
@@ -310,7 +320,15 @@
     if (!this.viewFreshness.isValid(readClocks())) {
       return PrimaryProblem.Unconfirmed;
     }
-    return this.membersById.get(record.primary) ?? PrimaryProblem.Missing;
+    const member = this.membersById.get(record.primary);
+    if (member === undefined) return PrimaryProblem.Missing;
+    const use = this.usePolicy.useOf(member.instance, true);
+    return use === InstanceUse.Unconfirmed ? PrimaryProblem.Unlisted : member;
+  }
+
+  /** Returns whether a replica may receive new statements. */
+  private isUsableReplica({instance}: GroupMember): boolean {
+    return this.usePolicy.useOf(instance, false) === InstanceUse.Allowed;
   }
 
   /**
@@ -327,7 +345,8 @@
   ): InstanceCandidate[] {
     const primary = this.known?.record.primary;
     return [...this.membersById.values()]
-      .filter(({instance}) => instance.id !== primary && !instance.isLeaving)
+      .filter(({instance}) => instance.id !== primary)
+      .filter(member => this.isUsableReplica(member))
       .filter(({pool}) => pool.unreachableSinceMs === undefined)
       .map(member =>
         toInstanceCandidate(
--- a/packages/gateway/src/core/groups/group-registry.ts
+++ b/packages/gateway/src/core/groups/group-registry.ts
@@ -11,6 +11,7 @@
 import type {LatestConfiguration} from '../configuration/index.js';
 import type {
   InstanceDirectory,
+  InstanceUsePolicy,
   RegisteredInstance,
 } from '../directory/index.js';
 import type {GroupOwnership} from '../ownership/index.js';
@@ -26,6 +27,7 @@
   readonly directory: InstanceDirectory;
   readonly connector: InstanceConnector;
   readonly ownership: GroupOwnership;
+  readonly usePolicy: InstanceUsePolicy;
   /** Returns the availability zone of a live proxy. */
   readonly zoneOf: (name: string) => string | undefined;
   /** Returns the names of the proxies that ran before this process started. */
@@ -63,7 +65,8 @@
   getOrCreate(name: string): DatabaseGroup {
     const existing = this.groups.get(name);
     if (existing !== undefined) return existing;
-    const group = new DatabaseGroup(name, this.changeExpectation);
+    const {usePolicy} = this.options;
+    const group = new DatabaseGroup(name, this.changeExpectation, usePolicy);
     this.groups.set(name, group);
     for (const listener of this.listeners) listener(group);
     return group;
--- a/packages/gateway/src/core/groups/primary-problem.ts
+++ b/packages/gateway/src/core/groups/primary-problem.ts
@@ -8,6 +8,8 @@
   Unconfirmed: 'unconfirmed',
   /** The recorded primary is not in the directory. */
   Missing: 'missing',
+  /** The directory is out of date, so the primary may have been leaving for too long. */
+  Unlisted: 'its registration is out of date',
 } as const;
 
 /** A reason why the primary cannot be used. */
--- a/packages/gateway/src/core/ownership/group-ownership.ts
+++ b/packages/gateway/src/core/ownership/group-ownership.ts
@@ -3,6 +3,7 @@
 import type {Logger} from '@sapphireglade/runtime';
 import type {LatestConfiguration} from '../configuration/index.js';
 import type {InstanceDirectory} from '../directory/index.js';
+import {Subject} from 'rxjs';
 import type {MemberList} from '../membership/index.js';
 import {steadyNowMs} from '../time/index.js';
 
@@ -51,6 +52,7 @@
   private memberVersion = 0;
   private listedSinceMs: number | undefined;
   private isFrozen = false;
+  private readonly acquisitions = new Subject<string>();
 
   constructor(private readonly options: GroupOwnershipOptions) {
     options.members.changes$.subscribe(() => {
@@ -59,6 +61,11 @@
     });
   }
 
+  /** Emits the name of each group that this proxy begins to own. */
+  get acquired$(): Subject<string> {
+    return this.acquisitions;
+  }
+
   /** Returns the names of the proxies that own a group. */
   ownersOf(group: string): readonly string[] {
     const {directory, configuration} = this.options;
@@ -126,6 +133,7 @@
             : undefined,
         },
       );
+      if (isOwner) this.acquisitions.next(group);
     }
   }
 
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -1,6 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import type {ClockReading} from '@sapphireglade/decisions';
-import {vmCapacity} from '@sapphireglade/decisions';
+import {directoryReadIntervalMs, vmCapacity} from '@sapphireglade/decisions';
 import type {LoggerFactory} from '@sapphireglade/runtime';
 import {LogPart, TaskState} from '@sapphireglade/runtime';
 import {auditTime} from 'rxjs';
@@ -11,7 +11,7 @@
   CoordinatorTask,
   GroupDepartures,
 } from '../coordinator/index.js';
-import {InstanceDirectory} from '../directory/index.js';
+import {DirectoryUsePolicy, InstanceDirectory} from '../directory/index.js';
 import {ForwardingService} from '../forwarding/index.js';
 import {
   CommitBoundProbe,
@@ -101,6 +101,12 @@
       directory: this.directory,
       connector,
       ownership: this.ownership,
+      usePolicy: new DirectoryUsePolicy({
+        directory: this.directory,
+        leaveWithinMs: () => settings.current.leaveWithinMs,
+        isStoreReachable: () => this.storeWatchers.canConfirmDirectory,
+        onUnconfirmed: () => this.storeWatchers.refreshDirectory(),
+      }),
       zoneOf: member => this.members.find(member)?.availabilityZone,
       earlierProxies: () => knownProxies.earlierProxies(name),
       isInOwnRegion: zone => this.regionOf(zone) === this.region,
@@ -128,6 +134,7 @@
       ],
       externalListeners,
       configurationWithinMs: () => settings.current.configurationWithinMs,
+      leaveWithinMs: () => settings.current.leaveWithinMs,
       isCoordinator: () => this.coordinator.mayCoordinate,
       ownsAnyGroup: () => this.ownership.ownsAny,
       isRelayUsed: () => this.relayClient.isActive,
@@ -242,6 +249,7 @@
     this.members.changes$
       .pipe(auditTime(RECONCILE_DELAY_MS))
       .subscribe(() => this.reconcile());
+    this.ownership.acquired$.subscribe(() => this.refreshOldDirectory());
     settings.changes$.subscribe(({maximumCallers}) =>
       adapters.callerServer.limit(maximumCallers),
     );
@@ -298,6 +306,13 @@
     if (needsLease) void this.viewLease.start();
   }
 
+  /** Reads the directory now, unless it was read as recently as an owner does. */
+  private refreshOldDirectory(): void {
+    const {leaveWithinMs} = this.settings.current;
+    if (this.directory.ageMs >= directoryReadIntervalMs(leaveWithinMs))
+      this.storeWatchers.refreshDirectory();
+  }
+
   /** Extends the valid views after a lease renewal, and reads the records again if any view is invalid. */
   private extendViews(sentAt: ClockReading): void {
     this.groups.extendAllViews(sentAt);
--- a/packages/gateway/src/core/process/store-watchers.ts
+++ b/packages/gateway/src/core/process/store-watchers.ts
@@ -1,4 +1,5 @@
 import type {ClockReading} from '@sapphireglade/decisions';
+import {directoryReadIntervalMs} from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
 import type {CoordinationStore, StorePrefixListener} from '../store/index.js';
 import {MEMBER_PREFIX} from '../membership/index.js';
@@ -37,8 +38,8 @@
 /** Minimum interval between two watches of the directory at the coordinator, in milliseconds; each instance writes there about once a second. */
 const COORDINATOR_DIRECTORY_INTERVAL_MS = 1_500;
 
-/** Minimum interval between two watches of the directory at an owner, in milliseconds; half of the time within which a leaving instance must no longer be used. */
-const OWNER_DIRECTORY_INTERVAL_MS = 3_000;
+/** Part of its interval by which an owner reads the directory earlier at times, so that owners do not stay in step. */
+const OWNER_DIRECTORY_JITTER = 0.1;
 
 /** Minimum interval between two watches of the directory at a proxy that owns no group, in milliseconds; it only needs the zones of the instances. */
 const NON_OWNER_DIRECTORY_INTERVAL_MS = 4_000;
@@ -50,6 +51,8 @@
   readonly externalListeners: ExternalStoreListeners;
   /** Returns the time within which a configuration must be in force, in milliseconds. */
   readonly configurationWithinMs: () => number;
+  /** Returns the time within which a leaving instance must no longer receive statements, in milliseconds. */
+  readonly leaveWithinMs: () => number;
   /** Returns whether this proxy is the coordinator, which watches all keys itself. */
   readonly isCoordinator: () => boolean;
   /** Returns whether this proxy owns any group. */
@@ -117,9 +120,9 @@
       watchWaitMs: () => DIRECTORY_WATCH_WAIT_MS,
       minimumIntervalMs: () => {
         if (isCoordinator()) return COORDINATOR_DIRECTORY_INTERVAL_MS;
-        return ownsAnyGroup()
-          ? OWNER_DIRECTORY_INTERVAL_MS
-          : NON_OWNER_DIRECTORY_INTERVAL_MS;
+        if (!ownsAnyGroup()) return NON_OWNER_DIRECTORY_INTERVAL_MS;
+        const intervalMs = directoryReadIntervalMs(options.leaveWithinMs());
+        return intervalMs * (1 - OWNER_DIRECTORY_JITTER * Math.random());
       },
       shouldPoll: () => !ownsAnyGroup() && !isCoordinator(),
       isPaused: () => false,
@@ -165,6 +168,11 @@
     );
   }
 
+  /** Whether the store answers reads of the directory, with all that instances have written. */
+  get canConfirmDirectory(): boolean {
+    return this.directory.isStoreReachable && !this.store.isRestoring;
+  }
+
   /** Reads the directory now. */
   refreshDirectory(): void {
     this.directory.refresh();
--- a/packages/gateway/test/configuration-watch.test.ts
+++ b/packages/gateway/test/configuration-watch.test.ts
@@ -44,6 +44,7 @@
         directory: new StoreMirror('servers/'),
       },
       configurationWithinMs: () => WITHIN_MS,
+      leaveWithinMs: () => 7_000,
       isCoordinator: () => false,
       ownsAnyGroup: () => true,
       isRelayUsed: () => false,
--- a/packages/gateway/test/coordinator/coordinator-without-groups.test.ts
+++ b/packages/gateway/test/coordinator/coordinator-without-groups.test.ts
@@ -47,6 +47,7 @@
           directory: new StoreMirror('servers/'),
         },
         configurationWithinMs: () => 3_000,
+        leaveWithinMs: () => 7_000,
         isCoordinator: () => isCoordinator,
         ownsAnyGroup: () => false,
         isRelayUsed: () => true,
--- a/packages/gateway/test/store/directory-reads.test.ts
+++ b/packages/gateway/test/store/directory-reads.test.ts
@@ -69,6 +69,7 @@
           directory,
         },
         configurationWithinMs: () => 3_000,
+        leaveWithinMs: () => 7_000,
         isCoordinator: () => false,
         ownsAnyGroup: () => true,
         isRelayUsed: () => false,
