Refuse new statements for a primary that has been leaving for too long

Cause: usablePrimary did not ask whether the primary leaves.

Ruled out: late knowledge (all owners knew within 0.5 s).

Change: the rule of decideInstanceUse holds for primaries too. One that is known to leave serves while it is replaced, until its last confirmation as staying is leaveWithinMs - 1 s old; then new statements are refused at once as not run, with the expected length of a change as Retry-After. Open transactions go on.

--- a/packages/gateway/src/core/groups/database-group.ts
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -323,7 +323,8 @@
     const member = this.membersById.get(record.primary);
     if (member === undefined) return PrimaryProblem.Missing;
     const use = this.usePolicy.useOf(member.instance, true);
-    return use === InstanceUse.Unconfirmed ? PrimaryProblem.Unlisted : member;
+    if (use === InstanceUse.Unconfirmed) return PrimaryProblem.Unlisted;
+    return use === InstanceUse.Leaving ? PrimaryProblem.Leaving : member;
   }
 
   /** Returns whether a replica may receive new statements. */
--- a/packages/gateway/src/core/groups/primary-problem.ts
+++ b/packages/gateway/src/core/groups/primary-problem.ts
@@ -10,6 +10,8 @@
   Missing: 'missing',
   /** The directory is out of date, so the primary may have been leaving for too long. */
   Unlisted: 'its registration is out of date',
+  /** The primary has been leaving for too long and was not replaced. */
+  Leaving: 'leaving',
 } as const;
 
 /** A reason why the primary cannot be used. */
--- a/packages/gateway/src/core/sessions/primary-wait.ts
+++ b/packages/gateway/src/core/sessions/primary-wait.ts
@@ -37,7 +37,8 @@
       typeof primary === 'string' ? primary : PrimaryProblem.Unconfirmed;
     const nowMs = steadyNowMs();
     const endsAtMs = expectedEndMs(group, problem, startedAtMs);
-    if (nowMs > endsAtMs || endsAtMs > deadlineMs) {
+    const canWait = problem !== PrimaryProblem.Leaving;
+    if (!canWait || nowMs > endsAtMs || endsAtMs > deadlineMs) {
       throw new SapphiregladeError(
         ErrorKind.NoPrimary,
         `Group ${group.name} has no usable primary: ${problem}.`,
@@ -54,8 +55,13 @@
   problem: PrimaryProblem,
   startedAtMs: number,
 ): number {
-  if (problem !== PrimaryProblem.Changing) {
-    return startedAtMs + UNCONFIRMED_WAIT_MS;
+  const nowMs = steadyNowMs();
+  if (problem === PrimaryProblem.Changing)
+    return group.changeExpectation.endsAtMs(group.change, nowMs);
+  if (problem === PrimaryProblem.Leaving) {
+    // Its change has not begun yet.
+    const change = {beganAtMs: nowMs, isPlanned: true, targetAtMs: undefined};
+    return group.changeExpectation.endsAtMs(change, nowMs);
   }
-  return group.changeExpectation.endsAtMs(group.change, steadyNowMs());
+  return startedAtMs + UNCONFIRMED_WAIT_MS;
 }
