Let a paused watcher wait after a restore of the store

A watcher that was paused while its list was partial had a wait of nothing between two checks.

Change: a paused watcher always waits between its checks.

--- a/packages/gateway/src/core/store/store-watcher.ts
+++ b/packages/gateway/src/core/store/store-watcher.ts
@@ -203,18 +203,18 @@
 
   /** Waits until the next request is due, or a refresh is requested. */
   private async waitForNextSync(beganAtMs: number): Promise<void> {
-    const intervalMs = this.options.isPaused()
-      ? PAUSED_CHECK_INTERVAL_MS
-      : this.options.minimumIntervalMs();
-    const remainingMs = Math.min(
-      intervalMs + beganAtMs - steadyNowMs(),
-      this.isListPartial ? this.options.store.settlesInMs : Infinity,
-    );
-    if (remainingMs <= 0) return;
-    // Neither can be served while the watcher is paused.
-    const isUrgent = this.isRefreshRequested || this.isRestoreUnread;
-    if (isUrgent && !this.options.isPaused()) return;
-    await this.sleepUntilInterrupted(remainingMs);
+    if (this.options.isPaused()) {
+      await this.sleepUntilInterrupted(PAUSED_CHECK_INTERVAL_MS);
+      return;
+    }
+    if (this.isRefreshRequested || this.isRestoreUnread) return;
+    const dueInMs =
+      this.options.minimumIntervalMs() + beganAtMs - steadyNowMs();
+    // A partial list is read again as soon as the store is settled.
+    const remainingMs = this.isListPartial
+      ? Math.min(dueInMs, this.options.store.settlesInMs)
+      : dueInMs;
+    if (remainingMs > 0) await this.sleepUntilInterrupted(remainingMs);
   }
 
   private async sleepUntilInterrupted(milliseconds: number): Promise<void> {
