Check again whether an instance may be used after the wait for a connection

The first statement of a transaction was repeated at a busy instance that leaves until its deadline.

Cause: only the primary was checked again after the wait, and a transaction never after its begin.

Change: the rule on the use of an instance is asked again just before a statement is sent, and before the first statement of a transaction, which is rolled back instead. The former goes to another instance as not run. Further statements of an open transaction are sent as before.

The new case of local-transaction.test.ts needs the new argument.

--- a/packages/gateway/src/core/groups/database-group.ts
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -327,9 +327,18 @@
     return use === InstanceUse.Leaving ? PrimaryProblem.Leaving : member;
   }
 
-  /** Returns whether a replica may receive new statements. */
-  private isUsableReplica({instance}: GroupMember): boolean {
-    return this.usePolicy.useOf(instance, false) === InstanceUse.Allowed;
+  /**
+   * Returns whether an instance is listed and may receive new statements.
+   *
+   * @param id - The instance.
+   * @param isPrimary - Whether it is used as the primary.
+   */
+  mayReceiveStatements(id: string, isPrimary: boolean): boolean {
+    const member = this.membersById.get(id);
+    return (
+      member !== undefined &&
+      this.usePolicy.useOf(member.instance, isPrimary) === InstanceUse.Allowed
+    );
   }
 
   /**
@@ -347,7 +356,7 @@
     const primary = this.known?.record.primary;
     return [...this.membersById.values()]
       .filter(({instance}) => instance.id !== primary)
-      .filter(member => this.isUsableReplica(member))
+      .filter(({instance}) => this.mayReceiveStatements(instance.id, false))
       .filter(({pool}) => pool.unreachableSinceMs === undefined)
       .map(member =>
         toInstanceCandidate(
--- a/packages/gateway/src/core/sessions/local-transaction.ts
+++ b/packages/gateway/src/core/sessions/local-transaction.ts
@@ -35,10 +35,19 @@
 /** A transaction that runs on a connection of this proxy. */
 export class LocalTransaction extends UpstreamTransaction {
   private bound: BoundConnection | undefined;
+  /** Whether a statement of the transaction has run. */
+  private hasRun = false;
 
+  /**
+   * @param bound - The connection on which the transaction has begun.
+   * @param log - Receives a line if the connection is lost.
+   * @param isInstanceUsable - Returns whether the instance may receive the first
+   *   statement.
+   */
   constructor(
     bound: BoundConnection,
     private readonly log: Logger,
+    private readonly isInstanceUsable: () => boolean = () => true,
   ) {
     super();
     this.bound = bound;
@@ -103,6 +112,10 @@
         throw this.discardConnection(request, failure, false);
       // After a rollback during the replay, the connection may belong to another caller.
       if (this.bound !== bound) throw transactionEndedError();
+      if (!this.hasRun && !this.isInstanceUsable()) {
+        this.rollBack();
+        throw transactionEndedError();
+      }
       const outcome = await sendCommand(
         bound.connection,
         toCommand(statement, undefined),
@@ -114,6 +127,7 @@
       const {reply} = outcome;
       const isBusy = reply.refusal?.kind === ErrorKind.Overloaded;
       const canRetryInTime = steadyNowMs() + delayMs < deadlineMs;
+      if (!isBusy) this.hasRun = true;
       if (!isBusy || !isTransactionOpen(reply) || !canRetryInTime) return reply;
       await sleep(delayMs * (0.5 + Math.random()));
       delayMs *= 2;
--- a/packages/gateway/src/core/sessions/statement-executor.ts
+++ b/packages/gateway/src/core/sessions/statement-executor.ts
@@ -67,6 +67,14 @@
   | {readonly reply: InstanceReply; readonly bound: BoundConnection}
   | {readonly error: SapphiregladeError; readonly mayBeKept: boolean};
 
+/** An execution that succeeded, and where. */
+interface SuccessfulExecution {
+  readonly reply: InstanceReply;
+  readonly bound: BoundConnection;
+  readonly group: DatabaseGroup;
+  readonly target: ExecutionTarget;
+}
+
 /** Selects an instance for each statement and runs it on a connection of this proxy. */
 export class StatementExecutor extends StatementRunner {
   constructor(private readonly context: ExecutionContext) {
@@ -93,7 +101,7 @@
     request: ExecutionRequest,
     isReadOnly: boolean,
   ): Promise<UpstreamTransaction> {
-    const {bound} = await this.executeWithRetries(request, {
+    const {bound, group, target} = await this.executeWithRetries(request, {
       run: ({atLeast}, {connection}) =>
         sendCommand(
           connection,
@@ -104,13 +112,16 @@
       isRetryable: true,
       keepsConnection: true,
     });
-    return new LocalTransaction(bound, this.context.log);
+    const {id} = target.member.instance;
+    return new LocalTransaction(bound, this.context.log, () =>
+      group.mayReceiveStatements(id, target.isPrimary),
+    );
   }
 
   private async executeWithRetries(
     request: ExecutionRequest,
     operation: UpstreamOperation,
-  ): Promise<{reply: InstanceReply; bound: BoundConnection}> {
+  ): Promise<SuccessfulExecution> {
     const execution: ExecutionState = {
       group: this.context.groups.getOrCreate(request.route.group),
       request,
@@ -123,7 +134,7 @@
     for (let attempt = 1; ; attempt += 1) {
       const target = await this.selectTarget(execution);
       const result = await this.tryTarget(execution, target);
-      if ('reply' in result) return result;
+      if ('reply' in result) return {...result, target, group: execution.group};
       this.logFailure(execution, target, result.error);
       const limitMs =
         result.error.kind === ErrorKind.NoConnection && !operation.allowsReplica
@@ -165,9 +176,12 @@
     );
     if (failure !== undefined)
       return this.discardConnection(bound, failure, false);
-    if (target.isPrimary && !isStillPrimary(group, target)) {
+    if (!isStillUsable(group, target)) {
       pool.release(bound.connection);
-      return {error: primaryReplacedError(group), mayBeKept: false};
+      const error = target.isPrimary
+        ? primaryReplacedError(group)
+        : replicaWithheldError(target);
+      return {error, mayBeKept: false};
     }
     const unconfirmed = refuseUnconfirmedCommit(pool, request.statement);
     if (unconfirmed !== undefined) {
@@ -325,11 +339,13 @@
   }
 }
 
-/** Returns whether the target is still the usable primary, checked just before it is used. */
-function isStillPrimary(
-  group: DatabaseGroup,
-  target: ExecutionTarget,
-): boolean {
+/**
+ * Returns whether the target may still be used in its role. Checked just before
+ * it is used, as the statement may have waited for a connection.
+ */
+function isStillUsable(group: DatabaseGroup, target: ExecutionTarget): boolean {
+  if (!target.isPrimary)
+    return group.mayReceiveStatements(target.member.instance.id, false);
   const primary = group.usablePrimary();
   return (
     typeof primary === 'object' &&
@@ -337,6 +353,14 @@
   );
 }
 
+function replicaWithheldError({member}: ExecutionTarget): SapphiregladeError {
+  return new SapphiregladeError(
+    ErrorKind.NoConnection,
+    `Instance ${member.instance.id} is leaving.`,
+    {retryAfterMs: INITIAL_RETRY_DELAY_MS},
+  );
+}
+
 function primaryReplacedError(group: DatabaseGroup): SapphiregladeError {
   return new SapphiregladeError(
     ErrorKind.NotPrimary,
--- a/packages/gateway/test/sessions/local-transaction.test.ts
+++ b/packages/gateway/test/sessions/local-transaction.test.ts
@@ -4,7 +4,8 @@
   TransactionState,
 } from '@sapphireglade/decisions';
 import {createSilentLogger} from '@sapphireglade/runtime';
-import {describe, it} from 'node:test';
+import {beforeEach, describe, it} from 'node:test';
+import {setImmediate} from 'node:timers/promises';
 import {expect} from 'earl';
 import {LocalTransaction} from '../../src/core/sessions/local-transaction.js';
 import type {
@@ -57,8 +58,13 @@
 }
 
 describe('LocalTransaction', () => {
-  it('sends no statement after a rollback during the replay of session values', async () => {
-    const connection = new HeldConnection();
+  let connection: HeldConnection;
+  let isUsable: boolean;
+  let transaction: LocalTransaction;
+
+  beforeEach(async () => {
+    isUsable = true;
+    connection = new HeldConnection();
     const pooled = new PooledConnection(connection, () => undefined);
     const begun = pooled.run({
       kind: CommandKind.Begin,
@@ -71,23 +77,52 @@
     const instance = registeredInstance('ledger-0', 'ledger');
     const connector = new MemoryConnector('proxy', new Map());
     const pool = new InstancePool(instance, connector, log);
-    const transaction = new LocalTransaction({pool, connection: pooled}, log);
+    const bound = {pool, connection: pooled};
+    transaction = new LocalTransaction(bound, log, () => isUsable);
+  });
+
+  /** Runs a read; resolves to its reply or to the error. */
+  function read(values: SessionValues): Promise<InstanceReply | Error> {
+    const statement = {
+      requestId: 'read',
+      isRead: true,
+      awaitsReplica: false,
+      text: 'FETCH',
+      prepared: undefined,
+      parameters: '',
+    };
+    const deadlineMs = performance.now() + 1_000;
+    return transaction
+      .run({statement, values, deadlineMs} as ExecutionRequest)
+      .catch((error: Error) => error);
+  }
+
+  describe('on an instance that must be left alone', () => {
+    it('is rolled back instead of sending its first statement', async () => {
+      isUsable = false;
+      const running = read(new SessionValues());
+      expect(await running).toHaveSubset({kind: ErrorKind.TransactionLost});
+      expect(connection.sent).toEqual([
+        CommandKind.Begin,
+        CommandKind.Rollback,
+      ]);
+    });
+
+    it('sends further statements', async () => {
+      for (const usable of [true, false]) {
+        isUsable = usable;
+        const running = read(new SessionValues());
+        await setImmediate();
+        connection.answer();
+        expect(await running).toEqual(REPLY);
+      }
+    });
+  });
+
+  it('sends no statement after a rollback during the replay of session values', async () => {
     const values = new SessionValues();
     values.set('name', 'value');
-    const running = transaction
-      .run({
-        statement: {
-          requestId: 'read',
-          isRead: true,
-          awaitsReplica: false,
-          text: 'FETCH',
-          prepared: undefined,
-          parameters: '',
-        },
-        values,
-        deadlineMs: performance.now() + 1_000,
-      } as Partial<ExecutionRequest> as ExecutionRequest)
-      .catch((error: Error) => error);
+    const running = read(values);
     expect(connection.sent).toEqual([CommandKind.Begin, CommandKind.SetValue]);
 
     transaction.rollBack();
