Recover a record at once if its leader is no longer used, and split two files

Cause: the recovery waits for silent instances because the leader can be used meanwhile. A leader that proxies withhold cannot.

Change: the recovery begins a change at once for a leader that is withheld.

--- a/packages/decisions/src/core/restored-store/record-recovery.ts
+++ b/packages/decisions/src/core/restored-store/record-recovery.ts
@@ -20,6 +20,11 @@
    * an order that can still take effect, before it started. A start ends a hold.
    */
   readonly mayHaveLostHold?: boolean | undefined;
+  /**
+   * Whether proxies send it no statements as primary any more, because it has
+   * been leaving for too long.
+   */
+  readonly isWithheld?: boolean | undefined;
 }
 
 /** What is known of a group after the store was restored. */
@@ -68,7 +73,7 @@
  * Otherwise the change that may have been lost is assumed: the primary is
  * replaced as after an order whose end nobody saw. That takes the primary out of
  * use, so instances that are silent or late get some time first, as long as one
- * follower proves that the leader can be used meanwhile.
+ * follower proves that the leader can be used meanwhile, and it is not withheld.
  *
  * @param inputs - The records that are left, and the reports of the instances.
  * @returns The action, with the record that it needs.
@@ -88,7 +93,8 @@
     const missing = missingProof(instances, leader);
     if (missing === undefined) return confirmRecovery(leader);
     const isFollowed = reports.some(each => isFollower(each, leader.term));
-    if (isFollowed && isTimeLeft) return waitRecovery(missing);
+    const isInUse = isFollowed && !isWithheld(instances, leader);
+    if (isInUse && isTimeLeft) return waitRecovery(missing);
   }
   const primary = lastKnownPrimary(evidence);
   // The primary of a group that was created in the lost seconds may be late.
@@ -141,6 +147,13 @@
   return {records, reports, term, heldTerm, leader};
 }
 
+function isWithheld(
+  instances: readonly RecoveryCandidate[],
+  {id: leader}: ReplicationReport,
+): boolean {
+  return instances.some(each => each.id === leader && each.isWithheld === true);
+}
+
 /** Returns whether an instance follows a term; there is no leader if one is held at a higher term. */
 function isFollower(report: ReplicationReport, term: number): boolean {
   return !report.isPrimary && report.term === term;
--- a/packages/decisions/test/restored-store/record-recovery.test.ts
+++ b/packages/decisions/test/restored-store/record-recovery.test.ts
@@ -186,6 +186,14 @@
       }
     });
 
+    it('replaces a leader at once that proxies no longer use', () => {
+      const instances = silent.map(each => ({
+        ...each,
+        isWithheld: each.id === 'a',
+      }));
+      expect(decide({restored, instances}).kind).toEqual('change');
+    });
+
     it('replaces a leader without a follower at once', () => {
       expect(
         decide({restored, instances: listed(LEADER, 'b', 'c')}).kind,
--- a/packages/gateway/src/core/coordinator/primary-change-context.ts
+++ b/packages/gateway/src/core/coordinator/primary-change-context.ts
@@ -1,6 +1,6 @@
 import type {Logger} from '@sapphireglade/runtime';
 import type {LatestConfiguration} from '../configuration/index.js';
-import type {InstanceDirectory} from '../directory/index.js';
+import type {InstanceDirectory, InstanceUsePolicy} from '../directory/index.js';
 import type {GroupRegistry} from '../groups/index.js';
 import type {GatewayMetrics} from '../metrics/index.js';
 import type {KnownProxies, MemberList} from '../membership/index.js';
@@ -16,6 +16,8 @@
   readonly store: CoordinationStore;
   readonly groups: GroupRegistry;
   readonly directory: InstanceDirectory;
+  /** Decides whether an instance receives statements. */
+  readonly usePolicy: InstanceUsePolicy;
   readonly configuration: LatestConfiguration;
   readonly members: MemberList;
   readonly knownProxies: KnownProxies;
--- a/packages/gateway/src/core/coordinator/record-recovery.ts
+++ b/packages/gateway/src/core/coordinator/record-recovery.ts
@@ -7,6 +7,7 @@
 import {
   confirmersAmong,
   decideRecordRecovery,
+  InstanceUse,
   PrimaryPhase,
 } from '@sapphireglade/decisions';
 import type {DatabaseGroup} from '../groups/index.js';
@@ -62,7 +63,7 @@
    * @throws SapphiregladeError if the store does not respond.
    */
   async run(group: DatabaseGroup): Promise<void> {
-    const {store, directory, control} = this.context;
+    const {store, directory, control, usePolicy} = this.context;
     // Until then the directory and the list of proxies may be incomplete.
     const settledAtMs = store.generationSinceMs + RESTORE_SETTLE_MS;
     if (!store.isSettled) return;
@@ -88,11 +89,12 @@
       decideRecordRecovery({
         restored: group.storedRecord?.record,
         remembered: group.recordBeforeRestore?.record,
-        instances: instances.map(({id, isLeaving, bornAtMs}, index) => ({
-          id,
-          isLeaving,
+        instances: instances.map((instance, index) => ({
+          id: instance.id,
+          isLeaving: instance.isLeaving,
           report: reports[index],
-          mayHaveLostHold: hasStartedRecently(bornAtMs),
+          mayHaveLostHold: hasStartedRecently(instance.bornAtMs),
+          isWithheld: usePolicy.useOf(instance, true) === InstanceUse.Leaving,
         })),
         waitedMs: steadyNowMs() - sinceMs,
       }),
--- a/packages/gateway/src/core/groups/database-group.ts
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -27,6 +27,7 @@
 import {readClocks, steadyNowMs} from '../time/index.js';
 import {toInstanceCandidate} from './instance-candidate.js';
 import type {GroupMember} from './group-member.js';
+import {MemberRemovals} from './member-removals.js';
 import {PrimaryProblem} from './primary-problem.js';
 import type {VersionedPrimaryRecord} from './types.js';
 import {isOutdated} from './types.js';
@@ -38,20 +39,6 @@
  */
 export const VIEW_VALIDITY_MS = 1_000;
 
-/**
- * Time after the removal of an instance in which the other replicas may lack
- * commits that only it and the primary held, in milliseconds; replicas lag for
- * ten seconds at times.
- */
-const REPLICA_CATCH_UP_MS = 60_000;
-
-/**
- * Time that a process must have tracked a group before its list of recently
- * removed instances is complete, in milliseconds; the directory drops silent
- * instances within four seconds.
- */
-const SETTLED_MS = 10_000;
-
 /** The state of one group cached by one proxy. */
 export class DatabaseGroup {
   /** Positions observed at the instances. */
@@ -59,9 +46,7 @@
   /** Tracks until when the view of the record is valid. */
   readonly viewFreshness: ViewFreshness = new ViewFreshness(VIEW_VALIDITY_MS);
   private readonly membersById = new Map<string, GroupMember>();
-  /** Recently removed instances, with their steady-clock time of removal. */
-  private removedMembers: {readonly id: string; readonly atMs: number}[] = [];
-  private trackedSinceMs = steadyNowMs();
+  private readonly removals = new MemberRemovals();
   private readonly recordChanges = new Subject<VersionedPrimaryRecord>();
   private stored: VersionedPrimaryRecord | undefined;
   private beforeRestore: VersionedPrimaryRecord | undefined;
@@ -272,8 +257,7 @@
 
   /** Starts tracking removals, because this proxy holds connections to the instances from now on; earlier removals are unknown. */
   onOwnershipAcquired(): void {
-    this.removedMembers = [];
-    this.trackedSinceMs = steadyNowMs();
+    this.removals.restart();
   }
 
   /** Removes an instance and closes its connections. */
@@ -281,7 +265,7 @@
     const member = this.membersById.get(id);
     if (member === undefined) return;
     this.membersById.delete(id);
-    this.removedMembers.push({id, atMs: steadyNowMs()});
+    this.removals.record(id);
     member.pool.close(reason);
   }
 
@@ -297,19 +281,11 @@
     readonly replicas: readonly GroupMember[];
     readonly absent: number;
   } {
-    this.removedMembers = this.removedMembers.filter(
-      ({atMs}) => nowMs - atMs < REPLICA_CATCH_UP_MS,
-    );
     const primary = this.known?.record.primary;
-    const removed = this.removedMembers.filter(({id}) => id !== primary);
     const replicas = [...this.membersById.values()].filter(
       ({instance}) => instance.id !== primary,
     );
-    const isNew = nowMs - this.trackedSinceMs < SETTLED_MS;
-    return {
-      replicas,
-      absent: 1 + removed.length + Number(isNew),
-    };
+    return {replicas, absent: 1 + this.removals.countExcept(primary, nowMs)};
   }
 
   /** Returns the primary, or the reason why it cannot be used. */
@@ -327,12 +303,7 @@
     return use === InstanceUse.Leaving ? PrimaryProblem.Leaving : member;
   }
 
-  /**
-   * Returns whether an instance is listed and may receive new statements.
-   *
-   * @param id - The instance.
-   * @param isPrimary - Whether it is used as the primary.
-   */
+  /** Returns whether an instance is listed and may receive new statements in its role. */
   mayReceiveStatements(id: string, isPrimary: boolean): boolean {
     const member = this.membersById.get(id);
     return (
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -1,6 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import type {ClockReading} from '@sapphireglade/decisions';
-import {directoryReadIntervalMs, vmCapacity} from '@sapphireglade/decisions';
+import {vmCapacity} from '@sapphireglade/decisions';
 import type {LoggerFactory} from '@sapphireglade/runtime';
 import {LogPart, TaskState} from '@sapphireglade/runtime';
 import {auditTime} from 'rxjs';
@@ -11,13 +11,9 @@
   CoordinatorTask,
   GroupDepartures,
 } from '../coordinator/index.js';
-import {DirectoryUsePolicy, InstanceDirectory} from '../directory/index.js';
+import {InstanceDirectory} from '../directory/index.js';
 import {ForwardingService} from '../forwarding/index.js';
-import {
-  CommitBoundProbe,
-  GroupRegistry,
-  PrimaryRecords,
-} from '../groups/index.js';
+import {GroupRegistry, PrimaryRecords} from '../groups/index.js';
 import {GatewayMetrics, registerGatewayGauges} from '../metrics/index.js';
 import {
   KnownProxies,
@@ -35,16 +31,15 @@
 import {StoreRelayClient} from '../store-relay/index.js';
 import {GroupOwnership} from '../ownership/index.js';
 import type {SessionContext} from '../sessions/index.js';
-import {
-  CallerSession,
-  LateUseLog,
-  StatementExecutor,
-} from '../sessions/index.js';
+import {CallerSession} from '../sessions/index.js';
 import type {RunningSettings} from '../settings/index.js';
 import {StoreWatchers} from './store-watchers.js';
 import {readClocks, withTimeout} from '../time/index.js';
+import {createExecutor} from './create-executor.js';
+import {DirectoryUpkeep} from './directory-upkeep.js';
 import {DEREGISTRATION_TIMEOUT_MS, drainCallers} from './drain-callers.js';
 import type {GatewayAdapters} from './gateway-adapters.js';
+import {parseAddress} from './parse-address.js';
 
 /** Time for which changes of the member list are batched, in milliseconds; a fleet that starts together causes many. */
 const RECONCILE_DELAY_MS = 100;
@@ -56,6 +51,7 @@
 export class GatewayProcess {
   private readonly configuration: LatestConfiguration;
   private readonly directory: InstanceDirectory;
+  private readonly directoryUpkeep: DirectoryUpkeep;
   private readonly members: MemberList;
   private readonly groups: GroupRegistry;
   private readonly ownership: GroupOwnership;
@@ -85,6 +81,11 @@
     const knownProxies = new KnownProxies(generation);
     this.configuration = new LatestConfiguration(logFor(LogPart.Configuration));
     this.directory = new InstanceDirectory(logFor(LogPart.Upstream));
+    this.directoryUpkeep = new DirectoryUpkeep(
+      this.directory,
+      () => this.storeWatchers,
+      () => settings.current.leaveWithinMs,
+    );
     this.members = new MemberList(logFor(LogPart.Membership));
     this.ownership = new GroupOwnership({
       self: name,
@@ -101,12 +102,7 @@
       directory: this.directory,
       connector,
       ownership: this.ownership,
-      usePolicy: new DirectoryUsePolicy({
-        directory: this.directory,
-        leaveWithinMs: () => settings.current.leaveWithinMs,
-        isStoreReachable: () => this.storeWatchers.canConfirmDirectory,
-        onUnconfirmed: () => this.storeWatchers.refreshDirectory(),
-      }),
+      usePolicy: this.directoryUpkeep.usePolicy,
       zoneOf: member => this.members.find(member)?.availabilityZone,
       earlierProxies: () => knownProxies.earlierProxies(name),
       isInOwnRegion: zone => this.regionOf(zone) === this.region,
@@ -163,7 +159,16 @@
       members: this.members,
       configuration: this.configuration,
       primaryZoneOf: group => this.groups.primaryZoneOf(group),
-      localRunner: this.createExecutor(),
+      localRunner: createExecutor({
+        settings,
+        configuration: this.configuration,
+        directory: this.directory,
+        groups: this.groups,
+        region,
+        regionOf,
+        metrics: this.metrics,
+        log: logFor(LogPart.Routing),
+      }),
       relayServer: this.storeWatchers.createRelayServer(),
       log: logFor(LogPart.Routing),
     });
@@ -227,6 +232,7 @@
         store,
         groups: this.groups,
         directory: this.directory,
+        usePolicy: this.directoryUpkeep.usePolicy,
         configuration: this.configuration,
         members: this.members,
         ownersOf: group => this.ownership.ownersOf(group),
@@ -249,7 +255,9 @@
     this.members.changes$
       .pipe(auditTime(RECONCILE_DELAY_MS))
       .subscribe(() => this.reconcile());
-    this.ownership.acquired$.subscribe(() => this.refreshOldDirectory());
+    this.ownership.acquired$.subscribe(() =>
+      this.directoryUpkeep.refreshIfOld(),
+    );
     settings.changes$.subscribe(({maximumCallers}) =>
       adapters.callerServer.limit(maximumCallers),
     );
@@ -279,24 +287,6 @@
     return isConnected || [...current.groups.keys()].some(canForward);
   }
 
-  /** Creates the runner for statements on connections of this process. */
-  private createExecutor(): StatementExecutor {
-    const log = this.logFor(LogPart.Routing);
-    return new StatementExecutor({
-      groups: this.groups,
-      lateUseLog: new LateUseLog(
-        this.directory,
-        () => this.settings.current.leaveWithinMs,
-        log,
-      ),
-      commitBoundProbe: new CommitBoundProbe(this.configuration, log),
-      region: this.region,
-      regionOf: this.regionOf,
-      metrics: this.metrics,
-      log,
-    });
-  }
-
   /** Applies the ownership of groups to connections and view leases; only owners have views. */
   private reconcile(): void {
     // A stopping proxy frees connections for the proxies that take over.
@@ -306,13 +296,6 @@
     if (needsLease) void this.viewLease.start();
   }
 
-  /** Reads the directory now, unless it was read as recently as an owner does. */
-  private refreshOldDirectory(): void {
-    const {leaveWithinMs} = this.settings.current;
-    if (this.directory.ageMs >= directoryReadIntervalMs(leaveWithinMs))
-      this.storeWatchers.refreshDirectory();
-  }
-
   /** Extends the valid views after a lease renewal, and reads the records again if any view is invalid. */
   private extendViews(sentAt: ClockReading): void {
     this.groups.extendAllViews(sentAt);
@@ -346,23 +329,12 @@
     await this.viewVerificationTask.start();
     await this.coordinator.start();
     this.housekeepingTimer = setInterval(() => {
-      this.removeMissingInstances();
+      this.directoryUpkeep.removeMissing(this.coordinator.isCoordinator);
       this.reconcile();
     }, HOUSEKEEPING_INTERVAL_MS);
     log.info('The process started.', {name, zone: availabilityZone});
   }
 
-  private removeMissingInstances(): void {
-    const {directoryObservedAtMs, isDirectoryStale} = this.storeWatchers;
-    const awaitsResponse = this.directory.removeMissing(
-      directoryObservedAtMs,
-      isDirectoryStale,
-    );
-    // A change of primary may wait for the removal.
-    if (awaitsResponse && this.coordinator.isCoordinator)
-      this.storeWatchers.refreshDirectory();
-  }
-
   private async serveMetrics(): Promise<void> {
     registerGatewayGauges(this.metrics, {
       groups: this.groups,
@@ -415,9 +387,3 @@
     await this.adapters.metricsServer?.close();
   }
 }
-
-/** Parses an address of the settings, HOST:PORT. */
-function parseAddress(text: string): {host: string; port: number} {
-  const colon = text.lastIndexOf(':');
-  return {host: text.slice(0, colon), port: Number(text.slice(colon + 1))};
-}
--- a/packages/gateway/test/support/primary-change-context.ts
+++ b/packages/gateway/test/support/primary-change-context.ts
@@ -16,6 +16,7 @@
   KnownProxies,
   MemberList,
   PrimaryReleases,
+  RegistrationUsePolicy,
 } from '../../src/index.js';
 import {MemoryConnector} from './memory-connector.js';
 import type {MemoryGroup, MemoryInstance} from './memory-group.js';
@@ -103,6 +104,7 @@
     self,
     store,
     directory,
+    usePolicy: new RegistrationUsePolicy(),
     promotions,
     configuration,
     members: new MemberList(log),
