Read the directory for a withheld instance only if the directory is old

What callers saw: nothing; found by reading.

Cause: an instance whose entry has been missing for long is withheld too, and each statement that could have used it asked for a read of the directory.

Change: the read is asked for only if the directory is older than an owner's interval.

--- a/packages/gateway/src/core/process/directory-upkeep.ts
+++ b/packages/gateway/src/core/process/directory-upkeep.ts
@@ -23,7 +23,8 @@
       directory,
       leaveWithinMs,
       isStoreReachable: () => storeWatchers().canConfirmDirectory,
-      onUnconfirmed: () => storeWatchers().refreshDirectory(),
+      // A read does not help against an entry that is missing.
+      onUnconfirmed: () => this.refreshIfOld(),
     });
   }
 
