--- a/packages/decisions/src/core/instance-use/decide-instance-use.ts
+++ b/packages/decisions/src/core/instance-use/decide-instance-use.ts
@@ -62,7 +62,7 @@
  * plus the time to send a statement, reaches the limit, the instance has not
  * been leaving for too long, whoever chooses and whatever its role was before.
  *
- * A replica that is known to leave has substitutes and is left alone at once. A
+ * A replica that is known to leave has substitutes and receives nothing new. A
  * primary serves while it is replaced, but not past the limit, because it may
  * stop at any time after that.
  *
--- a/packages/gateway/src/core/directory/instance-directory.ts
+++ b/packages/gateway/src/core/directory/instance-directory.ts
@@ -2,7 +2,7 @@
 import {elapsedMs} from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
 import {Subject} from 'rxjs';
-import {readClocks, steadyNowMs} from '../time/index.js';
+import {readClocks, steadyNowMs, wholeMilliseconds} from '../time/index.js';
 import type {RegisteredInstance} from './types.js';
 
 /**
@@ -236,11 +236,6 @@
   return reading === undefined ? Infinity : elapsedMs(reading, readClocks());
 }
 
-/** Rounds a time for a log line; undefined if it is unknown. */
-function wholeMilliseconds(milliseconds: number): number | undefined {
-  return Number.isFinite(milliseconds) ? Math.round(milliseconds) : undefined;
-}
-
 /**
  * Returns whether a registration precedes another one of the same incarnation; a
  * restored store lists such registrations.
--- a/packages/gateway/src/core/ownership/group-ownership.ts
+++ b/packages/gateway/src/core/ownership/group-ownership.ts
@@ -1,11 +1,11 @@
 import type {OwnerCandidate} from '@sapphireglade/decisions';
 import {planOwners} from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
+import {Subject} from 'rxjs';
 import type {LatestConfiguration} from '../configuration/index.js';
 import type {InstanceDirectory} from '../directory/index.js';
-import {Subject} from 'rxjs';
 import type {MemberList} from '../membership/index.js';
-import {steadyNowMs} from '../time/index.js';
+import {steadyNowMs, wholeMilliseconds} from '../time/index.js';
 
 /**
  * How long this proxy must have been listed before it owns a group in a fleet
@@ -128,9 +128,7 @@
         {
           group,
           owners: this.ownersOf(group).join(' '),
-          directoryAgeMs: Number.isFinite(directory.ageMs)
-            ? Math.round(directory.ageMs)
-            : undefined,
+          directoryAgeMs: wholeMilliseconds(directory.ageMs),
         },
       );
       if (isOwner) this.acquisitions.next(group);
--- a/packages/gateway/src/core/sessions/late-use-log.ts
+++ b/packages/gateway/src/core/sessions/late-use-log.ts
@@ -1,6 +1,6 @@
 import type {Logger} from '@sapphireglade/runtime';
 import type {InstanceDirectory} from '../directory/index.js';
-import {steadyNowMs} from '../time/index.js';
+import {steadyNowMs, wholeMilliseconds} from '../time/index.js';
 import type {ExecutionTarget} from './instance-selection.js';
 import type {ExecutionRequest} from './runnable-statement.js';
 
@@ -42,9 +42,7 @@
         instance: id,
         isPrimary,
         isLeaving: member.instance.isLeaving,
-        stayedAgoMs: Number.isFinite(stayedAgoMs)
-          ? Math.round(stayedAgoMs)
-          : undefined,
+        stayedAgoMs: wholeMilliseconds(stayedAgoMs),
       },
     );
   }
