Leave time to send a statement also within a short limit

What callers saw: nothing; found by reading. A leaveWithinMs of one second or less would have withheld every instance.

Change: a quarter of the limit is allowed for sending, one second at most.

--- a/packages/decisions/src/core/instance-use/decide-instance-use.ts
+++ b/packages/decisions/src/core/instance-use/decide-instance-use.ts
@@ -11,10 +11,13 @@
 export type InstanceUse = (typeof InstanceUse)[keyof typeof InstanceUse];
 
 /**
- * Time from the decision until a statement reaches the instance, in
- * milliseconds; includes the session values that are set before.
+ * Longest time that is allowed from the decision until a statement reaches the
+ * instance, in milliseconds; includes the session values that are set before.
  */
-export const SEND_ALLOWANCE_MS = 1_000;
+export const MAXIMUM_SEND_MS = 1_000;
+
+/** Part of a short limit that is allowed for sending. */
+const SEND_PART = 0.25;
 
 /** Longest interval between two reads of the directory by a proxy that chooses from it, in milliseconds. */
 const MAXIMUM_READ_INTERVAL_MS = 3_000;
@@ -22,6 +25,17 @@
 /** Shortest such interval, in milliseconds. */
 const MINIMUM_READ_INTERVAL_MS = 100;
 
+/**
+ * Returns the age up to which an up-to-date response about an instance allows
+ * its use, in milliseconds.
+ *
+ * @param leaveWithinMs - Time within which a leaving instance must no longer
+ *   receive statements, in milliseconds.
+ */
+export function maximumConfirmationAgeMs(leaveWithinMs: number): number {
+  return leaveWithinMs - Math.min(MAXIMUM_SEND_MS, leaveWithinMs * SEND_PART);
+}
+
 /**
  * Returns the interval in which a proxy that chooses instances reads the
  * directory, in milliseconds: half of the time for which a read counts, so that
@@ -31,7 +45,7 @@
  *   receive statements, in milliseconds.
  */
 export function directoryReadIntervalMs(leaveWithinMs: number): number {
-  const halfMs = (leaveWithinMs - SEND_ALLOWANCE_MS) / 2;
+  const halfMs = maximumConfirmationAgeMs(leaveWithinMs) / 2;
   return Math.min(
     MAXIMUM_READ_INTERVAL_MS,
     Math.max(MINIMUM_READ_INTERVAL_MS, halfMs),
@@ -78,7 +92,7 @@
   leaveWithinMs,
   isStoreReachable,
 }: InstanceUseInputs): InstanceUse {
-  const isWithinLimit = stayedAgoMs + SEND_ALLOWANCE_MS < leaveWithinMs;
+  const isWithinLimit = stayedAgoMs < maximumConfirmationAgeMs(leaveWithinMs);
   if (isLeaving) {
     return isPrimary && isWithinLimit
       ? InstanceUse.Allowed
