--- a/packages/gateway/test/configuration-watch.test.ts
+++ b/packages/gateway/test/configuration-watch.test.ts
@@ -1,11 +1,10 @@
-import {createSilentLogger} from '@sapphireglade/runtime';
 import {describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
-import {StoreWatchers} from '../src/core/process/store-watchers.js';
 import type {WatchResult} from '../src/index.js';
 import {StoreMirror} from '../src/index.js';
 import {MemoryStore, MemoryStoreState} from './support/memory-store.js';
+import {createStoreWatchers} from './support/store-watchers.js';
 
 const CONFIGURATION_KEY = 'op/config';
 
@@ -36,21 +35,13 @@
     const store = new LossyStore(state);
     const configuration = new StoreMirror(CONFIGURATION_KEY);
     state.put(CONFIGURATION_KEY, 'first');
-    const watchers = new StoreWatchers({
+    const watchers = createStoreWatchers({
       store,
-      proxyKeyListeners: [],
       externalListeners: {
         configuration,
         directory: new StoreMirror('servers/'),
       },
       configurationWithinMs: () => WITHIN_MS,
-      leaveWithinMs: () => 7_000,
-      isCoordinator: () => false,
-      ownsAnyGroup: () => true,
-      isRelayUsed: () => false,
-      onProxyKeysConfirmed: () => undefined,
-      onDirectoryConfirmed: () => undefined,
-      log: createSilentLogger(),
     });
     await watchers.start();
     while (store.waitsMs.length === 0) await sleep(5);
--- a/packages/gateway/test/coordinator/coordinator-without-groups.test.ts
+++ b/packages/gateway/test/coordinator/coordinator-without-groups.test.ts
@@ -2,7 +2,6 @@
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
-import {StoreWatchers} from '../../src/core/process/store-watchers.js';
 import type {PrimaryChangeContext} from '../../src/index.js';
 import {
   LatestConfiguration,
@@ -15,10 +14,10 @@
   KnownProxies,
   MEMBER_PREFIX,
   MemberList,
-  StoreMirror,
 } from '../../src/index.js';
 import {MemoryConnector} from '../support/memory-connector.js';
 import {MemoryStore, MemoryStoreState} from '../support/memory-store.js';
+import {createStoreWatchers} from '../support/store-watchers.js';
 
 const SELF = 'proxy-0';
 
@@ -39,21 +38,11 @@
 
   describe('while it could use the store relay of another proxy', () => {
     async function followsDirectory(isCoordinator: boolean): Promise<boolean> {
-      const watchers = new StoreWatchers({
+      const watchers = createStoreWatchers({
         store,
-        proxyKeyListeners: [],
-        externalListeners: {
-          configuration: new StoreMirror('op/config'),
-          directory: new StoreMirror('servers/'),
-        },
-        configurationWithinMs: () => 3_000,
-        leaveWithinMs: () => 7_000,
         isCoordinator: () => isCoordinator,
         ownsAnyGroup: () => false,
         isRelayUsed: () => true,
-        onProxyKeysConfirmed: () => undefined,
-        onDirectoryConfirmed: () => undefined,
-        log,
       });
       await watchers.start();
       await sleep(READ_MS);
--- a/packages/gateway/test/store/directory-reads.test.ts
+++ b/packages/gateway/test/store/directory-reads.test.ts
@@ -1,12 +1,11 @@
 import {ErrorKind, SapphiregladeError} from '@sapphireglade/decisions';
-import {createSilentLogger} from '@sapphireglade/runtime';
 import {describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
-import {StoreWatchers} from '../../src/core/process/store-watchers.js';
 import type {StoredItems, WatchResult} from '../../src/index.js';
 import {StoreMirror} from '../../src/index.js';
 import {MemoryStore, MemoryStoreState} from '../support/memory-store.js';
+import {createStoreWatchers} from '../support/store-watchers.js';
 
 const DIRECTORY_PREFIX = 'servers/';
 
@@ -61,21 +60,12 @@
       const store = new UnreliableStore(state);
       const directory = new StoreMirror(DIRECTORY_PREFIX);
       state.put(`${DIRECTORY_PREFIX}a`, 'ready');
-      const watchers = new StoreWatchers({
+      const watchers = createStoreWatchers({
         store,
-        proxyKeyListeners: [],
         externalListeners: {
           configuration: new StoreMirror('op/config'),
           directory,
         },
-        configurationWithinMs: () => 3_000,
-        leaveWithinMs: () => 7_000,
-        isCoordinator: () => false,
-        ownsAnyGroup: () => true,
-        isRelayUsed: () => false,
-        onProxyKeysConfirmed: () => undefined,
-        onDirectoryConfirmed: () => undefined,
-        log: createSilentLogger(),
       });
       await watchers.start();
       await sleep(OWNER_INTERVAL_MS + ATTEMPTS_MS);
