--- a/review/lib/fleet.js
+++ b/review/lib/fleet.js
@@ -29,6 +29,11 @@
 /** Time in which the owners of the connections settle, in milliseconds. */
 const SETTLE_MS = 4_000;
 
+/** Range from which the ports of the gateways are drawn. */
+const FIRST_PORT = 12_000;
+const LAST_PORT = 32_000;
+const usedPorts = new Set();
+
 export const ZONES = ['lhr-depot', 'khi-depot', 'rwp-depot'];
 
 export const REGIONS = {
@@ -289,6 +294,12 @@
 export async function runCase(url, sizes, play, services) {
   const record = new Record(dirname(fileURLToPath(url)));
   const fleet = new Fleet(record, sizes, services);
+  for (const signal of ['SIGTERM', 'SIGINT']) {
+    process.once(signal, () => {
+      fleet.stop();
+      process.exit(2);
+    });
+  }
   let result;
   try {
     await fleet.start();
@@ -344,15 +355,25 @@
   });
 }
 
-/** Finds free ports; they are closed again before a gateway opens them. */
+/** Finds free ports below those that the system gives to connections. */
 async function freePorts(count) {
-  const servers = Array.from({length: count}, () => createServer());
-  for (const server of servers)
-    await new Promise(resolve =>
-      server.listen({host: '127.0.0.1', port: 0}, resolve),
-    );
-  const ports = servers.map(server => server.address().port);
-  for (const server of servers)
-    await new Promise(resolve => server.close(resolve));
+  const ports = [];
+  while (ports.length < count) {
+    const port =
+      FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
+    if (usedPorts.has(port) || !(await isFree(port))) continue;
+    usedPorts.add(port);
+    ports.push(port);
+  }
   return ports;
 }
+
+function isFree(port) {
+  const server = createServer();
+  return new Promise(resolve => {
+    server.once('error', () => resolve(false));
+    server.listen({host: '127.0.0.1', port}, () =>
+      server.close(() => resolve(true)),
+    );
+  });
+}
