review: a stopping proxy lets transactions go on and then cuts their statements off

A transaction in which a statement runs half-way through the grace period is not ended afterwards. Its later statements are passed on to an instance and cut off without an answer at the forced stop.

--- a/review/4/case.js
+++ b/review/4/case.js
@@ -1,56 +1,108 @@
-/**
- * Sessions with many values, at a proxy that forwards their statements to the
- * owners of the connections.
- */
+/** A gateway is stopped while transactions with slow reads are open. */
 import {performance} from 'node:perf_hooks';
+import {setTimeout} from 'node:timers';
 import {Client} from '../lib/client.js';
 import {runCase, sleep, waitUntilServed} from '../lib/fleet.js';
 
-/** Size of one value, in bytes; a message may have 1 MiB. */
-const VALUE_BYTES = 200_000;
+/** How long a read is at work; the longest of the route's reads, in milliseconds. */
+const WORK_MS = 300;
 
-/** Values of a large session: 2.4 MB in all. */
-const LARGE_VALUES = 12;
+/** Statements of a transaction; the most that the pages name. */
+const STATEMENTS = 12;
 
-const ROUNDS = 5;
-const ROUND_MS = 9_000;
+/** Sessions, one for each slot of an instance. */
+const SESSIONS = 3;
+
+/** The database of the reads, on a route like that of `availability`. */
+const DATABASE = 'db-reads';
+
+/** Time until the route is in force everywhere, in milliseconds. */
+const CONFIGURATION_MS = 4_000;
+
+/** When the transactions begin, in milliseconds after the SIGTERM. */
+const BEGIN_MS = 2_100;
+
+/** `graceS` of the deployment, in milliseconds. */
+const GRACE_MS = 6_000;
+
+/** A request that was sent up to this time may be cut at the end of the grace. */
+const EXCUSED_MS = 3_000;
 
 await runCase(import.meta.url, [4, 3, 2], async (fleet, record, isTrouble) => {
   if (!(await fleet.waitUntilReady())) return undefined;
+  if (!(await waitUntilServed(fleet.gateways, record))) return undefined;
+  const [service] = fleet.services;
+  fleet.routes.push({
+    ...fleet.routes[0],
+    name: 'r-reads',
+    databaseName: DATABASE,
+    type: 'bounded_staleness',
+    maxStalenessMs: 1_500,
+    timeoutMs: 2_000,
+    targetLatencyMs: 800,
+    priority: 2,
+  });
+  fleet.configure();
+  await sleep(CONFIGURATION_MS);
+  service.workOf = item => (item === 'slow' ? WORK_MS : 0);
   const entries = await fleet.findEntries();
-  if (entries.length < 2) return undefined;
-  if (!(await waitUntilServed(entries, record))) return undefined;
-  let unserved = 0;
-  for (let round = 1; round <= ROUNDS; round += 1) {
-    const endsAt = performance.now() + ROUND_MS;
-    for (const entry of entries) {
-      const session = new Client(entry.ports[0]);
-      const greeting = await session.start('db-0');
-      const count = isTrouble ? LARGE_VALUES : 1;
-      let set = 0;
-      for (let index = 0; index < count; index += 1) {
-        const id = `s${round}-${index}`;
-        const value = 'y'.repeat(VALUE_BYTES);
-        const reply = await session.query(id, `SET value${index} ${value}`);
-        if (reply.result === 'COMPLETE -') set += 1;
-      }
-      const id = `r${round}-${entry.name}`;
-      const reply = await session.query(id, 'FETCH first');
-      record.add(
-        `session at ${entry.name}: ${greeting.result}; ${set} of ${count} values set; read ${id}: ${reply.result.slice(0, 120)}`,
-      );
-      if (!reply.result.startsWith('COMPLETE')) unserved += 1;
-      // The client stays connected for a while, as most do.
-      await sleep(1_500);
-      record.add(
-        `session at ${entry.name} is ${session.isClosed ? 'cut off' : 'open'}`,
-      );
-      session.close();
-    }
-    await sleep(Math.max(0, endsAt - performance.now()));
+  const gateway = fleet.gateways.find(each => !entries.includes(each));
+  if (gateway === undefined) return undefined;
+  const sessions = Array.from(
+    {length: SESSIONS},
+    () => new Client(gateway.ports[0]),
+  );
+  for (const session of sessions) await session.start(DATABASE);
+  gateway.isWanted = false;
+  const stoppedAt = performance.now();
+  if (isTrouble) {
+    gateway.process.kill('SIGTERM');
+    record.add(`SIGTERM to ${gateway.name}`);
+    gateway.process.once('exit', code => {
+      const afterMs = Math.round(performance.now() - stoppedAt);
+      record.add(`${gateway.name} ended ${afterMs} ms later, code ${code}`);
+    });
+    setTimeout(() => gateway.process.kill('SIGKILL'), GRACE_MS);
   }
+  await sleep(BEGIN_MS);
+  const results = await Promise.all(
+    sessions.map((session, index) =>
+      runTransaction({session, index, stoppedAt, record}),
+    ),
+  );
   record.addRuns(fleet);
-  record.add(`reads that were not served: ${unserved}`);
-  if (!isTrouble && unserved > 0) return undefined;
-  return fleet.endedTooOften() < 2;
+  const cut = results
+    .flat()
+    .filter(
+      ({id, result, sentMs}) =>
+        result === 'CLOSED' &&
+        sentMs > EXCUSED_MS &&
+        service.runs.some(run => run.id === id),
+    );
+  for (const {id, sentMs, closedMs} of cut)
+    record.add(
+      `CUT ${id}: sent ${sentMs} ms after the SIGTERM, at work at an instance, connection ended at ${closedMs} ms without an answer`,
+    );
+  if (!isTrouble && results.flat().some(({result}) => result === 'CLOSED'))
+    return undefined;
+  return cut.length === 0;
 });
+
+/** Runs one transaction; returns what became of its statements. */
+async function runTransaction({session, index, stoppedAt, record}) {
+  const results = [];
+  const send = async (name, text) => {
+    const id = `t${index}-${name}`;
+    const sentMs = Math.round(performance.now() - stoppedAt);
+    const {result} = await session.query(id, text);
+    const closedMs = Math.round(performance.now() - stoppedAt);
+    record.add(`${id} "${text}" sent at ${sentMs} ms: ${result.slice(0, 90)}`);
+    results.push({id, result, sentMs, closedMs});
+    return result.startsWith('COMPLETE');
+  };
+  if (!(await send('begin', 'BEGIN FETCH'))) return results;
+  for (let count = 1; count <= STATEMENTS; count += 1)
+    if (!(await send(`read${count}`, 'FETCH slow'))) return results;
+  await send('commit', 'COMMIT');
+  return results;
+}
--- a/review/lib/instance.js
+++ b/review/lib/instance.js
@@ -28,6 +28,8 @@
     this.instances[0].isPrimary = true;
     /** Returns the rows of a read, if a case needs others than the usual one. */
     this.rowsOf = () => undefined;
+    /** Returns for how long a read is at work, in milliseconds. */
+    this.workOf = () => 0;
     /** Each statement of a client that was run: id, text and instance. */
     this.runs = [];
   }
@@ -355,10 +357,12 @@
     });
   }
 
-  read(id, text, item) {
+  async read(id, text, item) {
     const {instance} = this;
     const {service} = instance;
     this.note(id, text);
+    const workMs = service.workOf(item.trim());
+    if (workMs > 0) await new Promise(resolve => setTimeout(resolve, workMs));
     const value = instance.data.get(item.trim());
     const rows =
       service.rowsOf(item.trim()) ?? (value === undefined ? [] : [value]);
