review: a script that meets an error of its own cannot run

An uncaught error ended a script with 1, as if the rule were broken, and left its processes running: so did one run of case 2 under load, in which the group had no primary yet when its second instance should leave. A script ends with 2 then and stops its processes, and also if another program has taken one of its ports.

--- a/review/lib/fleet.js
+++ b/review/lib/fleet.js
@@ -134,9 +134,12 @@
 
   onExit(code, signal) {
     if (!this.isWanted) return;
+    const reason = this.reason();
+    // Another program took a port after it was drawn; that is no fault.
+    if (reason.includes('EADDRINUSE')) this.fleet.hasLostPort = true;
     this.ends += 1;
     this.fleet.record.add(
-      `PROCESS ${this.name} ended by itself: code ${code}, signal ${signal}; ${this.reason()}`,
+      `PROCESS ${this.name} ended by itself: code ${code}, signal ${signal}; ${reason}`,
     );
     setTimeout(() => {
       if (this.isWanted) this.start();
@@ -300,6 +303,12 @@
       process.exit(2);
     });
   }
+  process.once('uncaughtException', error => {
+    record.add(`The case could not run: ${error.stack}`);
+    record.save();
+    fleet.stop();
+    process.exit(2);
+  });
   let result;
   try {
     await fleet.start();
@@ -309,6 +318,7 @@
   } finally {
     fleet.stop();
   }
+  if (fleet.hasLostPort) result = undefined;
   const code = result === undefined ? 2 : result ? 0 : 1;
   const words = ['the rule held', 'the rule was broken', 'not run'];
   record.add(`RESULT ${code}: ${words[code]}`);
