--- a/review/4/case.js
+++ b/review/4/case.js
@@ -52,7 +52,11 @@
     {length: SESSIONS},
     () => new Client(gateway.ports[0]),
   );
-  for (const session of sessions) await session.start(DATABASE);
+  for (const session of sessions) {
+    const {result} = await session.start(DATABASE);
+    record.add(`session at ${gateway.name}: ${result}`);
+    if (result !== 'READY') return undefined;
+  }
   gateway.isWanted = false;
   const stoppedAt = performance.now();
   if (isTrouble) {
@@ -71,6 +75,12 @@
     ),
   );
   record.addRuns(fleet);
+  // A transaction that failed before half of the grace period shows nothing.
+  const hasFailedEarly = results.some(statements => {
+    const last = statements.at(-1);
+    return !last.result.startsWith('COMPLETE') && last.sentMs < EXCUSED_MS;
+  });
+  if (hasFailedEarly) return undefined;
   const cut = results
     .flat()
     .filter(
