Answer every request that a stopping proxy has accepted

Cause: open transactions were ended by one look at each connection at half of the grace period. A connection that ran a statement at that moment was never asked again, and its further statements were accepted and passed on until the forced stop, which knew connections and not requests. The same held at an owner for a transaction of another proxy, and requests queued behind a running one were dropped with the connection.

Change: a stop has phases (decisions/core/drain), and a connection acts on the phase whenever its state changes. From half of the grace period on a running statement may finish and each other one is refused as not run; a transaction is rolled back when none of its statements runs, and its caller learns it from the answer to its next statement.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -5,6 +5,7 @@
 export * from './core/connected-session/index.js';
 export * from './core/connection-plan/index.js';
 export * from './core/dispatch/index.js';
+export * from './core/drain/index.js';
 export * from './core/configuration/index.js';
 export * from './core/confirmation/index.js';
 export * from './core/errors/index.js';
--- a/packages/gateway/src/core/forwarding/forwarded-request-server.ts
+++ b/packages/gateway/src/core/forwarding/forwarded-request-server.ts
@@ -7,7 +7,7 @@
 import type {Logger} from '@sapphireglade/runtime';
 import type {LatestConfiguration} from '../configuration/index.js';
 import type {ExecutionRequest, StatementRunner} from '../sessions/index.js';
-import {SessionTransaction} from '../sessions/index.js';
+import {limitDeadlines, SessionTransaction} from '../sessions/index.js';
 import type {
   RelayResponse,
   StoreRelayServer,
@@ -48,6 +48,11 @@
   readonly configuration: LatestConfiguration;
   /** Answers requests of other proxies for the state of the store. */
   readonly relayServer: StoreRelayServer;
+  /**
+   * Returns the time by which a stopping process answers every statement, in
+   * milliseconds of the steady clock; Infinity while it is not stopping.
+   */
+  readonly answersByMs: () => number;
   readonly log: Logger;
 }
 
@@ -75,6 +80,7 @@
 export class ForwardedRequestServer implements LinkHandlers {
   private readonly linkStates = new Map<Link, ServedLinkState>();
   private isDraining = false;
+  private isEndingTransactions = false;
   private running = 0;
 
   constructor(private readonly options: ForwardedRequestServerOptions) {}
@@ -93,8 +99,12 @@
     this.isDraining = true;
   }
 
-  /** Rolls back the transactions in which no statement is running. */
+  /**
+   * Rolls back the open transactions, each as soon as none of its statements is
+   * running.
+   */
   endOpenTransactions(): void {
+    this.isEndingTransactions = true;
     for (const {transactions} of this.linkStates.values()) {
       for (const [id, forwarded] of transactions) {
         if (!forwarded.isBusy) endTransaction(transactions, id);
@@ -212,6 +222,8 @@
       forwarded.isBusy = false;
       // If the link has closed in the meantime, nothing else would end the transaction.
       if (!link.isOpen) forwarded.transaction.rollBack();
+      else if (this.isEndingTransactions)
+        endTransaction(transactions, request.transaction);
       else if (transactions.has(request.transaction)) {
         this.startIdleTimer(transactions, request.transaction, forwarded);
       }
@@ -247,7 +259,10 @@
       setTimeout(() => link.close(), LATE_LINK_CLOSE_DELAY_MS).unref();
     }
     if (!isExpired && !linkState.hasExpiredRequest)
-      return decodeExecution(execution, ageMs);
+      return limitDeadlines(
+        decodeExecution(execution, ageMs),
+        this.options.answersByMs(),
+      );
     throw new SapphiregladeError(
       ErrorKind.DeadlineUnreachable,
       'The statement reached the owner after its deadline.',
--- a/packages/gateway/src/core/forwarding/forwarding-service.ts
+++ b/packages/gateway/src/core/forwarding/forwarding-service.ts
@@ -52,6 +52,11 @@
   readonly localRunner: StatementRunner;
   /** Answers requests of other proxies for the state of the store. */
   readonly relayServer: StoreRelayServer;
+  /**
+   * Returns the time by which a stopping process answers every statement, in
+   * milliseconds of the steady clock; Infinity while it is not stopping.
+   */
+  readonly answersByMs: () => number;
   readonly log: Logger;
 }
 
@@ -72,6 +77,7 @@
       primaryZoneOf: options.primaryZoneOf,
       configuration,
       relayServer: options.relayServer,
+      answersByMs: options.answersByMs,
       log,
     });
     const sharedContext: Omit<LinkContext, 'timings'> = {
@@ -161,7 +167,7 @@
     this.requestServer.drain();
   }
 
-  /** Rolls back the transactions of other proxies' callers in which no statement is running. */
+  /** Rolls back the transactions of other proxies' callers, each as soon as none of its statements is running. */
   endForwardedTransactions(): void {
     this.requestServer.endOpenTransactions();
   }
--- a/packages/gateway/src/core/process/drain-callers.ts
+++ b/packages/gateway/src/core/process/drain-callers.ts
@@ -1,16 +1,10 @@
+import type {DrainSchedule} from '@sapphireglade/decisions';
+import {DrainPhase} from '@sapphireglade/decisions';
+import type {Logger} from '@sapphireglade/runtime';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {ForwardingService} from '../forwarding/index.js';
 import type {CallerServer} from '../servers/index.js';
-import {withTimeout} from '../time/index.js';
-
-/** Time for which new callers are still served after a stop began, in milliseconds; the balancer probes once a second and needs two failed probes. */
-const BALANCER_DELAY_MS = 2_300;
-
-/** Fraction of the grace period in which open transactions may end. */
-const TRANSACTION_GRACE_FRACTION = 0.5;
-
-/** Fraction of the grace period after which the process stops in any case. */
-const FORCED_STOP_GRACE_FRACTION = 0.9;
+import {steadyNowMs, withTimeout} from '../time/index.js';
 
 /** Timeout for removing this process from the store, in milliseconds; its leases expire anyway. */
 export const DEREGISTRATION_TIMEOUT_MS = 250;
@@ -26,31 +20,29 @@
   readonly deregister: () => Promise<unknown>;
   /** When the stop began, in milliseconds of the steady clock. */
   readonly beganAtMs: number;
-  /** Time from then until the process has to have stopped, in milliseconds. */
-  readonly graceMs: number;
+  readonly schedule: DrainSchedule;
+  readonly log: Logger;
 }
 
 /**
- * Lets open statements and transactions finish within the grace period.
+ * Lets open statements and transactions finish within the grace period, and
+ * answers every request that was accepted.
  *
  * New callers are served until the balancer has taken this process out.
  */
 export async function drainCallers(options: DrainOptions): Promise<void> {
-  const {callerServer, forwarding, beganAtMs, graceMs} = options;
+  const {callerServer, forwarding, beganAtMs, schedule} = options;
   await withTimeout(options.deregister(), DEREGISTRATION_TIMEOUT_MS);
-  await sleep(BALANCER_DELAY_MS);
-  callerServer.drain();
+  await sleep(beganAtMs + schedule.closesIdleAfterMs - steadyNowMs());
+  callerServer.enterPhase(DrainPhase.ClosingIdle);
   forwarding.drain();
-  await waitForCallers(
-    options,
-    beganAtMs + graceMs * TRANSACTION_GRACE_FRACTION,
-  );
-  callerServer.endOpenTransactions();
+  await waitForCallers(options, beganAtMs + schedule.finishesAfterMs);
+  logRemaining(options, 'Statements are no longer accepted.');
+  callerServer.enterPhase(DrainPhase.Finishing);
   forwarding.endForwardedTransactions();
-  await waitForCallers(
-    options,
-    beganAtMs + graceMs * FORCED_STOP_GRACE_FRACTION,
-  );
+  await waitForCallers(options, beganAtMs + schedule.abandonsAfterMs);
+  logRemaining(options, 'Requests without a result are abandoned.');
+  callerServer.enterPhase(DrainPhase.Abandoning);
 }
 
 async function waitForCallers(
@@ -59,7 +51,22 @@
 ): Promise<void> {
   const isServing = (): boolean =>
     callerServer.openConnections + forwarding.activeForwardedCount > 0;
-  while (isServing() && performance.now() < deadlineMs) {
+  while (isServing() && steadyNowMs() < deadlineMs) {
     await sleep(STOP_POLL_MS);
   }
 }
+
+/** Logs what is still open when a phase of the stop begins, if anything is. */
+function logRemaining(
+  {callerServer, forwarding, beganAtMs, log}: DrainOptions,
+  message: string,
+): void {
+  const connections = callerServer.openConnections;
+  const forwarded = forwarding.activeForwardedCount;
+  if (connections + forwarded === 0) return;
+  log.info(message, {
+    connections,
+    forwarded,
+    afterMs: Math.round(steadyNowMs() - beganAtMs),
+  });
+}
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -1,6 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import type {ClockReading} from '@sapphireglade/decisions';
-import {vmCapacity} from '@sapphireglade/decisions';
+import {scheduleDrain, vmCapacity} from '@sapphireglade/decisions';
 import type {LoggerFactory} from '@sapphireglade/runtime';
 import {LogPart, TaskState} from '@sapphireglade/runtime';
 import {auditTime} from 'rxjs';
@@ -67,6 +67,7 @@
   private readonly metrics = new GatewayMetrics();
   private housekeepingTimer: NodeJS.Timeout | undefined;
   private isStopping = false;
+  private answersByMs = Infinity;
 
   constructor(
     private readonly settings: RunningSettings,
@@ -170,6 +171,7 @@
         log: logFor(LogPart.Routing),
       }),
       relayServer: this.storeWatchers.createRelayServer(),
+      answersByMs: () => this.answersByMs,
       log: logFor(LogPart.Routing),
     });
     this.relayClient = new StoreRelayClient({
@@ -313,6 +315,7 @@
     const context: SessionContext = {
       configuration: this.configuration,
       runnerFor: group => this.forwarding.runnerFor(group),
+      answersByMs: () => this.answersByMs,
       metrics: this.metrics,
       log: this.logFor(LogPart.Routing),
     };
@@ -359,6 +362,8 @@
     log.info('The process is stopping.', {
       connections: this.adapters.callerServer.openConnections,
     });
+    const schedule = scheduleDrain(this.settings.current.stopGraceS * 1_000);
+    this.answersByMs = beganAtMs + schedule.answersByMs;
     this.ownership.freeze();
     await drainCallers({
       callerServer: this.adapters.callerServer,
@@ -366,7 +371,8 @@
       deregister: () =>
         Promise.all([this.coordinator.stop(0), this.member.stop(0)]),
       beganAtMs,
-      graceMs: this.settings.current.stopGraceS * 1_000,
+      schedule,
+      log,
     });
     await this.shutDown();
     log.info('The process stopped.', {
--- a/packages/gateway/src/core/servers/caller-server.ts
+++ b/packages/gateway/src/core/servers/caller-server.ts
@@ -1,3 +1,4 @@
+import type {DrainPhase} from '@sapphireglade/decisions';
 import type {CallerSession} from '../sessions/index.js';
 
 /** Creates a session for a database. */
@@ -14,12 +15,12 @@
   /** Sets how many callers may be connected; existing connections above the limit stay open. */
   abstract limit(maximumCallers: number): void;
 
-  /** Stops accepting callers and closes each session when it is idle. */
-  abstract drain(): void;
+  /**
+   * Enters a phase of a graceful stop. From the first one on, no callers are
+   * accepted.
+   */
+  abstract enterPhase(phase: DrainPhase): void;
 
-  /** Ends the sessions that are in a transaction and run no statement. */
-  abstract endOpenTransactions(): void;
-
-  /** Closes every connection. */
+  /** Closes every connection, after its answers were handed over. */
   abstract close(): Promise<void>;
 }
--- a/packages/gateway/src/core/sessions/caller-session.ts
+++ b/packages/gateway/src/core/sessions/caller-session.ts
@@ -9,7 +9,16 @@
 import type {Route} from '../configuration/index.js';
 import {steadyNowMs} from '../time/index.js';
 import type {InstanceReply} from '../upstream/index.js';
+import {changeSessionState} from './change-session-state.js';
+import type {SessionStateChange} from './change-session-state.js';
+import {recordRequest} from './record-request.js';
+import {limitDeadlines} from './runnable-statement.js';
 import type {SessionContext} from './session-context.js';
+import {
+  invalidInputError,
+  shuttingDownError,
+  toSapphiregladeError,
+} from './session-errors.js';
 import type {
   ExecutionRequest,
   RunnableStatement,
@@ -37,8 +46,9 @@
   private ownCommit: LogPosition | undefined;
   private lastCommitGroup: string | undefined;
   private idleTimer: NodeJS.Timeout | undefined;
-  private isBusy = false;
+  private running: SessionRequest | undefined;
   private isEnded = false;
+  private refusesStatements = false;
 
   /**
    * @param context - Dependencies shared by all sessions of the process.
@@ -54,6 +64,11 @@
     return this.state === TransactionState.Idle;
   }
 
+  /** Whether a transaction is open, as far as the caller was told. */
+  get hasOpenTransaction(): boolean {
+    return this.state === TransactionState.Open;
+  }
+
   /** Reason why the session cannot start; undefined if it can. */
   get refusal(): ErrorKind | undefined {
     if (this.context.configuration.current === undefined) {
@@ -65,7 +80,7 @@
   /** Serves one request. Requests of a session are served one at a time. */
   async handle(request: SessionRequest): Promise<SessionReply> {
     clearTimeout(this.idleTimer);
-    this.isBusy = true;
+    this.running = request;
     const receivedAtMs = steadyNowMs();
     let outcome: Outcome = Outcome.Done;
     try {
@@ -75,9 +90,15 @@
       outcome = sessionError.outcome;
       return this.failed(request, sessionError);
     } finally {
-      this.isBusy = false;
-      this.count(request, outcome, steadyNowMs() - receivedAtMs);
+      this.running = undefined;
+      recordRequest(
+        this.context.metrics,
+        request,
+        outcome,
+        steadyNowMs() - receivedAtMs,
+      );
       if (this.isEnded) this.endTransaction(TransactionState.Idle);
+      if (this.refusesStatements) this.transaction?.rollBack();
       this.startIdleTimer();
     }
   }
@@ -87,7 +108,34 @@
     this.isEnded = true;
     clearTimeout(this.idleTimer);
     // A running statement may still bind a connection; handle() cleans up after it.
-    if (!this.isBusy) this.endTransaction(TransactionState.Idle);
+    if (this.running === undefined) this.endTransaction(TransactionState.Idle);
+  }
+
+  /**
+   * Refuses all further statements, because the process is stopping. An open
+   * transaction is rolled back as soon as none of its statements runs; the caller
+   * learns it from the answer to its next statement.
+   */
+  refuseStatements(): void {
+    this.refusesStatements = true;
+    if (this.running === undefined) this.transaction?.rollBack();
+  }
+
+  /**
+   * Returns the answer to a running request whose result is no longer awaited,
+   * and ends the session.
+   */
+  abandonRequest(): SessionReply | undefined {
+    const request = this.running;
+    this.isEnded = true;
+    if (request === undefined) return undefined;
+    return this.failed(
+      request,
+      new SapphiregladeError(
+        ErrorKind.OutcomeUnknown,
+        'The proxy stopped while the statement was running.',
+      ),
+    );
   }
 
   private dispatch({
@@ -96,6 +144,7 @@
   }: SessionRequest): Promise<SessionReply> {
     if (statement === undefined)
       throw invalidInputError('The request is not a valid statement.');
+    if (this.refusesStatements) return Promise.resolve(this.refuse(statement));
     if (this.state === TransactionState.Failed) {
       return Promise.resolve(this.dispatchInFailedTransaction(statement));
     }
@@ -104,7 +153,7 @@
         return Promise.resolve(this.begin(statement.isReadOnly));
       case StatementKind.Rollback:
         this.endTransaction(TransactionState.Idle);
-        return Promise.resolve(this.done());
+        return Promise.resolve(this.answer());
       case StatementKind.Commit:
         return this.commit(requestId, statement.text);
       case StatementKind.Read:
@@ -126,11 +175,23 @@
     }
   }
 
+  /** Refuses a statement, because the process is stopping. */
+  private refuse(statement: Statement): SessionReply {
+    if (this.state === TransactionState.Failed)
+      return this.dispatchInFailedTransaction(statement);
+    const wasOpen = this.state === TransactionState.Open;
+    if (wasOpen && statement.kind === StatementKind.Rollback) {
+      this.endTransaction(TransactionState.Idle);
+      return this.answer();
+    }
+    throw shuttingDownError(wasOpen);
+  }
+
   /** Accepts only a rollback or a commit, which also rolls back. */
   private dispatchInFailedTransaction(statement: Statement): SessionReply {
     if (statement.kind === StatementKind.Rollback) {
       this.endTransaction(TransactionState.Idle);
-      return this.done();
+      return this.answer();
     }
     if (statement.kind === StatementKind.Commit) {
       this.endTransaction(TransactionState.Idle);
@@ -150,7 +211,7 @@
     const runner = this.context.runnerFor(route.group);
     this.transaction = new SessionTransaction(isReadOnly, route, runner);
     this.state = TransactionState.Open;
-    return this.done();
+    return this.answer();
   }
 
   private async commit(requestId: string, text: string): Promise<SessionReply> {
@@ -217,36 +278,13 @@
     return isWrite && this.transaction === undefined;
   }
 
-  private change(
-    statement: Extract<
-      Statement,
-      {kind: 'set-value' | 'prepare' | 'deallocate'}
-    >,
-  ): SessionReply {
-    if (!this.storeSessionState(statement)) {
-      throw new SapphiregladeError(
-        ErrorKind.InvalidInput,
+  private change(statement: SessionStateChange): SessionReply {
+    if (!changeSessionState(this.values, statement)) {
+      throw invalidInputError(
         'The session holds too many values, or the name is unknown.',
       );
     }
-    return this.done();
-  }
-
-  private storeSessionState(
-    statement: Extract<
-      Statement,
-      {kind: 'set-value' | 'prepare' | 'deallocate'}
-    >,
-  ): boolean {
-    const {values} = this;
-    if (statement.kind === StatementKind.SetValue) {
-      return values.set(statement.name, statement.value);
-    }
-    if (statement.kind === StatementKind.Deallocate) {
-      return values.deallocate(statement.name);
-    }
-    const {name, preparedKind, shape} = statement;
-    return values.prepare(name, {kind: preparedKind, shape});
+    return this.answer();
   }
 
   private createExecutionRequest(
@@ -254,7 +292,7 @@
     statement: RunnableStatement,
   ): ExecutionRequest {
     const startedAtMs = steadyNowMs();
-    return {
+    const request = {
       statement,
       route,
       values: this.values,
@@ -265,6 +303,7 @@
       ownCommit:
         this.lastCommitGroup === route.group ? this.ownCommit : undefined,
     };
+    return limitDeadlines(request, this.context.answersByMs());
   }
 
   private recordCommit(route: Route, reply: InstanceReply): void {
@@ -286,23 +325,14 @@
     );
   }
 
-  private answer(reply: InstanceReply): SessionReply {
-    return {
-      rows: reply.rows,
-      signature: reply.signature,
-      failure: undefined,
-      state: this.state,
-      position: reply.position,
-    };
-  }
-
-  private done(): SessionReply {
+  /** Builds the reply to a request that succeeded, with the answer of an instance if there was one. */
+  private answer(reply?: InstanceReply): SessionReply {
     return {
-      rows: [],
-      signature: undefined,
+      rows: reply?.rows ?? [],
+      signature: reply?.signature,
       failure: undefined,
       state: this.state,
-      position: undefined,
+      position: reply?.position,
     };
   }
 
@@ -316,7 +346,7 @@
     });
     const isOpen = this.state === TransactionState.Open;
     if (isOpen) this.endTransaction(TransactionState.Failed);
-    const log = this.context.log;
+    const {log} = this.context;
     const logFailure = error.kind === ErrorKind.Internal ? log.error : log.warn;
     logFailure('A request failed.', {
       request: request.requestId,
@@ -342,21 +372,6 @@
     };
   }
 
-  private count(
-    {statement}: SessionRequest,
-    outcome: Outcome,
-    durationMs: number,
-  ): void {
-    const {metrics} = this.context;
-    const labels = {statement: statement?.kind ?? 'none'};
-    metrics.increment('sapphireglade_requests_total', {...labels, outcome});
-    metrics.recordDuration(
-      'sapphireglade_request_duration_seconds',
-      durationMs,
-      labels,
-    );
-  }
-
   private endTransaction(state: TransactionState): void {
     this.transaction?.rollBack();
     this.transaction = undefined;
@@ -379,15 +394,3 @@
     this.idleTimer.unref();
   }
 }
-
-function invalidInputError(detail: string): SapphiregladeError {
-  return new SapphiregladeError(ErrorKind.InvalidInput, detail);
-}
-
-/** Returns the error itself if its kind is known, otherwise wraps it as an internal error. */
-function toSapphiregladeError(error: unknown): SapphiregladeError {
-  if (error instanceof SapphiregladeError) return error;
-  return new SapphiregladeError(ErrorKind.Internal, String(error), {
-    cause: error,
-  });
-}
--- a/packages/gateway/src/core/sessions/runnable-statement.ts
+++ b/packages/gateway/src/core/sessions/runnable-statement.ts
@@ -37,6 +37,23 @@
   readonly ownCommit: LogPosition | undefined;
 }
 
+/**
+ * Limits the deadlines of a request.
+ *
+ * @param request - The request.
+ * @param latestMs - Latest deadline, in milliseconds of the steady clock.
+ */
+export function limitDeadlines(
+  request: ExecutionRequest,
+  latestMs: number,
+): ExecutionRequest {
+  return {
+    ...request,
+    deadlineMs: Math.min(request.deadlineMs, latestMs),
+    queueDeadlineMs: Math.min(request.queueDeadlineMs, latestMs),
+  };
+}
+
 /**
  * Converts a statement to the command that runs it.
  *
--- a/packages/gateway/src/core/sessions/session-context.ts
+++ b/packages/gateway/src/core/sessions/session-context.ts
@@ -23,6 +23,11 @@
   readonly configuration: LatestConfiguration;
   /** Returns the runner for the statements of a group. */
   readonly runnerFor: (group: string) => StatementRunner;
+  /**
+   * Returns the time by which a stopping process answers every statement, in
+   * milliseconds of the steady clock; Infinity while it is not stopping.
+   */
+  readonly answersByMs: () => number;
   readonly metrics: GatewayMetrics;
   readonly log: Logger;
 }
--- a/packages/gateway/test/fleet/settings-change.test.ts
+++ b/packages/gateway/test/fleet/settings-change.test.ts
@@ -1,6 +1,10 @@
 import {after, before, describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {vmCapacity, ReadConsistency} from '@sapphireglade/decisions';
+import {
+  DrainPhase,
+  vmCapacity,
+  ReadConsistency,
+} from '@sapphireglade/decisions';
 import {LogLevel} from '@sapphireglade/runtime';
 import {expect} from 'earl';
 import type {GatewaySettings, Statement} from '../../src/index.js';
@@ -198,9 +202,10 @@
     callerServer.openConnections = 0;
     await stopped;
     expect(callerServer.events).toEqual([
-      'drain',
+      DrainPhase.ClosingIdle,
       'the caller ends its transaction',
-      'end transactions',
+      DrainPhase.Finishing,
+      DrainPhase.Abandoning,
     ]);
   });
 });
--- a/packages/gateway/test/forwarding/forwarding.test.ts
+++ b/packages/gateway/test/forwarding/forwarding.test.ts
@@ -274,6 +274,33 @@
     });
   });
 
+  describe('a transaction with a running statement at an owner that ends transactions', () => {
+    // Guards against statements that a stopping owner accepts and then cuts off.
+    it('gets the answer to that statement and is rolled back after it', async () => {
+      const events = (): string[] => [
+        ...left.runner.events,
+        ...right.runner.events,
+      ];
+      let finish: () => void = () => undefined;
+      for (const {runner} of [left, right]) {
+        runner.answer = () =>
+          new Promise(resolve => {
+            finish = () => resolve(REPLY);
+          });
+      }
+      const {route} = requestOf('t1', false);
+      const transaction = new SessionTransaction(false, route, remote);
+      const running = transaction.run(requestOf('t1', false));
+      while (!events().includes('run t1')) await sleep(1);
+      for (const {service} of [left, right]) service.endForwardedTransactions();
+      finish();
+      expect(await running).toEqual(REPLY);
+      const error = await failureOf(transaction.run(requestOf('t2', false)));
+      expect(error.kind).toEqual(ErrorKind.TransactionLost);
+      expect(events()).toEqual(['begin', 'run t1', 'roll back']);
+    });
+  });
+
   describe('a link that was opened for a relay request', () => {
     beforeEach(() => {
       owners = ['left'];
--- a/packages/gateway/test/support/linked-proxy.ts
+++ b/packages/gateway/test/support/linked-proxy.ts
@@ -106,6 +106,7 @@
       primaryZoneOf: () => this.primaryZone,
       localRunner: this.runner,
       relayServer: this.relayServer,
+      answersByMs: () => Infinity,
       log: createSilentLogger(),
     });
   }
--- a/packages/gateway/test/support/memory-fleet.ts
+++ b/packages/gateway/test/support/memory-fleet.ts
@@ -3,6 +3,7 @@
   GatewaySettings,
   SessionFactory,
 } from '../../src/index.js';
+import type {DrainPhase} from '@sapphireglade/decisions';
 import {ReadConsistency} from '@sapphireglade/decisions';
 import {createSilentLogger, LogLevel} from '@sapphireglade/runtime';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -55,12 +56,8 @@
     this.limitedTo = maximumCallers;
   }
 
-  override drain(): void {
-    this.events.push('drain');
-  }
-
-  override endOpenTransactions(): void {
-    this.events.push('end transactions');
+  override enterPhase(phase: DrainPhase): void {
+    this.events.push(phase);
   }
 
   override close(): Promise<void> {
