Bound the age of a configuration over every hop

Cause: a proxy that owns nothing receives the configuration from an owner, which counted as up to date while its last watch had not failed, however old that was. 1.9 s of the watch, 0.7 s until it is given up, 0.6 s until the next question and 0.2 s until the proxy reads the store add up to more than the 3 s; each hop kept a bound of its own.

Without the check of the age four cases of store-relay.test.ts fail. Ruled out: the owners that run the writes, which decide nothing about the route.

Change: each answer states the age of its content, counted from the moment up to which the store is known to have held nothing newer. The receiver adds the time of its own request and reads the store itself before the limit less 0.6 s, also while a request hangs, and asks another owner next.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -18,6 +18,7 @@
 export * from './core/membership/index.js';
 export * from './core/ownership/index.js';
 export * from './core/placement/index.js';
+export * from './core/relay/index.js';
 export * from './core/resources/index.js';
 export * from './core/restored-store/index.js';
 export * from './core/retry/index.js';
--- a/packages/gateway/src/core/forwarding/forwarding-service.ts
+++ b/packages/gateway/src/core/forwarding/forwarding-service.ts
@@ -157,6 +157,11 @@
     return result.kind === 'answered' ? result.body : undefined;
   }
 
+  /** Sends the next relay request to another owner, if there is one. */
+  changeRelayOwner(): void {
+    this.ownerLinks.changeAnyOwner();
+  }
+
   /** Starts accepting links. */
   start(): Promise<void> {
     return this.linkServer.start();
--- a/packages/gateway/src/core/forwarding/owner-links.ts
+++ b/packages/gateway/src/core/forwarding/owner-links.ts
@@ -22,6 +22,8 @@
   private readonly peers = new Map<string, OwnerPeer>();
   /** The proxy that was last chosen for a request that any owner can answer. */
   private lastChosenOwner: string | undefined;
+  /** The proxy that is not chosen for such a request, unless it is the only one. */
+  private avoidedOwner: string | undefined;
   /** Availability zone of each group's primary, as reported by owners. */
   private readonly primaryZones = new Map<string, string>();
 
@@ -81,11 +83,21 @@
       names.has(previous.name) &&
       previous.load.avoidUntilMs <= steadyNowMs();
     if (isUsable) return previous;
-    const chosen = this.selectAmong([...names], this.options.location);
+    const others = [...names].filter(name => name !== this.avoidedOwner);
+    const chosen = this.selectAmong(
+      others.length > 0 ? others : [...names],
+      this.options.location,
+    );
     this.lastChosenOwner = chosen?.name;
     return chosen;
   }
 
+  /** Makes the next request that any owner can answer go to another one, if there is one. */
+  changeAnyOwner(): void {
+    this.avoidedOwner = this.lastChosenOwner;
+    this.lastChosenOwner = undefined;
+  }
+
   private selectAmong(
     names: readonly string[],
     location: ProxyLocation,
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -170,7 +170,7 @@
         metrics: this.metrics,
         log: logFor(LogPart.Routing),
       }),
-      relayServer: this.storeWatchers.createRelayServer(),
+      relayServer: this.storeWatchers.relayServer,
       answersByMs: () => this.answersByMs,
       log: logFor(LogPart.Routing),
     });
@@ -180,7 +180,10 @@
         !this.ownership.ownsAny &&
         !this.isStopping &&
         !this.coordinator.mayCoordinate,
+      configurationWithinMs: () => settings.current.configurationWithinMs,
       sendRequest: request => this.forwarding.requestRelay(request),
+      changeSource: () => this.forwarding.changeRelayOwner(),
+      onFallBack: () => this.storeWatchers.refreshConfiguration(),
       listeners: {
         members: this.members,
         configuration: externalListeners.configuration,
--- a/packages/gateway/src/core/process/store-watchers.ts
+++ b/packages/gateway/src/core/process/store-watchers.ts
@@ -1,8 +1,12 @@
 import type {ClockReading} from '@sapphireglade/decisions';
-import {directoryReadIntervalMs} from '@sapphireglade/decisions';
+import {
+  directoryReadIntervalMs,
+  maximumWatchAgeMs,
+} from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
 import type {CoordinationStore, StorePrefixListener} from '../store/index.js';
 import {MEMBER_PREFIX} from '../membership/index.js';
+import type {RelaySource} from '../store-relay/index.js';
 import {StoreRelayServer} from '../store-relay/index.js';
 import {StoreWatcher, StoreMirror} from '../store/index.js';
 import {steadyNowMs} from '../time/index.js';
@@ -23,12 +27,6 @@
 /** Minimum interval between two watches of the proxy keys at a proxy that owns no group, in milliseconds; it also receives changes of owners over its links. */
 const NON_OWNER_INTERVAL_MS = 1_000;
 
-/** Time before the configuration deadline at which a watch of the configuration ends, in milliseconds. A lost response is noticed 0.7 s later and the section is read again after 50 ms, so 350 ms remain for that. */
-const CONFIGURATION_MARGIN_MS = 1_100;
-
-/** Minimum wait time of a watch of the configuration, in milliseconds. */
-const MINIMUM_CONFIGURATION_WAIT_MS = 500;
-
 /** Minimum interval between two watches of the configuration, in milliseconds; versions may follow each other quickly. */
 const CONFIGURATION_INTERVAL_MS = 300;
 
@@ -75,6 +73,8 @@
   private readonly memberMirror = new StoreMirror(MEMBER_PREFIX);
   private readonly configurationMirror: StoreMirror;
   private readonly store: CoordinationStore;
+  /** Relays members and configuration to other proxies. */
+  readonly relayServer: StoreRelayServer;
 
   constructor(options: StoreWatchersOptions) {
     const {store, log, ownsAnyGroup, isCoordinator, externalListeners} =
@@ -102,11 +102,14 @@
     this.configuration = new StoreWatcher({
       store,
       watchedPrefix: externalListeners.configuration.prefix,
-      watchWaitMs: () =>
-        Math.max(
-          MINIMUM_CONFIGURATION_WAIT_MS,
-          options.configurationWithinMs() - CONFIGURATION_MARGIN_MS,
-        ),
+      watchWaitMs: () => {
+        const {configuration, relayServer} = this;
+        const maximumAgeMs = maximumWatchAgeMs(
+          options.configurationWithinMs(),
+          relayServer.isUsed,
+        );
+        return Math.max(0, Math.ceil(maximumAgeMs - configuration.ageMs));
+      },
       minimumIntervalMs: () => CONFIGURATION_INTERVAL_MS,
       shouldPoll: () => false,
       isPaused: usesRelay,
@@ -114,6 +117,11 @@
       log,
       onConfirmed: () => undefined,
     });
+    this.relayServer = new StoreRelayServer(
+      relaySource(this.memberMirror, this.proxyKeys),
+      relaySource(this.configurationMirror, this.configuration),
+      () => store.generation,
+    );
     this.directory = new StoreWatcher({
       store,
       watchedPrefix: externalListeners.directory.prefix,
@@ -135,19 +143,9 @@
     });
   }
 
-  /** Creates the server that relays members and configuration to other proxies. */
-  createRelayServer(): StoreRelayServer {
-    return new StoreRelayServer(
-      {
-        mirror: this.memberMirror,
-        revision: () => knownRevision(this.proxyKeys),
-      },
-      {
-        mirror: this.configurationMirror,
-        revision: () => knownRevision(this.configuration),
-      },
-      () => this.store.generation,
-    );
+  /** Reads the configuration now. */
+  refreshConfiguration(): void {
+    this.configuration.refresh();
   }
 
   /** Whether the store is reachable and the proxy keys have been read. */
@@ -209,6 +207,14 @@
   }
 }
 
+function relaySource(mirror: StoreMirror, watcher: StoreWatcher): RelaySource {
+  return {
+    mirror,
+    revision: () => knownRevision(watcher),
+    ageMs: () => watcher.ageMs,
+  };
+}
+
 /** Returns the revision up to which a watcher has read its prefix, if it is complete and the store reachable. */
 function knownRevision(watcher: StoreWatcher): number | undefined {
   const isCurrent = watcher.isComplete && watcher.isStoreReachable;
--- a/packages/gateway/src/core/store-relay/messages.ts
+++ b/packages/gateway/src/core/store-relay/messages.ts
@@ -36,6 +36,11 @@
 const changesSchema = z.object({
   /** Revision up to which all changes are included. */
   revision: z.number(),
+  /**
+   * Time since the store is known to have held nothing newer, in milliseconds;
+   * earlier versions leave it out.
+   */
+  ageMs: z.number().optional(),
   isWhole: z.boolean(),
   items: z.array(
     z.object({
--- a/packages/gateway/src/core/store-relay/store-relay-server.ts
+++ b/packages/gateway/src/core/store-relay/store-relay-server.ts
@@ -1,5 +1,6 @@
 import {ErrorKind, SapphiregladeError} from '@sapphireglade/decisions';
 import type {StoreMirror} from '../store/index.js';
+import {steadyNowMs} from '../time/index.js';
 import type {RelayResponse, RelayRequest} from './messages.js';
 
 /** A section of the store and the state of its copy. */
@@ -10,10 +11,20 @@
    * followed.
    */
   readonly revision: () => number | undefined;
+  /**
+   * Returns the time since the store is known to have held nothing newer, in
+   * milliseconds.
+   */
+  readonly ageMs: () => number;
 }
 
+/** Time after a request for which the content counts as relayed, in milliseconds; a proxy that found it too old asks again within it. */
+const RELAY_USE_MS = 2_000;
+
 /** Relays the store content received by this proxy. */
 export class StoreRelayServer {
+  private lastRequestAtMs = -Infinity;
+
   /**
    * @param members - The list of live proxies.
    * @param configuration - The operators' configuration.
@@ -25,6 +36,11 @@
     private readonly generation: () => number,
   ) {}
 
+  /** Whether other proxies currently receive the content from this one. */
+  get isUsed(): boolean {
+    return steadyNowMs() - this.lastRequestAtMs < RELAY_USE_MS;
+  }
+
   /**
    * Returns the changes since the revisions of a request.
    *
@@ -33,6 +49,7 @@
    *   another source.
    */
   answer({known: requested, ...request}: RelayRequest): RelayResponse {
+    this.lastRequestAtMs = steadyNowMs();
     const generation = this.generation();
     // Revisions of another generation cannot be compared.
     const known = (request.generation ?? 0) === generation ? requested : {};
@@ -45,7 +62,7 @@
 }
 
 function changesOf(
-  {mirror, revision}: RelaySource,
+  {mirror, revision, ageMs}: RelaySource,
   known: number | undefined,
 ): RelayResponse['members'] {
   const currentRevision = revision();
@@ -58,6 +75,7 @@
   const {isWhole, items, removals} = mirror.changesSince(known);
   return {
     revision: currentRevision,
+    ageMs: ageMs(),
     isWhole,
     items: [...items],
     removals: [...removals],
--- a/packages/gateway/src/core/store/store-watcher.ts
+++ b/packages/gateway/src/core/store/store-watcher.ts
@@ -100,12 +100,15 @@
   private isConnected = false;
   private hasSnapshot = false;
   private lastSyncedAtMs = -Infinity;
+  private confirmedAtMs = -Infinity;
   /** Whether the last list may lack what live writers repeat after a restore. */
   private isListPartial = false;
   /** Whether the restored content has not been read yet. */
   private isRestoreUnread = false;
   /** Whether the next or current watch must return immediately. */
   private isRefreshRequested = false;
+  /** How long the store waited in vain for a change before it answered the last watch, in milliseconds. */
+  private unchangedMs = 0;
   private interrupt: () => void = () => undefined;
 
   constructor(private readonly options: StoreWatcherOptions) {
@@ -126,6 +129,14 @@
     return this.hasSnapshot ? this.lastSyncedAtMs : undefined;
   }
 
+  /**
+   * Time since the store is known to have held nothing newer than the newest
+   * state, in milliseconds.
+   */
+  get ageMs(): number {
+    return steadyNowMs() - this.confirmedAtMs;
+  }
+
   /** Whether the last call got a response. */
   get isStoreReachable(): boolean {
     return this.isConnected;
@@ -148,6 +159,7 @@
     this.knownRevision = 0;
     this.hasSnapshot = false;
     this.lastSyncedAtMs = -Infinity;
+    this.confirmedAtMs = -Infinity;
     this.isRestoreUnread = true;
     for (const listener of this.options.listeners) listener.onRestored();
     this.interrupt();
@@ -235,12 +247,14 @@
     // A refresh needs a response that is up to date.
     const isPolling = this.options.shouldPoll() && !this.isRefreshRequested;
     const isListDue = this.isListPartial && this.options.store.isSettled;
+    this.unchangedMs = 0;
     const result =
       isPolling || !this.hasSnapshot || isListDue
         ? await this.loadSnapshot(isPolling)
         : await this.watchOnce();
     if (result !== StepResult.Applied) return result;
     this.lastSyncedAtMs = sentAt.steadyMs;
+    this.confirmedAtMs = sentAt.steadyMs + this.unchangedMs;
     if (this.hasSnapshot) this.options.onConfirmed(sentAt);
     return result;
   }
@@ -310,6 +324,7 @@
     const {store, watchedPrefix, log} = this.options;
     const wasRefreshRequested = this.isRefreshRequested;
     const waitMs = wasRefreshRequested ? 0 : this.nextWatchWaitMs;
+    const beganAtMs = steadyNowMs();
     try {
       const response = await this.awaitResponse(
         store.watch(watchedPrefix, this.knownRevision, waitMs),
@@ -328,6 +343,9 @@
         return StepResult.RetryNow;
       }
       for (const event of response.events) this.dispatch(event);
+      // A store that answers earlier may have done so for another reason.
+      const hasWaited = steadyNowMs() - beganAtMs >= waitMs;
+      if (response.events.length === 0 && hasWaited) this.unchangedMs = waitMs;
       this.knownRevision = Math.max(this.knownRevision, response.revision);
       return StepResult.Applied;
     } finally {
--- a/packages/gateway/test/configuration-watch.test.ts
+++ b/packages/gateway/test/configuration-watch.test.ts
@@ -1,5 +1,6 @@
 import {describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {maximumRelayedAgeMs} from '@sapphireglade/decisions';
 import {expect} from 'earl';
 import type {WatchResult} from '../src/index.js';
 import {StoreMirror} from '../src/index.js';
@@ -58,4 +59,34 @@
       true,
     );
   });
+
+  it('states how long ago the store held nothing newer, and confirms it in time while others rely on it', async () => {
+    const state = new MemoryStoreState();
+    const store = new LossyStore(state);
+    state.put(CONFIGURATION_KEY, 'first');
+    const watchers = createStoreWatchers({
+      store,
+      configurationWithinMs: () => WITHIN_MS,
+    });
+    await watchers.start();
+    const known = {members: undefined, configuration: undefined};
+    const ages: number[] = [];
+    const endsAtMs = performance.now() + 2 * WITHIN_MS;
+    while (performance.now() < endsAtMs) {
+      await sleep(100);
+      const {configuration} = watchers.relayServer.answer({
+        kind: 'news',
+        known,
+      });
+      ages.push(configuration.ageMs ?? Infinity);
+      // A change in the middle of a watch must not make the next confirmation later.
+      if (ages.length === 25) state.put(CONFIGURATION_KEY, 'second');
+    }
+    await watchers.stop();
+    state.close();
+    expect(Math.max(...ages) < maximumRelayedAgeMs(WITHIN_MS)).toEqual(true);
+    // Each change of the age from high to low is one confirmation.
+    const confirmations = ages.filter((age, index) => age < ages[index - 1]!);
+    expect(confirmations.length >= 3).toEqual(true);
+  });
 });
--- a/packages/gateway/test/store-relay.test.ts
+++ b/packages/gateway/test/store-relay.test.ts
@@ -21,6 +21,9 @@
 /** Longer than the interval between two requests, in milliseconds. */
 const TWO_POLLS_MS = 1_400;
 
+/** Time within which a configuration must be in force, in milliseconds. */
+const WITHIN_MS = 3_000;
+
 function item(key: string, revision: number): StoredItem {
   return {key, value: Buffer.from(`${key}@${revision}`), revision, leaseId: 0};
 }
@@ -86,7 +89,11 @@
   let syncedRevision: number | undefined;
   let canUseRelay: boolean;
   let store: CoordinationStore;
+  /** Age of the configuration at the relaying proxy, in milliseconds. */
+  let ageMs: () => number;
+  let events: string[];
   let requests: RelayRequest[];
+  let answer: (request: RelayRequest) => Promise<RelayResponse | undefined>;
   let client: StoreRelayClient;
 
   /** Sends a request to the relay server as a link would. */
@@ -96,8 +103,8 @@
     requests.push(request);
     const revision = (): number | undefined => syncedRevision;
     const server = new StoreRelayServer(
-      {mirror, revision},
-      {mirror: new StoreMirror('c'), revision},
+      {mirror, revision, ageMs: () => 0},
+      {mirror: new StoreMirror('c'), revision, ageMs: () => ageMs()},
       () => store.generation,
     );
     try {
@@ -116,12 +123,18 @@
     mirror.onSnapshot([item('m/a', 3)]);
     syncedRevision = 5;
     canUseRelay = true;
+    ageMs = () => 0;
+    events = [];
     store = new CoordinationStore(undefined as never, createSilentLogger());
     requests = [];
+    answer = sendRequest;
     client = new StoreRelayClient({
       store,
       canUseRelay: () => canUseRelay,
-      sendRequest,
+      configurationWithinMs: () => WITHIN_MS,
+      sendRequest: request => answer(request),
+      changeSource: () => events.push('change source'),
+      onFallBack: () => events.push('fall back'),
       listeners: {members, configuration},
       log: createSilentLogger(),
     });
@@ -162,4 +175,71 @@
     await sleep(TWO_POLLS_MS);
     expect([...members.keys.keys()]).toEqual(['m/a']);
   });
+
+  describe('beside a source that has lost the store', () => {
+    /** Sets the time up to which the source has read the store. */
+    function confirmLast(atMs: number): void {
+      ageMs = () => performance.now() - atMs;
+    }
+
+    /** Waits until relayed content is no longer used, for twice the limit at most; returns the time that this took, in milliseconds. */
+    async function waitUntilInactive(): Promise<number> {
+      const beganAtMs = performance.now();
+      const elapsedMs = (): number => performance.now() - beganAtMs;
+      while (client.isActive && elapsedMs() < 2 * WITHIN_MS) await sleep(5);
+      return elapsedMs();
+    }
+
+    // Guards against configurations that arrive late, because the proxy that relays them has lost the store.
+    it('follows the store directly before the configuration is too old', async () => {
+      confirmLast(performance.now());
+      expect((await waitUntilInactive()) < WITHIN_MS).toEqual(true);
+      expect(events).toEqual(['change source', 'fall back']);
+    });
+
+    it('does so although the source does not answer any more', async () => {
+      confirmLast(performance.now());
+      await sleep(TWO_POLLS_MS);
+      answer = () => new Promise(() => undefined);
+      await waitUntilInactive();
+      expect(events).toEqual(['change source', 'fall back']);
+    });
+
+    it('does not return to it while its content is old', async () => {
+      confirmLast(performance.now());
+      await waitUntilInactive();
+      await sleep(TWO_POLLS_MS);
+      expect(client.isActive).toEqual(false);
+      ageMs = () => 0;
+      await sleep(2 * TWO_POLLS_MS);
+      expect(client.isActive).toEqual(true);
+    });
+
+    it('receives nothing from a source that does not state the age', async () => {
+      answer = async request => {
+        const response = await sendRequest(request);
+        return (
+          response && {
+            ...response,
+            configuration: {...response.configuration, ageMs: undefined},
+          }
+        );
+      };
+      await client.stop(0);
+      const other = new StoreRelayClient({
+        store,
+        canUseRelay: () => true,
+        configurationWithinMs: () => WITHIN_MS,
+        sendRequest: request => answer(request),
+        changeSource: () => undefined,
+        onFallBack: () => undefined,
+        listeners: {members, configuration},
+        log: createSilentLogger(),
+      });
+      await other.start();
+      await sleep(50);
+      expect(other.isActive).toEqual(false);
+      await other.stop(0);
+    });
+  });
 });
--- a/packages/gateway/test/support/linked-proxy.ts
+++ b/packages/gateway/test/support/linked-proxy.ts
@@ -5,6 +5,7 @@
 } from '@sapphireglade/decisions';
 import {createSilentLogger} from '@sapphireglade/runtime';
 import {ForwardingService} from '../../src/core/forwarding/index.js';
+import type {RelaySource} from '../../src/core/store-relay/index.js';
 import {StoreRelayServer} from '../../src/core/store-relay/index.js';
 import type {GroupOwnership} from '../../src/core/ownership/index.js';
 import type {
@@ -79,8 +80,8 @@
   /** Revision up to which it has read the store, if any. */
   followed: number | undefined = 7;
   private readonly relayServer = new StoreRelayServer(
-    {mirror: new StoreMirror('members/'), revision: () => this.followed},
-    {mirror: new StoreMirror('configuration'), revision: () => this.followed},
+    this.relaySource('members/'),
+    this.relaySource('configuration'),
     () => 0,
   );
   readonly configuration = new LatestConfiguration(createSilentLogger());
@@ -110,6 +111,14 @@
       log: createSilentLogger(),
     });
   }
+
+  private relaySource(prefix: string): RelaySource {
+    return {
+      mirror: new StoreMirror(prefix),
+      revision: () => this.followed,
+      ageMs: () => 0,
+    };
+  }
 }
 
 /** Publishes a proxy as a member. */
