--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -259,9 +259,7 @@
       target,
       lastPosition,
     });
-    if (elapsedMs(sentAt, readClocks()) > TOKEN_VALIDITY_MS) return false;
-    // The store may have been restored since.
-    this.assertStillCoordinator();
+    const ageMs = (): number => elapsedMs(sentAt, readClocks());
     const {generation = 0, revision} = written;
     const fencingToken = fencingTokenOf(generation, revision);
     const answer = await context.promotions.promote({
@@ -269,9 +267,16 @@
       instance: target,
       holder: context.self,
       fencingToken,
+      // The store may have been restored since the token was written.
+      isValid: () => ageMs() <= TOKEN_VALIDITY_MS && this.isStillCoordinator,
     });
     this.countStep('ordered');
-    this.log('A promotion was ordered.', {target, token: fencingToken, answer});
+    this.log('A promotion was ordered.', {
+      target,
+      token: fencingToken,
+      answer,
+      ageMs: Math.round(ageMs()),
+    });
     const isPossible =
       answer === PromotionResult.Accepted || answer === PromotionResult.Unknown;
     return (
@@ -367,12 +372,17 @@
    * claimed it again: the record may be another one by now.
    */
   private assertStillCoordinator(): void {
+    if (this.isStillCoordinator) return;
+    throw new Error('This proxy no longer coordinates.');
+  }
+
+  /** Whether the role is still the one with which the change began. */
+  private get isStillCoordinator(): boolean {
     const {store, coordinatorRevision} = this.context;
     const isSameRole =
       coordinatorRevision() === this.coordinatorRevision &&
       store.generation === this.generation;
-    if (this.coordinatorRevision !== 0 && isSameRole) return;
-    throw new Error('This proxy no longer coordinates.');
+    return this.coordinatorRevision !== 0 && isSameRole;
   }
 
   private countStep(step: 'begun' | 'ordered' | 'led' | 'unverified'): void {
--- a/packages/gateway/src/core/coordinator/promotion-service.ts
+++ b/packages/gateway/src/core/coordinator/promotion-service.ts
@@ -6,6 +6,8 @@
   NotRunning: 'not-running',
   /** The platform refused the call for now and changed nothing. */
   Refused: 'refused',
+  /** The request was not sent, because it could not be or was too old. */
+  NotSent: 'not-sent',
   /** No response was received; the call may take effect. */
   Unknown: 'unknown',
 } as const;
@@ -25,6 +27,12 @@
    * Increases with each promotion, so that an older order can be recognized.
    */
   readonly fencingToken: number;
+  /**
+   * Returns whether the promotion may still be ordered. Called just before it is
+   * sent, because opening a connection takes time, and the process may be
+   * suspended meanwhile.
+   */
+  readonly isValid: () => boolean;
 }
 
 /** Promotes an instance to the primary of its group. */
--- a/packages/gateway/test/support/memory-group.ts
+++ b/packages/gateway/test/support/memory-group.ts
@@ -65,6 +65,11 @@
     string,
     {atMs: number; position: LogPosition}
   >();
+  /**
+   * Longest time after which a replica receives an entry that another one has
+   * confirmed, in milliseconds; 0 if all replicas receive it at once.
+   */
+  maximumLagMs = 0;
   private readonly timers = new Set<NodeJS.Timeout>();
 
   constructor(
@@ -170,20 +175,14 @@
   private replicate(from: MemoryInstance): Promise<void> {
     return new Promise(resolve => {
       const tryAgain = (): void => {
-        const receivers = this.instances.filter(
-          replica =>
-            replica !== from &&
-            !replica.isPrimary &&
-            replica.heldTerm <= from.term &&
-            replica.term <= from.term &&
-            this.reaches(from.id, replica) &&
-            !from.isDown &&
-            from.isPrimary,
+        const receivers = this.instances.filter(replica =>
+          this.canReceive(from, replica),
         );
-        for (const replica of receivers) {
-          replica.log = from.log.slice();
-          replica.term = from.term;
-        }
+        const [confirming, ...others] =
+          this.maximumLagMs > 0 ? shuffle(receivers) : [];
+        const prompt = confirming === undefined ? receivers : [confirming];
+        for (const replica of prompt) copyLog(from, replica, from.log.length);
+        for (const replica of others) this.copyLater(from, replica);
         if (receivers.length > 0 || !from.isPrimary) resolve();
         else this.schedule(REPLICATION_INTERVAL_MS, tryAgain);
       };
@@ -191,6 +190,29 @@
     });
   }
 
+  /** Returns whether a replica receives entries from an instance. */
+  private canReceive(from: MemoryInstance, replica: MemoryInstance): boolean {
+    return (
+      replica !== from &&
+      !replica.isPrimary &&
+      replica.heldTerm <= from.term &&
+      replica.term <= from.term &&
+      this.reaches(from.id, replica) &&
+      !from.isDown &&
+      from.isPrimary
+    );
+  }
+
+  /** Sends the present log to a replica that lags behind. */
+  private copyLater(from: MemoryInstance, replica: MemoryInstance): void {
+    const {length} = from.log;
+    this.schedule(this.maximumLagMs * Math.random(), () => {
+      const isBehind = replica.term < from.term || replica.log.length < length;
+      if (isBehind && this.canReceive(from, replica))
+        copyLog(from, replica, length);
+    });
+  }
+
   private becomePrimary(target: MemoryInstance): void {
     const highestTerm = Math.max(
       ...this.instances.flatMap(({term, heldTerm}) => [term, heldTerm]),
@@ -239,3 +261,21 @@
     this.timers.add(timer);
   }
 }
+
+/** Makes a replica hold the first entries of a log and nothing else. */
+function copyLog(
+  from: MemoryInstance,
+  replica: MemoryInstance,
+  length: number,
+): void {
+  replica.log = from.log.slice(0, length);
+  replica.term = from.term;
+}
+
+/** Returns the elements in random order. */
+function shuffle<Element>(elements: readonly Element[]): Element[] {
+  return elements
+    .map(element => ({element, rank: Math.random()}))
+    .sort((left, right) => left.rank - right.rank)
+    .map(({element}) => element);
+}
