Confirm the holds of a change before it orders a promotion

Cause: an order that takes effect late ends the holds of the next change without a restart, and nothing but restarts was asked for. The choice then rests on positions from before; an instance that lacks commits is promoted. A release sent by a coordinator that has lost the role ends the holds of the next one as well.

Change: just before the order every instance that has reported is held again and must be as it reported. An instance that leads a term which the change cannot end is recorded as the primary. Of instances with the same position the one is chosen whose promotion was ordered without a result, so that this order changes nothing when it arrives. Holds are released only while the role is still held.

--- a/packages/decisions/src/core/primary-change/choose-target.ts
+++ b/packages/decisions/src/core/primary-change/choose-target.ts
@@ -32,6 +32,11 @@
   readonly hasSynchronousReplication: boolean;
   /** Whether a promotion was ordered since the term of the old primary. */
   readonly wasPromotionOrdered: boolean;
+  /**
+   * Instance whose promotion was ordered last without an observed result. The
+   * order may still take effect.
+   */
+  readonly orderedTarget?: string | undefined;
   /**
    * Highest position at which a commit is known that may have been acknowledged:
    * the start of the term, or the log of an instance that has lost it since.
@@ -62,6 +67,10 @@
  * then report, because a promotion that takes effect late ends the term hold of
  * the others.
  *
+ * Of several instances with the highest position, the one is chosen whose
+ * promotion was ordered before: if that order takes effect late, it promotes an
+ * instance that leads already, and changes nothing.
+ *
  * Without a proof the change waits as long as an instance may still report. If
  * none can, the best one is promoted, and the choice says what is unverified.
  *
@@ -69,7 +78,10 @@
  * @returns The target, or the reason why the change has to wait.
  */
 export function chooseTarget(inputs: TargetInputs): TargetChoice {
-  const best = mostAdvancedCandidate(inputs.replicas.filter(hasReport));
+  const best = mostAdvancedCandidate(
+    inputs.replicas.filter(hasReport),
+    inputs.orderedTarget,
+  );
   if (best !== undefined && !inputs.hasSynchronousReplication) {
     return promoteChoice(best);
   }
@@ -147,13 +159,15 @@
     : 'the instances that reported lack a commit that may be acknowledged';
 }
 
-/** Returns the highest position; on a tie, an instance that is not leaving. */
+/** Returns the highest position; on a tie, the instance that was ordered before, then one that is not leaving. */
 function mostAdvancedCandidate(
   candidates: readonly ReportedCandidate[],
+  orderedTarget: string | undefined,
 ): ReportedCandidate | undefined {
   return [...candidates].sort(
     (left, right) =>
       comparePositions(right.report.received, left.report.received) ||
+      Number(right.id === orderedTarget) - Number(left.id === orderedTarget) ||
       Number(left.isLeaving) - Number(right.isLeaving) ||
       (left.id < right.id ? -1 : 1),
   )[0];
--- a/packages/decisions/src/core/primary-change/held-reports.ts
+++ b/packages/decisions/src/core/primary-change/held-reports.ts
@@ -42,6 +42,23 @@
     return this.held.get(id)?.report;
   }
 
+  /**
+   * Records a further report of a held instance.
+   *
+   * @returns Whether the instance has received nothing and followed nobody since
+   *   its last report, so that its hold has stood all the while.
+   */
+  confirm(report: ReplicationReport, incarnation: Incarnation): boolean {
+    const previous = this.find(report.id);
+    this.record(report, incarnation);
+    return (
+      previous !== undefined &&
+      !report.isPrimary &&
+      report.term === previous.term &&
+      comparePositions(report.received, previous.received) === 0
+    );
+  }
+
   /** Returns whether an incarnation of an instance is held. */
   isHeld(id: string, incarnation: Incarnation): boolean {
     const entry = this.held.get(id);
--- a/packages/gateway/src/core/coordinator/held-instances.ts
+++ b/packages/gateway/src/core/coordinator/held-instances.ts
@@ -13,19 +13,27 @@
   /** Kept apart, because the old primary may have entries that no replica confirmed. */
   private readonly oldPrimaryReport = new HeldReports();
   private heldAtMs = steadyNowMs();
+  private leadingReport: ReplicationReport | undefined;
 
   /**
    * @param context - Dependencies of the change.
    * @param group - Name of the group.
    * @param orders - Returns the number of promotions that may have been ordered
    *   without a new primary being observed.
+   * @param orderedTarget - Returns the instance that was ordered to lead last.
    */
   constructor(
     private readonly context: PrimaryChangeContext,
     private readonly group: string,
     private readonly orders: () => number,
+    private readonly orderedTarget: () => string | undefined,
   ) {}
 
+  /** Report of an instance that leads a term which a hold of this change cannot end, if there is one. */
+  get leader(): ReplicationReport | undefined {
+    return this.leadingReport;
+  }
+
   /** Steady-clock time of the last hold of an instance, in milliseconds. */
   get lastHeldAtMs(): number {
     return this.heldAtMs;
@@ -86,12 +94,16 @@
       reports.some(report => report.id === id && report.isPrimary),
     );
     const replicas = reports.filter(({isPrimary}) => !isPrimary);
+    this.leadingReport = undefined;
     if (leaders.length === 0) return replicas;
     await this.sendToAll(leaders, {kind: CommandKind.StepDown, term});
     const held = await this.sendToAll(leaders, {
       kind: CommandKind.HoldTerm,
       term,
     });
+    [this.leadingReport] = held
+      .filter(report => report.isPrimary && report.term >= term)
+      .sort((left, right) => right.term - left.term);
     return [...replicas, ...held.filter(({isPrimary}) => !isPrimary)];
   }
 
@@ -109,6 +121,52 @@
     this.heldAtMs = steadyNowMs();
   }
 
+  /**
+   * Holds every instance that reported once more and compares what it has.
+   *
+   * A promotion that takes effect late, or a release that arrives late, ends the
+   * holds without a restart, and the reports are out of date then.
+   *
+   * @returns Whether the target and everyone else who answers is as reported.
+   */
+  async confirmHolds(
+    known: VersionedPrimaryRecord,
+    target: string,
+  ): Promise<boolean> {
+    const term = this.nextTerm(known);
+    const replicas = this.replicas(known).filter(
+      ({id}) => this.replicaReports.find(id) !== undefined,
+    );
+    const old = this.context.directory.find(known.record.primary);
+    const hasOldReport =
+      old !== undefined && this.oldPrimaryReport.find(old.id) !== undefined;
+    const [held, steppedDown] = await Promise.all([
+      this.sendToAll(replicas, {kind: CommandKind.HoldTerm, term}),
+      this.sendToAll(hasOldReport ? [old] : [], {
+        kind: CommandKind.StepDown,
+        term,
+      }),
+    ]);
+    const bornAtMs = (id: string): number | undefined =>
+      this.context.directory.find(id)?.bornAtMs;
+    const areReplicasHeld = held.map(report =>
+      this.replicaReports.confirm(report, bornAtMs(report.id)),
+    );
+    const isOldPrimaryHeld = steppedDown.map(report =>
+      this.oldPrimaryReport.confirm(report, bornAtMs(report.id)),
+    );
+    const hasTargetAnswered = [...held, ...steppedDown].some(
+      ({id}) => id === target,
+    );
+    const areHeld = [...areReplicasHeld, ...isOldPrimaryHeld].every(Boolean);
+    // An instance that leads has to be stepped down and held first.
+    const isLedElsewhere = [...held, ...steppedDown].some(
+      ({isPrimary}) => isPrimary,
+    );
+    if (isLedElsewhere) this.clear();
+    return hasTargetAnswered && areHeld;
+  }
+
   /** Whether every instance that reported is still held; a restart requires a new hold. */
   areIntact(known: VersionedPrimaryRecord): boolean {
     const old = this.context.directory.find(known.record.primary);
@@ -148,6 +206,7 @@
         configuration.current?.groups.get(this.group)
           ?.hasSynchronousReplication ?? true,
       wasPromotionOrdered: this.wasPromotionOrdered,
+      orderedTarget: this.orderedTarget(),
       minimumPosition: [
         departed.bound,
         this.replicaReports.highestPosition,
--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -2,7 +2,6 @@
   LogPosition,
   PrimaryRecord,
   ReplicationReport,
-  TargetChoice,
   TermFields,
 } from '@sapphireglade/decisions';
 import {
@@ -21,6 +20,7 @@
 import {HeldInstances} from './held-instances.js';
 import type {PrimaryChangeContext} from './primary-change-context.js';
 import {PromotionResult} from './promotion-service.js';
+import {PrimaryChangeReason} from './primary-change-reason.js';
 import {TargetChoiceLog} from './target-choice-log.js';
 import {writePrimaryRecord} from './write-primary-record.js';
 import {ViewRevocation} from './view-revocation.js';
@@ -40,19 +40,7 @@
 /** Maximum time for a promoted instance to become primary, in milliseconds. */
 const PROMOTION_TIMEOUT_MS = 4_000;
 
-/** Why a primary is replaced. */
-export const PrimaryChangeReason = {
-  /** The primary cannot be used. */
-  Unusable: 'unusable',
-  /** The primary is leaving. */
-  Leaving: 'leaving',
-  /** Another coordinator started the change and did not finish it. */
-  Unfinished: 'unfinished',
-} as const;
-
-/** A reason to replace a primary. */
-export type PrimaryChangeReason =
-  (typeof PrimaryChangeReason)[keyof typeof PrimaryChangeReason];
+export {PrimaryChangeReason};
 
 /**
  * One change of a group's primary, executed by the coordinator.
@@ -66,6 +54,8 @@
   private readonly beganAtMs = steadyNowMs();
   /** Number of promotions that may have been ordered without a new primary being observed. */
   private failedPromotions = 0;
+  /** The instance that was ordered to lead last, if its promotion was not observed. */
+  private orderedTarget: string | undefined;
   private revocation: ViewRevocation | undefined;
   /** Generation of the store in which the change began. */
   private readonly generation: number;
@@ -83,6 +73,7 @@
       context,
       group.name,
       () => this.failedPromotions,
+      () => this.orderedTarget,
     );
   }
 
@@ -98,6 +89,7 @@
     this.countStep('begun');
     this.log('A change of primary begins.', {reason: this.reason});
     this.failedPromotions = known.record.orders ?? 0;
+    this.orderedTarget = known.record.target;
     if (await this.adoptPrimary(known)) return;
     try {
       const announced = await this.announce(known);
@@ -206,6 +198,11 @@
     const choices = new TargetChoiceLog(this.context.log, this.group.name);
     for (;;) {
       await this.held.holdReplicas(known);
+      const {leader} = this.held;
+      if (leader !== undefined) {
+        await this.adoptLeader(leader);
+        return;
+      }
       const inputs = this.held.targetInputs(known);
       const choice = chooseTarget(inputs);
       choices.record(inputs, choice);
@@ -213,14 +210,20 @@
         await this.awaitViewRevocation();
         if (!this.held.areIntact(known)) continue;
         const {target, position, unverified} = choice;
-        if (unverified !== undefined) this.reportUnverified(choice);
+        if (!(await this.held.confirmHolds(known, target))) {
+          this.log('The instances changed while they were held.', {target});
+          await sleep(RETRY_DELAY_MS);
+          continue;
+        }
+        if (unverified !== undefined) {
+          this.countStep('unverified');
+          choices.reportUnverified(choice);
+        }
         if (await this.promote(known.record, target, position)) return;
         known = await this.restartChange(known);
-      } else {
-        if (choice.reason !== loggedReason) {
-          loggedReason = choice.reason;
-          this.log('The change of primary waits.', {waitsFor: choice.reason});
-        }
+      } else if (choice.reason !== loggedReason) {
+        loggedReason = choice.reason;
+        this.log('The change of primary waits.', {waitsFor: choice.reason});
       }
       if (!this.hasFailedPromotion) await this.held.stepDownOldPrimary(known);
       await sleep(RETRY_DELAY_MS);
@@ -243,6 +246,18 @@
     return this.announce(known);
   }
 
+  /** Completes the change with an instance that leads a newer term than this change could begin. */
+  private async adoptLeader(leader: ReplicationReport): Promise<void> {
+    this.context.log.warn('An instance leads that no record names.', {
+      group: this.group.name,
+      instance: leader.id,
+      term: leader.term,
+      position: formatPosition(leader.received),
+    });
+    await this.awaitViewRevocation();
+    await this.completeChange(leader, undefined);
+  }
+
   /** Orders the promotion with a fencing token written for it. Returns whether the target leads. */
   private async promote(
     old: PrimaryRecord,
@@ -270,6 +285,7 @@
       // The store may have been restored since the token was written.
       isValid: () => ageMs() <= TOKEN_VALIDITY_MS && this.isStillCoordinator,
     });
+    this.orderedTarget = target;
     this.countStep('ordered');
     this.log('A promotion was ordered.', {
       target,
@@ -332,6 +348,8 @@
       term: leader.term,
       tookMs: Math.round(steadyNowMs() - this.beganAtMs),
     });
+    // The next coordinator may have held the instances in the meantime.
+    if (!this.isStillCoordinator) return;
     const others = this.context.directory
       .findByGroup(this.group.name)
       .filter(({id}) => id !== leader.id);
@@ -343,24 +361,6 @@
     return this.failedPromotions > 0;
   }
 
-  /** Reports that acknowledged commits may be given up, because no instance that may have them can report any more. */
-  private reportUnverified({
-    target,
-    position,
-    unverified,
-  }: Extract<TargetChoice, {kind: 'promote'}>): void {
-    this.countStep('unverified');
-    this.context.log.error(
-      'The next primary may lack acknowledged commits, which no remaining instance has.',
-      {
-        group: this.group.name,
-        target,
-        position: formatPosition(position),
-        reason: unverified,
-      },
-    );
-  }
-
   /** Writes a record of this change. */
   private write(record: PrimaryRecord): Promise<VersionedPrimaryRecord> {
     this.assertStillCoordinator();
--- a/packages/gateway/src/core/coordinator/target-choice-log.ts
+++ b/packages/gateway/src/core/coordinator/target-choice-log.ts
@@ -33,10 +33,27 @@
       ...fields,
     });
   }
+
+  /** Reports that acknowledged commits may be given up, because no instance that may have them can report any more. */
+  reportUnverified({
+    target,
+    position,
+    unverified,
+  }: Extract<TargetChoice, {kind: 'promote'}>): void {
+    this.log.error(
+      'The next primary may lack acknowledged commits, which no remaining instance has.',
+      {
+        group: this.group,
+        target,
+        position: formatPosition(position),
+        reason: unverified,
+      },
+    );
+  }
 }
 
 function describeChoice(inputs: TargetInputs, choice: TargetChoice): LogFields {
-  const {replicas, oldPrimary, minimumPosition} = inputs;
+  const {replicas, oldPrimary, minimumPosition, orderedTarget} = inputs;
   const silent = replicas.filter(({report}) => report === undefined);
   return {
     choice: choice.kind,
@@ -48,6 +65,7 @@
     minimumPosition: minimumPosition && formatPosition(minimumPosition),
     unverifiedDepartures: inputs.unverifiedDepartures.join(' '),
     wasPromotionOrdered: inputs.wasPromotionOrdered,
+    ...(orderedTarget === undefined ? {} : {orderedTarget}),
   };
 }
 
