Replace a recorded primary that is a replica

Change: an owner suspects a recorded primary that has refused what only a primary serves for half a second under the same record.

--- a/packages/gateway/src/core/pool/instance-pool.ts
+++ b/packages/gateway/src/core/pool/instance-pool.ts
@@ -64,6 +64,8 @@
   shouldKeepWarm = true;
   /** When the instance last failed to answer, in milliseconds. */
   lastFailedAtMs = -Infinity;
+  /** Since when it refuses statements as a replica, although a record names it as the primary. */
+  refusedAsPrimary: {revision: number; sinceMs: number} | undefined;
   /** Emits each position that the instance reports. */
   readonly positions$ = new Subject<ReportedPosition>();
   /** Decides whether commits are sent to the instance. */
--- a/packages/gateway/src/core/primary-health/primary-health-check-task.ts
+++ b/packages/gateway/src/core/primary-health/primary-health-check-task.ts
@@ -170,6 +170,11 @@
   }
   if (hasExceeded(unresponsiveSinceMs, nowMs, UNRESPONSIVE_LIMIT_MS))
     return 'it does not respond';
+  const {refusedAsPrimary} = pool;
+  const isReplica =
+    refusedAsPrimary?.revision === group.record?.revision &&
+    hasExceeded(refusedAsPrimary?.sinceMs, nowMs, UNRESPONSIVE_LIMIT_MS);
+  if (isReplica) return 'it is a replica';
   const areCommitsStalled = hasExceeded(
     commitsStalledSinceMs,
     nowMs,
--- a/packages/gateway/src/core/sessions/statement-executor.ts
+++ b/packages/gateway/src/core/sessions/statement-executor.ts
@@ -7,6 +7,7 @@
 } from '@sapphireglade/decisions';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {DatabaseGroup} from '../groups/index.js';
+import type {InstancePool} from '../pool/index.js';
 import {steadyNowMs} from '../time/index.js';
 import type {InstanceReply} from '../upstream/index.js';
 import {CommandKind} from '../upstream/index.js';
@@ -194,6 +195,7 @@
       return this.discardConnection(bound, outcome, !operation.isRetryable);
     }
     const {reply} = outcome;
+    if (!operation.allowsReplica) recordRole(group, pool, reply);
     const isKept = operation.keepsConnection && reply.refusal === undefined;
     if (!isKept) pool.release(bound.connection);
     if (reply.refusal === undefined) {
@@ -353,6 +355,19 @@
   );
 }
 
+/** Records whether the recorded primary serves what only a primary can serve. */
+function recordRole(
+  group: DatabaseGroup,
+  pool: InstancePool,
+  {refusal}: InstanceReply,
+): void {
+  const revision = group.record?.revision;
+  const isReplica = refusal?.kind === ErrorKind.NotPrimary;
+  if (!isReplica || revision === undefined) pool.refusedAsPrimary = undefined;
+  else if (pool.refusedAsPrimary?.revision !== revision)
+    pool.refusedAsPrimary = {revision, sinceMs: steadyNowMs()};
+}
+
 function replicaWithheldError({member}: ExecutionTarget): SapphiregladeError {
   return new SapphiregladeError(
     ErrorKind.NoConnection,
