Hold leaving replicas, so that commits are confirmed by one that stays

Cause: a replica that has announced that it leaves still confirms commits. While the primary is cut from the replicas that stay, the leaving one confirms alone, and its log is gone with it. The commits then lie on the primary only.

Ruled out: to refuse writes at the proxies while a replica leaves; it would refuse them also where another replica confirms.

Change: the coordinator holds each leaving replica of a steady group at the next term, and again every 500 ms, because a promotion ends holds. If no other registered replica stays, it is released, as the group could not commit at all. What a replica had received when it was held bounds what it confirmed, also if it leaves while the primary cannot be asked.

--- a/packages/decisions/src/core/primary-change/departed-instances.ts
+++ b/packages/decisions/src/core/primary-change/departed-instances.ts
@@ -31,6 +31,11 @@
   private recorded: RecordedConfirmers | undefined;
   /** Instances that a record of the term listed and the last one does not. */
   private takenOff: readonly GroupInstance[] = [];
+  /** Replicas that are held during the term, and the position at which each one was held. */
+  private holds: {
+    readonly instance: GroupInstance;
+    readonly position: LogPosition;
+  }[] = [];
 
   /**
    * Updates the record and the list of instances.
@@ -51,6 +56,7 @@
       this.departures = [];
       this.recorded = undefined;
       this.takenOff = [];
+      this.holds = [];
       this.present = present;
     }
     // An instance that has returned in the same incarnation has to report itself.
@@ -119,6 +125,26 @@
     }
   }
 
+  /**
+   * Records that a replica was held at a position, so that it has confirmed
+   * nothing of the term beyond it. Each further report replaces the last one.
+   *
+   * @param instance - The replica.
+   * @param position - What it had received when it was held.
+   */
+  recordHold({id, bornAtMs}: GroupInstance, position: LogPosition): void {
+    const instance = {id, bornAtMs};
+    this.forgetHold(instance);
+    this.holds.push({instance, position});
+  }
+
+  /** Records that a replica is not held any more, or may not be. */
+  forgetHold(instance: GroupInstance): void {
+    this.holds = this.holds.filter(
+      ({instance: held}) => !isSame(held, instance),
+    );
+  }
+
   /** Adds a departure for each instance that is no longer in the directory. */
   private addDepartures(
     before: readonly GroupInstance[],
@@ -129,7 +155,7 @@
       // The directory of this proxy may be behind that of the coordinator.
       const bound = includes(this.takenOff, instance)
         ? this.recorded?.departedPosition
-        : undefined;
+        : this.holds.find(hold => isSame(hold.instance, instance))?.position;
       this.departures.push({instance, bound});
     }
   }
--- a/packages/decisions/src/core/primary-change/index.ts
+++ b/packages/decisions/src/core/primary-change/index.ts
@@ -6,5 +6,6 @@
 export * from './primary-suspicion.js';
 export * from './record-of-term.js';
 export * from './replacement-decision.js';
+export * from './replicas-to-hold.js';
 export * from './types.js';
 export * from './view-freshness.js';
--- a/packages/gateway/src/core/coordinator/coordinator-task.ts
+++ b/packages/gateway/src/core/coordinator/coordinator-task.ts
@@ -12,6 +12,7 @@
 import type {PrimaryChangeContext} from './primary-change-context.js';
 import type {CoordinatorKey} from './coordinator-key.js';
 import {COORDINATOR_KEY_PREFIX} from './coordinator-key.js';
+import {LeavingReplicas} from './leaving-replicas.js';
 import {PrimaryChangeReason, PrimaryChange} from './primary-change.js';
 import {areConfirmersOutdated, recordConfirmers} from './record-confirmers.js';
 import {RecordRecovery} from './record-recovery.js';
@@ -82,6 +83,7 @@
   private readonly changing = new Set<string>();
   private readonly context: PrimaryChangeContext;
   private readonly recordRecovery: RecordRecovery;
+  private readonly leavingReplicas: LeavingReplicas;
 
   constructor(private readonly options: CoordinatorTaskOptions) {
     super('coordinator');
@@ -94,6 +96,7 @@
       isUpToDate: options.isUpToDate,
       onRefreshNeeded: options.onRefreshNeeded,
     });
+    this.leavingReplicas = new LeavingReplicas(this.context);
   }
 
   /** Whether this proxy is the coordinator. */
@@ -158,6 +161,7 @@
       const group = groups.getOrCreate(name);
       this.checkGroup(group);
       void this.context.departures.boundDepartures(group);
+      if (!this.changing.has(name)) void this.leavingReplicas.update(group);
     }
     this.removeDepartedProxies();
   }
