Do not replace a primary for want of confirmations if only a leaving replica is left to confirm

A primary whose commits are not acknowledged is replaced if two other instances answer: one to lead and one to confirm. A leaving replica was counted, although it is held and confirms nothing.

--- a/packages/gateway/src/core/primary-health/primary-health-check-task.ts
+++ b/packages/gateway/src/core/primary-health/primary-health-check-task.ts
@@ -187,15 +187,16 @@
   return undefined;
 }
 
-/** Returns how many instances of the group respond, without the primary. */
+/** Returns how many instances of the group respond and stay, without the primary; a leaving one confirms no commits. */
 function countRespondingInstances(
   {members}: DatabaseGroup,
   primary: InstancePool,
   nowMs: number,
 ): number {
   return [...members.values()].filter(
-    ({pool}) =>
+    ({instance, pool}) =>
       pool !== primary &&
+      !instance.isLeaving &&
       pool.unreachableSinceMs === undefined &&
       !hasExceeded(pool.unresponsiveSinceMs, nowMs, UNRESPONSIVE_LIMIT_MS),
   ).length;
