Keep the log lines of a change of primary during floods of others

Lines of `failover` and `upstream` shared their budget with everything that concerns no statement, and the buffer for a slow reader with all lines. The notice did not say what was dropped.

That this took lines from the record is not shown: no notice stands there at the coordinator, and the record is cut.

Both parts now have budgets of their own and a reserved quarter of the buffer, the steps of a change up to 300 lines a second. The notice has its time and the count of each kind.

Without the change four of the new tests miss lines (all five steps beside a flood of pool lines and behind waiting lines on statements, four after 250 registrations, 100 of 300 steps), and the notice has no kinds. One older test names the new field in place of isPerStatement.

--- a/packages/runtime/src/core/logging/logger.ts
+++ b/packages/runtime/src/core/logging/logger.ts
@@ -2,6 +2,7 @@
 import {createConsola} from 'consola';
 import type {LogFields, Logger, LoggerFactory} from './types.js';
 import type {LineClass} from './non-blocking-log-writer.js';
+import {LineKind} from './non-blocking-log-writer.js';
 import {LogFormat, LogLevel, LogPart} from './types.js';
 
 /** The consola level for each log level. */
@@ -15,10 +16,12 @@
 /** Types of log entries that take precedence over routine ones. */
 const URGENT_TYPES: ReadonlySet<string> = new Set(['error', 'fatal', 'warn']);
 
-/** Parts whose lines concern single statements. */
-const PER_STATEMENT_PARTS: ReadonlySet<string> = new Set([
-  LogPart.CallerApi,
-  LogPart.Routing,
+/** Kinds of the lines of parts that do not share the budget of all others. */
+const KINDS_OF_PARTS: ReadonlyMap<string, LineKind> = new Map([
+  [LogPart.CallerApi, LineKind.Statement],
+  [LogPart.Routing, LineKind.Statement],
+  [LogPart.Failover, LineKind.PrimaryChange],
+  [LogPart.Upstream, LineKind.Instance],
 ]);
 
 /** Options of a process's log. */
@@ -87,7 +90,7 @@
     log: entry =>
       write(toLine(entry, options.process), {
         isRoutine: !URGENT_TYPES.has(entry.type),
-        isPerStatement: PER_STATEMENT_PARTS.has(entry.tag),
+        kind: KINDS_OF_PARTS.get(entry.tag) ?? LineKind.Other,
       }),
   };
 }
--- a/packages/runtime/src/core/logging/non-blocking-log-writer.ts
+++ b/packages/runtime/src/core/logging/non-blocking-log-writer.ts
@@ -3,41 +3,68 @@
 /** Most bytes buffered for writing. */
 const MAXIMUM_BUFFERED_BYTES = 262_144;
 
-/** Most routine lines of one budget per second. */
-const MAXIMUM_ROUTINE_LINES_PER_SECOND = 100;
-
-/** Most lines of any kind of one budget per second. */
-const MAXIMUM_LINES_PER_SECOND = 300;
+/** Part of the buffer that only lines with a reserve may use, in bytes. */
+const RESERVED_BYTES = 65_536;
 
 const RATE_WINDOW_MS = 1_000;
 
+/** What a line is about; each kind has a budget of its own. */
+export const LineKind = {
+  /** A single statement. Such lines come in floods. */
+  Statement: 'statements',
+  /** A change of primary. */
+  PrimaryChange: 'primaryChanges',
+  /** An instance that registers or is removed. */
+  Instance: 'instances',
+  /** Anything else. */
+  Other: 'others',
+} as const;
+
+/** What a line is about. */
+export type LineKind = (typeof LineKind)[keyof typeof LineKind];
+
 /** How a line counts against the limits. */
 export interface LineClass {
   /** Whether the lower limit applies. */
   readonly isRoutine: boolean;
-  /**
-   * Whether the line concerns a single statement. Such lines have a budget of
-   * their own, because they are the ones that come in floods.
-   */
-  readonly isPerStatement: boolean;
+  /** What the line is about. */
+  readonly kind: LineKind;
 }
 
-const URGENT_LINE: LineClass = {isRoutine: false, isPerStatement: false};
+const URGENT_LINE: LineClass = {isRoutine: false, kind: LineKind.Other};
+
+/** Limits of one kind of lines. */
+interface LineLimits {
+  /** Most routine lines per second. */
+  readonly routine: number;
+  /** Most lines per second. */
+  readonly all: number;
+  /** Whether the lines may use the reserved part of the buffer. */
+  readonly hasReserve: boolean;
+}
+
+const LIMITS: Readonly<Record<LineKind, LineLimits>> = {
+  [LineKind.Statement]: {routine: 100, all: 300, hasReserve: false},
+  // Most steps of a change are routine lines, and many groups change at once.
+  [LineKind.PrimaryChange]: {routine: 300, all: 300, hasReserve: true},
+  [LineKind.Instance]: {routine: 100, all: 300, hasReserve: true},
+  [LineKind.Other]: {routine: 100, all: 300, hasReserve: false},
+};
 
 /** Lines that may be written within one second. */
 class LineBudget {
   private startMs = -Infinity;
   private lines = 0;
 
+  constructor(private readonly limits: LineLimits) {}
+
   /** Counts a line; returns whether it exceeds the budget. */
   isExceeded(isRoutine: boolean, nowMs: number): boolean {
     if (nowMs - this.startMs >= RATE_WINDOW_MS) {
       this.startMs = nowMs;
       this.lines = 0;
     }
-    const limit = isRoutine
-      ? MAXIMUM_ROUTINE_LINES_PER_SECOND
-      : MAXIMUM_LINES_PER_SECOND;
+    const limit = isRoutine ? this.limits.routine : this.limits.all;
     if (this.lines >= limit) return true;
     this.lines += 1;
     return false;
@@ -49,16 +76,19 @@
  *
  * Lines that a slow reader does not accept, or that exceed the rate limit, are
  * dropped and counted, so that logging never delays a request and never uses
- * unbounded memory. Routine lines have a lower rate limit. Lines on single
- * statements have a budget that is separate from that of all others.
+ * unbounded memory. Routine lines have a lower rate limit. Each kind of lines has
+ * a budget of its own, and a part of the buffer is reserved for those that an
+ * operator needs after a change of primary.
  */
 export class NonBlockingLogWriter {
   private waiting: string[] = [];
   private bufferedBytes = 0;
   private isWriting = false;
-  private droppedLines = 0;
-  private readonly statementBudget = new LineBudget();
-  private readonly otherBudget = new LineBudget();
+  /** Dropped lines of each kind since the last notice. */
+  private readonly dropped = new Map<LineKind, number>();
+  private readonly budgets = new Map(
+    Object.values(LineKind).map(kind => [kind, new LineBudget(LIMITS[kind])]),
+  );
 
   /**
    * @param fileDescriptor - The file descriptor.
@@ -78,9 +108,9 @@
    * @param lineClass - How the line counts against the limits.
    */
   write(line: string, lineClass: LineClass = URGENT_LINE): void {
-    const hasRoom = this.bufferedBytes + line.length <= MAXIMUM_BUFFERED_BYTES;
-    if (!hasRoom || this.exceedsBudget(lineClass)) {
-      this.droppedLines += 1;
+    const {kind} = lineClass;
+    if (!this.hasRoom(line, kind) || this.exceedsBudget(lineClass)) {
+      this.dropped.set(kind, (this.dropped.get(kind) ?? 0) + 1);
       return;
     }
     this.waiting.push(`${line}\n`);
@@ -88,9 +118,14 @@
     if (!this.isWriting) this.flush();
   }
 
-  private exceedsBudget({isRoutine, isPerStatement}: LineClass): boolean {
-    const budget = isPerStatement ? this.statementBudget : this.otherBudget;
-    return budget.isExceeded(isRoutine, this.now());
+  private hasRoom(line: string, kind: LineKind): boolean {
+    const reserved = LIMITS[kind].hasReserve ? 0 : RESERVED_BYTES;
+    const limit = MAXIMUM_BUFFERED_BYTES - reserved;
+    return this.bufferedBytes + line.length <= limit;
+  }
+
+  private exceedsBudget({isRoutine, kind}: LineClass): boolean {
+    return this.budgets.get(kind)?.isExceeded(isRoutine, this.now()) === true;
   }
 
   private flush(): void {
@@ -104,15 +139,18 @@
     const text = this.waiting.join('');
     this.waiting = [];
     this.bufferedBytes = 0;
-    if (this.droppedLines === 0) return text;
+    if (this.dropped.size === 0) return text;
+    const counts = [...this.dropped.values()];
     const notice = JSON.stringify({
+      time: new Date().toISOString(),
       level: 'warn',
       part: 'log',
       message:
         'Log lines were dropped, because there were too many or the output was slow.',
-      count: this.droppedLines,
+      count: counts.reduce((sum, count) => sum + count),
+      ...Object.fromEntries(this.dropped),
     });
-    this.droppedLines = 0;
+    this.dropped.clear();
     return `${text}${notice}\n`;
   }
 
--- a/packages/runtime/test/non-blocking-log-writer.test.ts
+++ b/packages/runtime/test/non-blocking-log-writer.test.ts
@@ -1,16 +1,17 @@
 import type {write} from 'node:fs';
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import type {LineClass} from '../src/index.js';
+import type {LineClass, LoggerFactory} from '../src/index.js';
 import {
   createLoggerFactory,
+  LineKind,
   LogFormat,
   LogLevel,
   LogPart,
   NonBlockingLogWriter,
 } from '../src/index.js';
 
-const ROUTINE: LineClass = {isRoutine: true, isPerStatement: false};
+const ROUTINE: LineClass = {isRoutine: true, kind: LineKind.Other};
 
 type Callback = (error: NodeJS.ErrnoException | null, written: number) => void;
 
@@ -65,6 +66,16 @@
   return {output, reader, advance};
 }
 
+/** Creates loggers whose lines a writer limits. */
+function createLoggers(output: NonBlockingLogWriter): LoggerFactory {
+  return createLoggerFactory({
+    level: LogLevel.Information,
+    format: LogFormat.Json,
+    process: 'proxy-1',
+    write: (line, lineClass) => output.write(line, lineClass),
+  });
+}
+
 describe('NonBlockingLogWriter', () => {
   it('writes every line in order, also after partial writes', () => {
     const {output, reader} = createWriter();
@@ -113,12 +124,7 @@
 
   it('writes what is decided for a group during a flood of lines on statements', () => {
     const {output, reader} = createWriter();
-    const logFor = createLoggerFactory({
-      level: LogLevel.Information,
-      format: LogFormat.Json,
-      process: 'proxy-1',
-      write: (line, lineClass) => output.write(line, lineClass),
-    });
+    const logFor = createLoggers(output);
     const statements = logFor(LogPart.Routing);
     for (let index = 0; index < 400; index += 1) {
       statements.info('An instance did not serve a statement.');
@@ -129,4 +135,85 @@
     expect(reader.taken).toInclude('A promotion was ordered.');
     expect(reader.taken.match(/A request failed/g)?.length).toEqual(250);
   });
+
+  // Lines about changes of primary were missing in a record of lost commits.
+  describe('the lines that tell how a primary was chosen', () => {
+    const STEPS = [
+      'The choice of the next primary was evaluated.',
+      'A promotion was ordered.',
+      'A primary was recorded.',
+      'The instances that may have confirmed commits were recorded.',
+    ];
+    const REMOVED = 'An instance was removed after its grace period.';
+
+    /** Logs the steps of one change of primary. */
+    function logChange(logFor: LoggerFactory): void {
+      for (const step of STEPS) logFor(LogPart.Failover).info(step);
+      logFor(LogPart.Upstream).warn(REMOVED);
+    }
+
+    /** Returns the steps that were not written. */
+    function missingSteps(written: string): string[] {
+      return [...STEPS, REMOVED].filter(step => !written.includes(step));
+    }
+
+    it('are written during a flood of lines of other parts', () => {
+      const {output, reader} = createWriter();
+      const logFor = createLoggers(output);
+      for (let index = 0; index < 400; index += 1)
+        logFor(LogPart.Pool).warn('An instance cannot be reached.', {index});
+      logChange(logFor);
+      reader.takeAll();
+      expect(missingSteps(reader.taken)).toEqual([]);
+    });
+
+    it('are written after many instances have registered at once', () => {
+      const {output, reader} = createWriter();
+      const logFor = createLoggers(output);
+      for (let index = 0; index < 250; index += 1)
+        logFor(LogPart.Upstream).info('An instance registered.', {index});
+      logChange(logFor);
+      reader.takeAll();
+      expect(missingSteps(reader.taken)).toEqual([]);
+    });
+
+    it('are written although the reader is slow and lines on statements wait', () => {
+      const {output, reader, advance} = createWriter();
+      const logFor = createLoggers(output);
+      for (let index = 0; index < 4_000; index += 1) {
+        logFor(LogPart.Routing).warn('A request failed.', {index});
+        advance(10);
+      }
+      logChange(logFor);
+      reader.takeAll();
+      expect(missingSteps(reader.taken)).toEqual([]);
+    });
+
+    it('are limited as well', () => {
+      const {output, reader} = createWriter();
+      const log = createLoggers(output)(LogPart.Failover);
+      for (let index = 0; index < 1_000; index += 1)
+        log.info('A promotion was ordered.', {index});
+      reader.takeAll();
+      const written = reader.taken.match(/A promotion was ordered/g)?.length;
+      expect(written).toEqual(300);
+    });
+  });
+
+  it('tells of which kind the dropped lines were', () => {
+    const {output, reader} = createWriter();
+    const logFor = createLoggers(output);
+    for (let index = 0; index < 310; index += 1) {
+      logFor(LogPart.Routing).warn('A request failed.', {index});
+      logFor(LogPart.Store).warn('The store does not respond.', {index});
+    }
+    reader.takeAll();
+    const notice = JSON.parse(
+      reader.taken.trim().split('\n').at(-1)!,
+    ) as Record<string, unknown>;
+    expect(notice['count']).toEqual(20);
+    expect(notice['statements']).toEqual(10);
+    expect(notice['others']).toEqual(10);
+    expect(notice['primaryChanges']).toEqual(undefined);
+  });
 });
