Log what bounded each departure, and the ages that a choice rests on

The line on the choice of a primary could not tell a promotion without proof from one whose proof was wrong: it lacked what bounded the instances that left, what the record said of them, and how old the directory and the role were.

Tests of decisions, runtime and of the coordinator: 540 of 540.

Whether an instance that left had announced it is not in the line yet.

--- a/packages/decisions/src/core/primary-change/departed-instances.ts
+++ b/packages/decisions/src/core/primary-change/departed-instances.ts
@@ -7,7 +7,7 @@
 } from './types.js';
 
 /** An instance that is gone with its log. */
-interface Departure {
+export interface Departure {
   /** The instance, as it was before it left or restarted. */
   readonly instance: GroupInstance;
   /** Position of the primary after the departure; includes all that the instance confirmed. */
@@ -70,6 +70,11 @@
     this.present = present;
   }
 
+  /** The departures of the term. */
+  get all(): readonly Readonly<Departure>[] {
+    return this.departures;
+  }
+
   /** Instances whose confirmed commits are not bounded by a known position. */
   get unbounded(): readonly GroupInstance[] {
     return this.departures
--- a/packages/gateway/src/core/coordinator/coordinator-task.ts
+++ b/packages/gateway/src/core/coordinator/coordinator-task.ts
@@ -47,7 +47,10 @@
  * change.
  */
 export interface CoordinatorTaskOptions {
-  readonly context: Omit<PrimaryChangeContext, 'coordinatorRevision'>;
+  readonly context: Omit<
+    PrimaryChangeContext,
+    'coordinatorRevision' | 'coordinatorForMs'
+  >;
   readonly key: CoordinatorKey;
   /** The lease to which the coordinator key is attached. */
   readonly lease: ViewLeaseTask;
@@ -91,6 +94,10 @@
       ...options.context,
       coordinatorRevision: () =>
         this.isCoordinator ? options.key.revision : 0,
+      coordinatorForMs: () =>
+        this.coordinatorSinceMs === undefined
+          ? undefined
+          : steadyNowMs() - this.coordinatorSinceMs,
     };
     this.recordRecovery = new RecordRecovery(this.context, {
       isUpToDate: options.isUpToDate,
--- a/packages/gateway/src/core/coordinator/primary-change-context.ts
+++ b/packages/gateway/src/core/coordinator/primary-change-context.ts
@@ -33,6 +33,11 @@
    * not the coordinator.
    */
   readonly coordinatorRevision: () => number;
+  /**
+   * Returns how long this proxy has known that it is the coordinator, in
+   * milliseconds; undefined if it is not.
+   */
+  readonly coordinatorForMs: () => number | undefined;
   /**
    * Returns the revision up to which the keys written by proxies are in sync.
    */
--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -195,7 +195,7 @@
   ): Promise<void> {
     let known = announced;
     let loggedReason = '';
-    const choices = new TargetChoiceLog(this.context.log, this.group.name);
+    const choices = new TargetChoiceLog(this.context, this.group);
     for (;;) {
       await this.held.holdReplicas(known);
       const {leader} = this.held;
--- a/packages/gateway/src/core/coordinator/record-confirmers.ts
+++ b/packages/gateway/src/core/coordinator/record-confirmers.ts
@@ -1,3 +1,5 @@
+import type {GroupInstance} from '@sapphireglade/decisions';
+import {formatPosition} from '@sapphireglade/decisions';
 import type {DatabaseGroup} from '../groups/index.js';
 import type {PrimaryChangeContext} from './primary-change-context.js';
 import {
@@ -42,12 +44,33 @@
     if (!(error instanceof RecordConflictError)) throw error;
     return;
   }
+  const before = record.confirmers?.instances ?? [];
+  const after = confirmers?.instances ?? [];
+  const departedPosition = confirmers?.departedPosition;
   context.log.info(
     'The instances that may have confirmed commits were recorded.',
     {
       group: group.name,
-      instances: confirmers?.instances.map(({id}) => id).join(' '),
+      term: record.term,
+      instances: after.map(({id}) => id).join(' '),
+      added: idsWithout(after, before),
+      removed: idsWithout(before, after),
       departed: departed.unbounded.map(({id}) => id).join(' '),
+      departedPosition: departedPosition && formatPosition(departedPosition),
     },
   );
 }
+
+/** Returns the ids of the instances that are not among others in the same incarnation. */
+function idsWithout(
+  instances: readonly GroupInstance[],
+  others: readonly GroupInstance[],
+): string {
+  return instances
+    .filter(
+      ({id, bornAtMs}) =>
+        !others.some(other => other.id === id && other.bornAtMs === bornAtMs),
+    )
+    .map(({id}) => id)
+    .join(' ');
+}
--- a/packages/gateway/src/core/groups/primary-records.ts
+++ b/packages/gateway/src/core/groups/primary-records.ts
@@ -44,7 +44,8 @@
     }
     const group = this.groups.getOrCreate(name);
     const viewAgeMs = group.viewFreshness.ageMs(readClocks());
-    const {target, lastPosition} = record;
+    const {target, lastPosition, confirmers} = record;
+    const departedPosition = confirmers?.departedPosition;
     const generation = this.generation();
     group.applyRecord({record, revision: item.revision, generation});
     this.log.info('A primary was recorded.', {
@@ -54,6 +55,9 @@
       phase: record.phase,
       target,
       lastPosition: lastPosition && formatPosition(lastPosition),
+      orders: record.orders,
+      confirmers: confirmers?.instances.map(({id}) => id).join(' '),
+      departedPosition: departedPosition && formatPosition(departedPosition),
       revision: item.revision,
       generation,
       writtenInGeneration: record.generation,
--- a/packages/gateway/test/coordinator/target-choice-log.test.ts
+++ b/packages/gateway/test/coordinator/target-choice-log.test.ts
@@ -9,7 +9,7 @@
   PrimaryChangeReason,
   PrimaryChange,
 } from '../../src/core/coordinator/primary-change.js';
-import {steadyNowMs} from '../../src/core/time/index.js';
+import {readClocks, steadyNowMs} from '../../src/core/time/index.js';
 import type {PrimaryChangeContext} from '../../src/index.js';
 import {DatabaseGroup, primaryRecordKey} from '../../src/index.js';
 import {GroupPromotions} from '../support/group-promotions.js';
@@ -80,6 +80,12 @@
     state.close();
   });
 
+  function removeFromDirectory({id}: MemoryInstance): void {
+    const {directory} = context;
+    directory.markMissing(id);
+    directory.removeMissing(steadyNowMs() + 60_000, false);
+  }
+
   /** Starts a change and waits for a limited time. */
   async function replacePrimary(): Promise<void> {
     const change = new PrimaryChange(
@@ -107,10 +113,44 @@
         minimumPosition: '1.1',
         unverifiedDepartures: '',
         wasPromotionOrdered: false,
+        term: 1,
+        initialPosition: undefined,
+        departures: '',
+        recordedConfirmers: `${confirming.id} ${behind.id}`,
+        recordedDepartedPosition: undefined,
+        directoryAgeMs: undefined,
+        coordinatorForMs: undefined,
       },
     ]);
   });
 
+  it('names the position by which a departure was bounded', async () => {
+    primary.isDown = false;
+    removeFromDirectory(confirming);
+    await context.departures.boundDepartures(view);
+    primary.isDown = true;
+    await replacePrimary();
+    expect(choices[0]?.['departures']).toEqual(`${confirming.id}@1.1`);
+    expect(choices[0]?.['recordedDepartedPosition']).toEqual('1.1');
+    expect(choices[0]?.['unverifiedDepartures']).toEqual('');
+  });
+
+  it('names departures that nothing bounds', async () => {
+    removeFromDirectory(confirming);
+    await context.departures.boundDepartures(view);
+    await replacePrimary();
+    expect(choices[0]?.['departures']).toEqual(`${confirming.id}@unbounded`);
+    expect(choices[0]?.['recordedDepartedPosition']).toEqual(undefined);
+  });
+
+  it('tells how old the directory is and how long the role is held', async () => {
+    context = {...context, coordinatorForMs: () => 1_234.4};
+    context.directory.confirm(readClocks());
+    await replacePrimary();
+    expect(typeof choices[0]?.['directoryAgeMs']).toEqual('number');
+    expect(choices[0]?.['coordinatorForMs']).toEqual(1_234);
+  });
+
   it('has one line for each change of the inputs, not for each attempt', async () => {
     confirming.isDown = true;
     await replacePrimary();
@@ -118,9 +158,7 @@
       {choice: 'wait', silent: confirming.id},
     ]);
 
-    const {directory} = context;
-    directory.markMissing(confirming.id);
-    directory.removeMissing(steadyNowMs() + 60_000, false);
+    removeFromDirectory(confirming);
     await sleep(SEVERAL_ATTEMPTS_MS);
     expect(choices.length).toEqual(2);
     expect(choices[1]?.['silent']).toEqual('');
--- a/packages/gateway/test/support/primary-change-context.ts
+++ b/packages/gateway/test/support/primary-change-context.ts
@@ -113,6 +113,7 @@
     control,
     departures: new GroupDepartures(directory, groups, control),
     coordinatorRevision: () => (isCoordinating() ? revision : 0),
+    coordinatorForMs: () => undefined,
     followedRevision: () => state.revision,
     metrics: new GatewayMetrics(),
     log,
