Wait for instances whose entries lapsed before promoting unverified

Callers lost acknowledged commits: the old primary went dark, its entry in the directory lapsed, and an instance without the commits was promoted as unverified. The old primary then returned with its whole log.

Cause: the lapse of an entry was taken as a proof that the log is gone. It proves nothing: the instance may be dark or cut off, and return later.

Change: a log is gone if its instance announced that it leaves and its entry went after that, if another incarnation of it was present, or after two hours (RETURN_WITHIN_MS). AbsentInstances keeps everyone else, with the primary of the term and those of earlier terms, and chooseTarget waits for them before it promotes without a proof. A proof still suffices on its own. An absent instance is passed over if the best one has all that it can have.

The record says which instances are leaving and which further ones may return, so that the next coordinator knows.

isOldPrimaryByAnotherName and DepartedInstances.recordReport tell that the old primary returned by another name. Nothing calls them yet.

Not covered: an instance whose entry lapsed while it still receives from the primary can confirm after its departure was bounded. A leave that is announced while a change waits is not known to the next coordinator, which waits for that instance as for one that lapsed.

--- a/packages/decisions/src/core/primary-change/choose-target.ts
+++ b/packages/decisions/src/core/primary-change/choose-target.ts
@@ -1,6 +1,10 @@
 import type {LogPosition} from '../groups/index.js';
 import {comparePositions} from '../groups/index.js';
-import type {ReplicationReport, PromotionCandidate} from './types.js';
+import type {
+  AbsentInstance,
+  PromotionCandidate,
+  ReplicationReport,
+} from './types.js';
 
 /** Next action in a change of primary. */
 export type TargetChoice =
@@ -47,6 +51,11 @@
    * commits are not known to be included in {@link minimumPosition}.
    */
   readonly unverifiedDepartures: readonly string[];
+  /**
+   * Instances that are not in the directory and may return with their logs,
+   * including the old primary.
+   */
+  readonly mayReturn: readonly AbsentInstance[];
 }
 
 /**
@@ -71,8 +80,9 @@
  * promotion was ordered before: if that order takes effect late, it promotes an
  * instance that leads already, and changes nothing.
  *
- * Without a proof the change waits as long as an instance may still report. If
- * none can, the best one is promoted, and the choice says what is unverified.
+ * Without a proof the change waits as long as an instance may still report, or
+ * may return with a log that the best one may lack. If none can, the best one is
+ * promoted, and the choice says what is unverified.
  *
  * @param inputs - Reports of the instances, and the state of the change.
  * @returns The target, or the reason why the change has to wait.
@@ -96,7 +106,8 @@
         : oldPrimary,
     );
   }
-  const pendingReport = reasonToWait(inputs);
+  const pendingReport =
+    reasonToWait(inputs) ?? reasonToAwaitReturn(inputs, best);
   if (pendingReport !== undefined) return waitChoice(pendingReport);
   if (best === undefined) return waitChoice('no replica has reported');
   return {...promoteChoice(best), unverified: describeMissingProof(inputs)};
@@ -153,6 +164,21 @@
     : undefined;
 }
 
+/**
+ * Returns the reason to wait for an absent instance, or undefined if none is
+ * expected to return with a commit that the best candidate lacks.
+ */
+function reasonToAwaitReturn(
+  {mayReturn, minimumPosition}: TargetInputs,
+  best: ReportedCandidate | undefined,
+): string | undefined {
+  const isBehind = best === undefined || !isAtLeast(best, minimumPosition);
+  const awaited = mayReturn.filter(({isBounded}) => isBehind || !isBounded);
+  if (awaited.length === 0) return undefined;
+  const names = awaited.map(({id}) => id).join(' ');
+  return `a commit may exist only on an absent instance that may return: ${names}`;
+}
+
 function describeMissingProof({unverifiedDepartures}: TargetInputs): string {
   return unverifiedDepartures.length > 0
     ? `instances left with their logs: ${unverifiedDepartures.join(' ')}`
--- a/packages/decisions/src/core/primary-change/departed-instances.ts
+++ b/packages/decisions/src/core/primary-change/departed-instances.ts
@@ -1,12 +1,16 @@
 import type {LogPosition} from '../groups/index.js';
+import {AbsentInstances} from './absent-instances.js';
 import {higherPosition} from './held-reports.js';
 import type {
+  AbsentInstance,
   GroupInstance,
+  PresentInstance,
   PrimaryRecord,
   RecordedConfirmers,
+  ReplicationReport,
 } from './types.js';
 
-/** An instance that is gone with its log. */
+/** An instance that is gone from the group. */
 export interface Departure {
   /** The instance, as it was before it left or restarted. */
   readonly instance: GroupInstance;
@@ -19,7 +23,8 @@
  *
  * Such an instance may have been the only replica that confirmed a commit, so
  * "all remaining replicas have reported" proves nothing until one of them has
- * reached what the primary had after the departure. The record of the group
+ * reached what the primary had after the departure. Whether its log may come
+ * back is a different question: {@link AbsentInstances}. The record of the group
  * carries what a coordinator needs that did not see the departures itself.
  */
 export class DepartedInstances {
@@ -36,6 +41,15 @@
     readonly instance: GroupInstance;
     readonly position: LogPosition;
   }[] = [];
+  private readonly absences: AbsentInstances;
+
+  /**
+   * @param returnWithinMs - How long an instance whose entry has lapsed may
+   *   still return with its log, in milliseconds.
+   */
+  constructor(returnWithinMs: number) {
+    this.absences = new AbsentInstances(returnWithinMs);
+  }
 
   /**
    * Updates the record and the list of instances.
@@ -44,11 +58,14 @@
    *   by the start of its term. A record of an earlier term than the last one is
    *   ignored.
    * @param instances - The instances that are in the directory.
+   * @param nowMs - Time of the steady clock, in milliseconds.
    */
   update(
-    {term, primary, confirmers}: PrimaryRecord,
-    instances: readonly GroupInstance[],
+    record: PrimaryRecord,
+    instances: readonly PresentInstance[],
+    nowMs: number,
   ): void {
+    const {term, primary, confirmers} = record;
     const present = instances.map(({id, bornAtMs}) => ({id, bornAtMs}));
     if (term > this.term) {
       this.term = term;
@@ -68,6 +85,31 @@
     if (confirmers !== undefined && term === this.term)
       this.applyRecorded(confirmers, present);
     this.present = present;
+    const current = term === this.term ? record : undefined;
+    this.absences.update(current, instances, this.unbounded, nowMs);
+  }
+
+  /**
+   * Returns the instances that may come back with their logs, with the primary
+   * of the term and instances that went in earlier terms.
+   *
+   * @param nowMs - Time of the steady clock, in milliseconds.
+   */
+  mayReturn(nowMs: number): AbsentInstance[] {
+    const unbounded = [this.primary, ...this.unbounded.map(({id}) => id)];
+    return this.absences.mayReturn(nowMs).map(instance => ({
+      ...instance,
+      isBounded: !unbounded.includes(instance.id),
+    }));
+  }
+
+  /**
+   * Handles a report of an instance. If it shows that the primary has returned
+   * by another name, the primary is not expected by its old one.
+   */
+  recordReport(record: PrimaryRecord, report: ReplicationReport): void {
+    if (isOldPrimaryByAnotherName(record, report))
+      this.absences.recordOtherName(record.primary);
   }
 
   /** The departures of the term. */
@@ -97,24 +139,39 @@
   }: PrimaryRecord): RecordedConfirmers | undefined {
     if (term !== this.term) return confirmers;
     const {present, unbounded, primary, bound} = this;
-    return {
-      instances: confirmersAmong([...present, ...unbounded], primary),
-      departedPosition: bound,
-    };
+    return this.withAbsences(
+      {
+        instances: confirmersAmong([...present, ...unbounded], primary),
+        departedPosition: bound,
+      },
+      primary,
+    );
+  }
+
+  /**
+   * Completes a record, also of a new term, by what is known of logs that may
+   * come back. A record without a list of confirmers stays as it is.
+   */
+  completeRecord(record: PrimaryRecord): PrimaryRecord {
+    const {confirmers, primary} = record;
+    if (confirmers === undefined) return record;
+    return {...record, confirmers: this.withAbsences(confirmers, primary)};
   }
 
   /**
    * Returns whether a record lacks an instance that may have confirmed commits
-   * of its term, or lists one whose commits are bounded by now.
+   * of its term or may return, lists one whose commits are bounded by now, or
+   * does not say that one is leaving.
    */
   isRecordOutdated(record: PrimaryRecord): boolean {
-    const recorded = record.confirmers?.instances;
-    const instances = this.confirmersFor(record)?.instances;
-    if (recorded === undefined || instances === undefined)
-      return recorded !== instances;
-    return (
-      recorded.length !== instances.length ||
-      instances.some(each => !includes(recorded, each))
+    const recorded = record.confirmers;
+    const confirmers = this.confirmersFor(record);
+    if (recorded === undefined || confirmers === undefined)
+      return recorded !== confirmers;
+    return !(
+      haveSameInstances(recorded.instances, confirmers.instances) &&
+      haveSameInstances(recorded.leaving, confirmers.leaving) &&
+      haveSameInstances(recorded.absent, confirmers.absent)
     );
   }
 
@@ -150,6 +207,17 @@
     );
   }
 
+  private withAbsences(
+    {instances, departedPosition}: RecordedConfirmers,
+    primary: string | undefined,
+  ): RecordedConfirmers {
+    return {
+      instances,
+      departedPosition,
+      ...this.absences.recordedWith(instances, primary),
+    };
+  }
+
   /** Adds a departure for each instance that is no longer in the directory. */
   private addDepartures(
     before: readonly GroupInstance[],
@@ -215,6 +283,26 @@
     );
 }
 
+/**
+ * Returns whether a report shows that the primary of a record returned by
+ * another name: only one instance ever leads a term.
+ */
+export function isOldPrimaryByAnotherName(
+  {term, primary}: PrimaryRecord,
+  report: ReplicationReport,
+): boolean {
+  return report.isPrimary && report.term === term && report.id !== primary;
+}
+
+function haveSameInstances(
+  left: readonly GroupInstance[] = [],
+  right: readonly GroupInstance[] = [],
+): boolean {
+  return (
+    left.length === right.length && right.every(each => includes(left, each))
+  );
+}
+
 function includes(
   instances: readonly GroupInstance[],
   instance: GroupInstance,
--- a/packages/decisions/src/core/primary-change/index.ts
+++ b/packages/decisions/src/core/primary-change/index.ts
@@ -1,4 +1,5 @@
 /** Decides when the primary of a group is replaced, and by which instance. */
+export * from './absent-instances.js';
 export * from './change-expectation.js';
 export * from './choose-target.js';
 export * from './departed-instances.js';
--- a/packages/decisions/src/core/primary-change/types.ts
+++ b/packages/decisions/src/core/primary-change/types.ts
@@ -60,6 +60,21 @@
   readonly bornAtMs: Incarnation;
 }
 
+/** An instance that is in the directory. */
+export interface PresentInstance extends GroupInstance {
+  /** Whether it has announced that it leaves the group. */
+  readonly isLeaving: boolean;
+}
+
+/** An instance that is not in the directory and may return with its log. */
+export interface AbsentInstance extends GroupInstance {
+  /**
+   * Whether every commit that it may have confirmed is included in a position
+   * that a target has to have reached.
+   */
+  readonly isBounded: boolean;
+}
+
 /** What every coordinator has to know of the instances that may have confirmed commits of a term. */
 export interface RecordedConfirmers {
   /**
@@ -69,6 +84,17 @@
   readonly instances: readonly GroupInstance[];
   /** Position that includes every commit confirmed by instances that left and are no longer listed. */
   readonly departedPosition?: LogPosition | undefined;
+  /**
+   * Those of {@link instances}, and the primary, whose logs are gone or have
+   * another name once their entries are gone. Undefined if there is none.
+   */
+  readonly leaving?: readonly GroupInstance[] | undefined;
+  /**
+   * Further instances that may return with their logs. What they confirmed is
+   * included in {@link departedPosition} or in the start of the term. Undefined
+   * if there is none.
+   */
+  readonly absent?: readonly GroupInstance[] | undefined;
 }
 
 /** Report of an instance after it was asked to stop replicating. */
--- a/packages/decisions/test/primary-change/choose-target.test.ts
+++ b/packages/decisions/test/primary-change/choose-target.test.ts
@@ -42,6 +42,7 @@
   wasPromotionOrdered: false,
   minimumPosition: undefined,
   unverifiedDepartures: [],
+  mayReturn: [],
 } as const;
 
 function candidate(id: string, position?: number): PromotionCandidate {
@@ -226,6 +227,55 @@
     });
   });
 
+  describe('when an instance that is absent may return with its log', () => {
+    const absent = {id: 'gone', bornAtMs: 1, isBounded: false};
+    const unproved = {
+      ...NOTHING_LOST,
+      mayOldPrimaryReport: false,
+      oldPrimary: undefined,
+      unverifiedDepartures: ['gone'],
+      replicas: [candidate('a', 3)],
+    };
+
+    it('waits for it if nothing else proves that the best one is complete', () => {
+      expect(chooseTarget({...unproved, mayReturn: [absent]})).toEqual({
+        kind: 'wait',
+        reason:
+          'a commit may exist only on an absent instance that may return: gone',
+      });
+    });
+
+    it('waits for it as well after a promotion order', () => {
+      const choice = chooseTarget({
+        ...unproved,
+        wasPromotionOrdered: true,
+        mayReturn: [absent],
+      });
+      expect(choice.kind).toEqual('wait');
+    });
+
+    it('does not wait if the best one is proved to be complete', () => {
+      const choice = chooseTarget({
+        ...unproved,
+        unverifiedDepartures: [],
+        mayReturn: [absent],
+      });
+      expect(choice).toEqual({
+        kind: 'promote',
+        target: 'a',
+        position: {term: 1, position: 3},
+      });
+    });
+
+    it('does not wait for one that has nothing that the best one lacks', () => {
+      const bounded = {...absent, id: 'other', isBounded: true};
+      const inputs = {...unproved, mayReturn: [bounded]};
+      const behind = {...inputs, minimumPosition: {term: 1, position: 4}};
+      expect(chooseTarget(inputs).kind).toEqual('promote');
+      expect(chooseTarget(behind).kind).toEqual('wait');
+    });
+  });
+
   describe('when the reported positions lack a commit that may be acknowledged', () => {
     const minimumPosition = {term: 1, position: 5};
 
--- a/packages/decisions/test/restored-store/model-change.ts
+++ b/packages/decisions/test/restored-store/model-change.ts
@@ -143,6 +143,7 @@
       unverifiedDepartures: departed.unbounded
         .filter(({id, bornAtMs}) => !this.reportedLogs.has(`${id}/${bornAtMs}`))
         .map(({id}) => id),
+      mayReturn: departed.mayReturn(0),
     };
   }
 }
--- a/packages/gateway/src/core/coordinator/group-departures.ts
+++ b/packages/gateway/src/core/coordinator/group-departures.ts
@@ -5,9 +5,17 @@
 } from '../directory/index.js';
 import type {DatabaseGroup, GroupRegistry} from '../groups/index.js';
 import {isOutdated} from '../groups/index.js';
+import {steadyNowMs} from '../time/index.js';
 import {CommandKind} from '../upstream/index.js';
 import type {ControlConnections} from './control-connections.js';
 
+/**
+ * How long an instance whose entry has lapsed may still return with its log, in
+ * milliseconds; regions lose connectivity to each other for an hour now and
+ * then.
+ */
+const RETURN_WITHIN_MS = 2 * 3_600_000;
+
 /**
  * Instances of each group that left during its current term, with what the
  * coordinator learns from the primary about the commits that they may have
@@ -35,7 +43,8 @@
 
   /** Returns the departures of a group. */
   of(group: string): DepartedInstances {
-    const known = this.departed.get(group) ?? new DepartedInstances();
+    const known =
+      this.departed.get(group) ?? new DepartedInstances(RETURN_WITHIN_MS);
     this.departed.set(group, known);
     return known;
   }
@@ -87,6 +96,6 @@
     const stored = group.storedRecord;
     if (stored === undefined || isOutdated(stored)) return;
     const {record} = stored;
-    this.of(group.name).update(record, instances);
+    this.of(group.name).update(record, instances, steadyNowMs());
   }
 }
--- a/packages/gateway/src/core/coordinator/held-instances.ts
+++ b/packages/gateway/src/core/coordinator/held-instances.ts
@@ -214,6 +214,10 @@
       unverifiedDepartures: departed.unbounded
         .filter(each => !this.replicaReports.hasReported(each))
         .map(({id}) => id),
+      mayReturn: departed.mayReturn(steadyNowMs()).map(each => ({
+        ...each,
+        isBounded: each.isBounded || this.replicaReports.hasReported(each),
+      })),
     };
   }
 
--- a/packages/gateway/src/core/coordinator/target-choice-log.ts
+++ b/packages/gateway/src/core/coordinator/target-choice-log.ts
@@ -88,6 +88,7 @@
 
 function describeChoice(inputs: TargetInputs, choice: TargetChoice): LogFields {
   const {replicas, oldPrimary, minimumPosition, orderedTarget} = inputs;
+  const mayReturn = inputs.mayReturn.map(({id}) => id).join(' ');
   const silent = replicas.filter(({report}) => report === undefined);
   return {
     choice: choice.kind,
@@ -99,6 +100,7 @@
     minimumPosition: minimumPosition && formatPosition(minimumPosition),
     unverifiedDepartures: inputs.unverifiedDepartures.join(' '),
     wasPromotionOrdered: inputs.wasPromotionOrdered,
+    ...(mayReturn === '' ? {} : {mayReturn}),
     ...(orderedTarget === undefined ? {} : {orderedTarget}),
   };
 }
--- a/packages/gateway/src/core/coordinator/write-primary-record.ts
+++ b/packages/gateway/src/core/coordinator/write-primary-record.ts
@@ -17,7 +17,8 @@
 
 /**
  * Writes the record of a group if this proxy is still the coordinator and the
- * record has not changed since it was read.
+ * record has not changed since it was read. The record is completed by the
+ * instances whose logs may come back.
  *
  * @param context - Dependencies of the primary change.
  * @param group - The group.
@@ -34,7 +35,8 @@
   const coordinatorRevision = context.coordinatorRevision();
   // Revision 0 would be met by a store without a coordinator.
   if (coordinatorRevision === 0) throw new RecordConflictError(group.name);
-  const written: PrimaryRecord = {...record, generation};
+  const departed = context.departures.of(group.name);
+  const written = {...departed.completeRecord(record), generation};
   const result = await context.store.transact({
     conditions: [
       {key: coordinatorKey(generation), revision: coordinatorRevision},
