Send no order while one of another coordinator may arrive

A record that names a target stands for an order without a result. The coordinator that finds it now holds the instances as before, but orders nothing and records no other instance until the ordered one leads, or until 10 s after it first saw the record (the time for which calls may still be executed late, as for claims). The order stays in the records of the change (outstandingOrder), so that the next coordinator knows of it too, and each process remembers since when it has seen it. So at most one order is on its way. The result of an order that the process sent itself ends the wait. After the limit the same instance is chosen again if it is complete, as before.

Ruled out: orders of a process that runs; they are reset when they time out.

Tests of changes on the in-memory group use a limit of 100 ms unless they name another; their assertions are unchanged. The cost: a group whose coordinator ends just as it orders has no primary for up to 10 s if the order is lost. An order that arrives later than the limit remains.

--- a/packages/decisions/src/core/primary-change/index.ts
+++ b/packages/decisions/src/core/primary-change/index.ts
@@ -4,6 +4,7 @@
 export * from './choose-target.js';
 export * from './departed-instances.js';
 export * from './held-reports.js';
+export * from './outstanding-orders.js';
 export * from './primary-suspicion.js';
 export * from './record-of-term.js';
 export * from './replacement-decision.js';
--- a/packages/decisions/src/core/primary-change/types.ts
+++ b/packages/decisions/src/core/primary-change/types.ts
@@ -33,6 +33,11 @@
   readonly orders?: number | undefined;
   /** Instance chosen as the next primary, once it is decided. */
   readonly target?: string | undefined;
+  /**
+   * Order of an earlier coordinator that may still take effect. Undefined in a
+   * record that names a {@link target}: such a record stands for an order itself.
+   */
+  readonly outstandingOrder?: OutstandingOrder | undefined;
   /**
    * Position that includes every commit acknowledged before the target was
    * chosen. No commit can be acknowledged until the target is primary.
@@ -51,6 +56,14 @@
   readonly confirmers?: RecordedConfirmers | undefined;
 }
 
+/** An order to promote whose result is not known to the coordinator. */
+export interface OutstandingOrder {
+  /** The ordered instance. */
+  readonly target: string;
+  /** Fencing token of the order. */
+  readonly token: number;
+}
+
 /** Identifies one start of an instance, in Unix milliseconds, if it is known. */
 export type Incarnation = number | undefined;
 
--- a/packages/gateway/src/core/coordinator/held-instances.ts
+++ b/packages/gateway/src/core/coordinator/held-instances.ts
@@ -46,6 +46,11 @@
     return instances.filter(({id}) => id !== record.primary);
   }
 
+  /** Whether an instance has reported as a held replica. */
+  hasReported(id: string): boolean {
+    return this.replicaReports.find(id) !== undefined;
+  }
+
   /** Sends a command to several instances and returns the reports of those that respond. */
   async sendToAll(
     instances: readonly RegisteredInstance[],
--- a/packages/gateway/src/core/coordinator/primary-change-context.ts
+++ b/packages/gateway/src/core/coordinator/primary-change-context.ts
@@ -8,6 +8,7 @@
 import type {CoordinationStore} from '../store/index.js';
 import type {ControlConnections} from './control-connections.js';
 import type {GroupDepartures} from './group-departures.js';
+import type {OutstandingOrders} from './outstanding-orders.js';
 import type {PromotionService} from './promotion-service.js';
 
 /** Dependencies of a primary change. */
@@ -28,6 +29,8 @@
   /** Instances that left during the current terms. */
   readonly departures: GroupDepartures;
   readonly promotions: PromotionService;
+  /** Orders that the records leave without a result. */
+  readonly outstandingOrders: OutstandingOrders;
   /**
    * Returns the revision at which this proxy became the coordinator; 0 if it is
    * not the coordinator.
--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -5,7 +5,6 @@
   TermFields,
 } from '@sapphireglade/decisions';
 import {
-  chooseTarget,
   confirmersAmong,
   elapsedMs,
   fencingTokenOf,
@@ -17,6 +16,7 @@
 import type {DatabaseGroup, VersionedPrimaryRecord} from '../groups/index.js';
 import {readClocks, steadyNowMs} from '../time/index.js';
 import {CommandKind} from '../upstream/index.js';
+import {EarlierOrder} from './earlier-order.js';
 import {HeldInstances} from './held-instances.js';
 import type {PrimaryChangeContext} from './primary-change-context.js';
 import {PromotionResult} from './promotion-service.js';
@@ -56,6 +56,7 @@
   private failedPromotions = 0;
   /** The instance that was ordered to lead last, if its promotion was not observed. */
   private orderedTarget: string | undefined;
+  private readonly earlierOrder: EarlierOrder;
   private revocation: ViewRevocation | undefined;
   /** Generation of the store in which the change began. */
   private readonly generation: number;
@@ -75,6 +76,9 @@
       () => this.failedPromotions,
       () => this.orderedTarget,
     );
+    this.earlierOrder = new EarlierOrder(context, group.name, this.held, () =>
+      this.assertStillCoordinator(),
+    );
   }
 
   /**
@@ -89,7 +93,7 @@
     this.countStep('begun');
     this.log('A change of primary begins.', {reason: this.reason});
     this.failedPromotions = known.record.orders ?? 0;
-    this.orderedTarget = known.record.target;
+    this.orderedTarget = this.earlierOrder.read(known);
     if (await this.adoptPrimary(known)) return;
     try {
       const announced = await this.announce(known);
@@ -125,6 +129,7 @@
         ? old
         : await this.write({
             ...this.fieldsOfTerm(old.record),
+            ...this.earlierOrder.fields,
             phase: PrimaryPhase.Changing,
             isPlanned: this.reason === PrimaryChangeReason.Leaving,
             orders: this.failedPromotions,
@@ -144,14 +149,7 @@
   /** Completes the change if an earlier coordinator promoted an instance. */
   private async adoptPrimary(known: VersionedPrimaryRecord): Promise<boolean> {
     if (this.reason !== PrimaryChangeReason.Unfinished) return false;
-    const reports = await this.held.sendToAll(this.held.replicas(known), {
-      kind: CommandKind.Status,
-    });
-    // An earlier promotion than the last is followed by the last one.
-    const promotedTerm = known.record.term + Math.max(1, this.failedPromotions);
-    const [leader] = reports
-      .filter(({isPrimary, term}) => isPrimary && term >= promotedTerm)
-      .sort((left, right) => right.term - left.term);
+    const leader = await this.earlierOrder.findPromoted(known);
     if (leader === undefined) return false;
     const {target, lastPosition} = known.record;
     await this.completeChange(
@@ -198,13 +196,13 @@
     const choices = new TargetChoiceLog(this.context, this.group);
     for (;;) {
       await this.held.holdReplicas(known);
-      const {leader} = this.held;
+      const leader = await this.earlierOrder.findLeader();
       if (leader !== undefined) {
         await this.adoptLeader(leader);
         return;
       }
       const inputs = this.held.targetInputs(known);
-      const choice = chooseTarget(inputs);
+      const choice = this.earlierOrder.choose(inputs);
       choices.record(inputs, choice);
       if (choice.kind === 'promote') {
         await this.awaitViewRevocation();
@@ -275,6 +273,7 @@
       lastPosition,
     });
     const ageMs = (): number => elapsedMs(sentAt, readClocks());
+    this.earlierOrder.onSuperseded();
     const {generation = 0, revision} = written;
     const fencingToken = fencingTokenOf(generation, revision);
     const answer = await context.promotions.promote({
@@ -285,6 +284,7 @@
       // The store may have been restored since the token was written.
       isValid: () => ageMs() <= TOKEN_VALIDITY_MS && this.isStillCoordinator,
     });
+    context.outstandingOrders.settle(group.name, {target, token: fencingToken});
     this.orderedTarget = target;
     this.countStep('ordered');
     this.log('A promotion was ordered.', {
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -10,6 +10,7 @@
   CoordinatorKey,
   CoordinatorTask,
   GroupDepartures,
+  OutstandingOrders,
 } from '../coordinator/index.js';
 import {InstanceDirectory} from '../directory/index.js';
 import {ForwardingService} from '../forwarding/index.js';
@@ -245,6 +246,7 @@
         knownProxies,
         control,
         departures: new GroupDepartures(this.directory, this.groups, control),
+        outstandingOrders: new OutstandingOrders(this.groups),
         promotions,
         followedRevision: () => this.storeWatchers.proxyKeys.revision,
         metrics: this.metrics,
--- a/packages/gateway/test/support/primary-change-context.ts
+++ b/packages/gateway/test/support/primary-change-context.ts
@@ -15,6 +15,7 @@
   InstanceDirectory,
   KnownProxies,
   MemberList,
+  OutstandingOrders,
   PrimaryReleases,
   RegistrationUsePolicy,
 } from '../../src/index.js';
@@ -23,6 +24,9 @@
 import type {MemoryStoreState} from './memory-store.js';
 import {MemoryStore} from './memory-store.js';
 
+/** How long an order that is found in a record may still arrive by default, in milliseconds. */
+const ORDER_PENDING_MS = 100;
+
 /** Options for a context of a primary change. */
 export interface PrimaryChangeContextOptions {
   /** Name of the proxy that coordinates. */
@@ -36,6 +40,8 @@
   readonly isCoordinating?: () => boolean;
   /** The instances in the directory; by default all of the group. */
   readonly registered?: readonly MemoryInstance[];
+  /** How long an order that is found in a record may still arrive, in milliseconds. */
+  readonly orderPendingMs?: number;
   /** Receives the log lines; by default nothing does. */
   readonly log?: Logger;
 }
@@ -67,6 +73,7 @@
   view,
   isCoordinating = () => true,
   registered = group.instances,
+  orderPendingMs = ORDER_PENDING_MS,
   log = createSilentLogger(),
 }: PrimaryChangeContextOptions): PrimaryChangeContext {
   const store = new MemoryStore(state);
@@ -112,6 +119,7 @@
     releases: new PrimaryReleases(self, store, undefined as never, log),
     control,
     departures: new GroupDepartures(directory, groups, control),
+    outstandingOrders: new OutstandingOrders(groups, orderPendingMs),
     coordinatorRevision: () => (isCoordinating() ? revision : 0),
     coordinatorForMs: () => undefined,
     followedRevision: () => state.revision,
