Keep a leader that all but a partitioned former primary follow after a restore

Callers got no write through after a restore that lost a change of primary, if the former primary stayed partitioned from the other instances and all proxies had started again: "every gateway serves: not within 20000 ms", until the cut healed.

The recovery waits 8 s, because ledger-0 does not follow, and then assumes an order whose end nobody saw. That change holds all three (ledger-0 at 1.6, the others at 1.5) and promotes ledger-0 for an entry that nobody confirmed. It cannot replicate; its position counts as the start of its term, so the next nine changes, within 10 s, promote it again.

Ruled out: that an order could be under way to the late instance. The target of an order is held for its term, or was the primary and stepped down, and so is each replica that could hold a commit. ledger-0 was not held, ledger-2 follows unheld, and both and the leader had been running for long enough.

Change: such a leader is recorded again once the late instances have had 3 s to follow it, if all instances report, the late ones are in earlier terms, not held for that of the leader and not started recently, and the leader and one follower have been running. A silent instance, a held one or one that started a moment ago still leads to a change after 8 s.

Not changed: the choice of a target. Of two logs the lower one would be enough where all instances have reported and none departed; after a restore, departures in the lost seconds are not known, so this is not proved.

Tests: the case in record-recovery.test.ts fails without the change ("{ 2 entries } is not equal to { 3 entries }": it waits), and so does the model's ("The value false is not equal to true": no leader is confirmed despite a late instance). A seventh variant, which lets silent instances count as followers, breaks a rule.

--- a/packages/decisions/src/core/restored-store/record-recovery.ts
+++ b/packages/decisions/src/core/restored-store/record-recovery.ts
@@ -13,6 +13,13 @@
  */
 export const MAXIMUM_RECOVERY_WAIT_MS = 8_000;
 
+/**
+ * How long a decision waits for instances that report and could follow the
+ * leader, in milliseconds. A former primary follows within a second if it can
+ * reach the leader.
+ */
+export const LATE_INSTANCE_WAIT_MS = 3_000;
+
 /** A listed instance of a group whose record is to be recovered. */
 export interface RecoveryCandidate extends PromotionCandidate {
   /**
@@ -74,6 +81,8 @@
  * replaced as after an order whose end nobody saw. That takes the primary out of
  * use, so instances that are silent or late get some time first, as long as one
  * follower proves that the leader can be used meanwhile, and it is not withheld.
+ * An instance that is only late does not cost such a leader its place: it may be
+ * a former primary that is partitioned from the others.
  *
  * @param inputs - The records that are left, and the reports of the instances.
  * @returns The action, with the record that it needs.
@@ -94,6 +103,10 @@
     if (missing === undefined) return confirmRecovery(leader);
     const isFollowed = reports.some(each => isFollower(each, leader.term));
     const isInUse = isFollowed && !isWithheld(instances, leader);
+    const isLateTimeOver = waitedMs >= LATE_INSTANCE_WAIT_MS;
+    if (isInUse && isLateTimeOver && areOthersUninvolved(instances, leader)) {
+      return confirmRecovery(leader);
+    }
     if (isInUse && isTimeLeft) return waitRecovery(missing);
   }
   const primary = lastKnownPrimary(evidence);
@@ -172,13 +185,54 @@
     const names = late.map(({id}) => id).join(' ');
     return `instances do not follow ${leader} in term ${term}: ${names}`;
   }
-  const proven = instances.filter(({mayHaveLostHold}) => !mayHaveLostHold);
-  const isLeaderProven = proven.some(({id}) => id === leader);
-  return isLeaderProven && proven.length > 1
+  return hasProvenFollower(instances, leader, term)
     ? undefined
     : `${leader} or all that follow it may have started after they were held`;
 }
 
+/** Returns whether the leader and one follower have been running for long enough. */
+function hasProvenFollower(
+  instances: readonly RecoveryCandidate[],
+  leader: string,
+  term: number,
+): boolean {
+  const proven = instances.filter(({mayHaveLostHold}) => !mayHaveLostHold);
+  const isLeaderProven = proven.some(({id}) => id === leader);
+  const isFollowerProven = proven.some(
+    ({report}) => report !== undefined && isFollower(report, term),
+  );
+  return isLeaderProven && isFollowerProven;
+}
+
+/**
+ * Returns whether no instance can be the target of an order that may still take
+ * effect, although some do not follow the leader.
+ *
+ * The target of an order was held for its term, or was the primary and stepped
+ * down, and so was every replica that could hold a commit. An instance that has
+ * been running for long enough, is in an earlier term and is not held for the
+ * term of the leader or a later one is therefore no target of an order of that
+ * term.
+ */
+function areOthersUninvolved(
+  instances: readonly RecoveryCandidate[],
+  {id: leader, term}: ReplicationReport,
+): boolean {
+  const isUninvolved = ({
+    id,
+    report,
+    mayHaveLostHold,
+  }: RecoveryCandidate): boolean => {
+    if (report === undefined) return false;
+    if (id === leader || isFollower(report, term)) return true;
+    const isInEarlierTerm = report.term < term && report.heldTerm < term;
+    return isInEarlierTerm && mayHaveLostHold !== true;
+  };
+  return (
+    instances.every(isUninvolved) && hasProvenFollower(instances, leader, term)
+  );
+}
+
 function confirmRecovery(leader: ReplicationReport): RecordRecovery {
   return {kind: 'confirm', leader, initialPosition: leader.received};
 }
--- a/packages/decisions/test/restored-store/record-recovery.test.ts
+++ b/packages/decisions/test/restored-store/record-recovery.test.ts
@@ -9,6 +9,7 @@
 } from '../../src/index.js';
 import {
   decideRecordRecovery,
+  LATE_INSTANCE_WAIT_MS,
   MAXIMUM_RECOVERY_WAIT_MS,
   PrimaryPhase,
 } from '../../src/index.js';
@@ -154,6 +155,23 @@
     const restored = steady(2, 'a');
     const silent = listed(LEADER, report('b', 2), 'c');
 
+    function decideAfterWait(
+      late: ReplicationReport,
+      restarted: readonly string[] = [],
+      withheld: readonly string[] = [],
+    ): RecordRecovery {
+      const instances = listed(LEADER, report('b', 2), late).map(each => ({
+        ...each,
+        mayHaveLostHold: restarted.includes(each.id),
+        isWithheld: withheld.includes(each.id),
+      }));
+      return decide({
+        restored,
+        instances,
+        waitedMs: MAXIMUM_RECOVERY_WAIT_MS,
+      });
+    }
+
     it('waits as long as there is time', () => {
       expect(
         decide({
@@ -186,6 +204,46 @@
       }
     });
 
+    // Fails if a former primary that is cut off from the others is held, and chosen for its unconfirmed entries.
+    it('keeps a followed leader if the late one is not held and had time to follow', () => {
+      for (const late of [report('c', 1), report('c', 1, {isPrimary: true})]) {
+        const instances = listed(LEADER, report('b', 2), late);
+        const waitedMs = LATE_INSTANCE_WAIT_MS;
+        expect(decide({restored, instances, waitedMs})).toEqual({
+          kind: 'confirm',
+          leader: LEADER,
+          initialPosition: LEADER.received,
+        });
+        expect(decideAfterWait(late).kind).toEqual('confirm');
+        const decision = decide({
+          restored,
+          instances,
+          waitedMs: LATE_INSTANCE_WAIT_MS - 1,
+        });
+        expect(decision.kind).toEqual('wait');
+      }
+    });
+
+    it('replaces the leader if the late one may be the target of an order', () => {
+      const held = [2, 3].map(heldTerm => report('c', 1, {heldTerm}));
+      for (const late of held) {
+        expect(decideAfterWait(late).kind).toEqual('change');
+      }
+      expect(decideAfterWait(report('c', 1), ['c']).kind).toEqual('change');
+    });
+
+    it('replaces the leader if only the late one is known to have kept a hold', () => {
+      for (const restarted of ['a', 'b']) {
+        const decision = decideAfterWait(report('c', 1), [restarted]);
+        expect(decision.kind).toEqual('change');
+      }
+    });
+
+    it('replaces a leader that proxies no longer use although the late one is not held', () => {
+      const decision = decideAfterWait(report('c', 1), [], ['a']);
+      expect(decision.kind).toEqual('change');
+    });
+
     it('replaces a leader at once that proxies no longer use', () => {
       const instances = silent.map(each => ({
         ...each,
--- a/packages/decisions/test/restored-store/restores-under-faults.test.ts
+++ b/packages/decisions/test/restored-store/restores-under-faults.test.ts
@@ -2,7 +2,10 @@
 import {expect} from 'earl';
 import fc from 'fast-check';
 import type {RecordRecovery, RecordRecoveryInputs} from '../../src/index.js';
-import {decideRecordRecovery} from '../../src/index.js';
+import {
+  decideRecordRecovery,
+  MAXIMUM_RECOVERY_WAIT_MS,
+} from '../../src/index.js';
 import {GroupOverRestores, RULES} from './group-over-restores.js';
 import type {Rules} from './model-coordinator.js';
 import {HISTORY} from './restore-histories.js';
@@ -45,6 +48,28 @@
     : {kind: 'confirm', leader, initialPosition: leader.received};
 }
 
+/** Decides as if the time for silent and late instances were over at once. */
+function decideWithoutWaiting(inputs: RecordRecoveryInputs): RecordRecovery {
+  return decideRecordRecovery({...inputs, waitedMs: MAXIMUM_RECOVERY_WAIT_MS});
+}
+
+/** Returns whether a decision confirms a leader that a reporting instance does not follow. */
+function confirmsDespiteLate(
+  {instances}: RecordRecoveryInputs,
+  decision: RecordRecovery,
+): boolean {
+  if (decision.kind !== 'confirm') return false;
+  const {term} = decision.leader;
+  return instances.some(
+    ({report}) => report !== undefined && report.term < term,
+  );
+}
+
+function ignoreSilent(inputs: RecordRecoveryInputs): RecordRecovery {
+  const instances = inputs.instances.filter(({report}) => report !== undefined);
+  return decideRecordRecovery({...inputs, instances});
+}
+
 function ignoreRestarts(inputs: RecordRecoveryInputs): RecordRecovery {
   const instances = inputs.instances.map(each => ({
     ...each,
@@ -96,6 +121,11 @@
     rules: {decide: ignoreRestarts},
     breaks: /^(lost|old primary):/,
   },
+  {
+    name: 'an instance that does not report counts as one that follows',
+    rules: {decide: ignoreSilent},
+    breaks: /^(lost|old primary):/,
+  },
 ];
 
 describe('a group whose store is restored from backups', () => {
@@ -125,6 +155,17 @@
     });
   });
 
+  it('breaks no rule if the time for late instances is over at once', () => {
+    let despiteLate = 0;
+    const decide = (inputs: RecordRecoveryInputs): RecordRecovery => {
+      const decision = decideWithoutWaiting(inputs);
+      if (confirmsDespiteLate(inputs, decision)) despiteLate += 1;
+      return decision;
+    };
+    expect(findViolations({...RULES, decide})).toEqual([]);
+    expect(despiteLate > 0).toEqual(true);
+  });
+
   for (const {name, rules, breaks} of BROKEN) {
     it(`breaks a rule if ${name}`, () => {
       const violations = findViolations({...RULES, ...rules});
