Recognize an instance that returns by another name

Callers got no write through, although the only log that was waited for was back: with the wait for absent instances a change would wait for a name that never returns.

Change: an absent instance is no longer expected by its old name once a later instance of the group is registered at its address. One that reports to lead the record's term is the old primary, as only one instance ever leads a term, and its log is a proof like that of the old primary. The line on a registration has the address.

Without the recognition the new case of returned-primary.test.ts fails: the change waits ("The value [] is not equal to ["ledger-3"]").

Not covered: a coordinator that started after the old primary went, and after it was stepped down by its new name, knows neither address nor role; it waits for the old name.

--- a/packages/decisions/src/core/primary-change/absent-instances.ts
+++ b/packages/decisions/src/core/primary-change/absent-instances.ts
@@ -11,6 +11,8 @@
   readonly instance: GroupInstance;
   /** Whether the log does not come back under this name once the entry has gone. */
   isLeaving: boolean;
+  /** Where it was last registered; undefined if only a record names it. */
+  readonly address: string | undefined;
   /** Since when it is known to be absent, in milliseconds of the steady clock; undefined while it is present. */
   absentSinceMs: number | undefined;
 }
@@ -23,9 +25,11 @@
  * logs may come back.
  *
  * An entry also lapses while its instance is dark or cut off, so its absence
- * proves nothing. A log is gone if the instance announced that it leaves before
- * its entry went, if another incarnation of it was present, or if it has been
- * absent for longer than any instance is expected to be.
+ * proves nothing. A log is gone, or comes back under another name, if the
+ * instance announced that it leaves before its entry went, if another
+ * incarnation of it was present, if a later instance of the group has its
+ * address, or if it has been absent for longer than any instance is expected to
+ * be.
  *
  * Absences outlast the term: an instance that returns still has the commits of
  * earlier terms.
@@ -56,9 +60,14 @@
   ): void {
     this.updatedAtMs = nowMs;
     const presentIds = new Set(present.map(({id}) => id));
-    for (const {id, bornAtMs, isLeaving} of present) {
+    for (const {id, bornAtMs, isLeaving, address} of present) {
       const instance = {id, bornAtMs};
-      this.sightings.set(id, {instance, isLeaving, absentSinceMs: undefined});
+      const absentSinceMs = undefined;
+      this.sightings.set(id, {instance, isLeaving, address, absentSinceMs});
+    }
+    for (const sighting of this.sightings.values()) {
+      if (present.some(each => hasTakenAddress(each, sighting)))
+        sighting.isLeaving = true;
     }
     for (const [id, sighting] of this.sightings) {
       if (!presentIds.has(id)) sighting.absentSinceMs ??= nowMs;
@@ -123,6 +132,7 @@
     this.sightings.set(instance.id, {
       instance,
       isLeaving: false,
+      address: undefined,
       absentSinceMs: nowMs,
     });
   }
@@ -166,3 +176,16 @@
 function mayBeSame(known: GroupInstance, other: GroupInstance): boolean {
   return known.bornAtMs === undefined || known.bornAtMs === other.bornAtMs;
 }
+
+/** Returns whether a later instance is registered at the address of another one, whose log it has or replaces. */
+function hasTakenAddress(
+  {id, bornAtMs = -Infinity, address}: PresentInstance,
+  sighting: Sighting,
+): boolean {
+  const {instance} = sighting;
+  return (
+    address === sighting.address &&
+    id !== instance.id &&
+    bornAtMs > (instance.bornAtMs ?? Infinity)
+  );
+}
--- a/packages/decisions/src/core/primary-change/types.ts
+++ b/packages/decisions/src/core/primary-change/types.ts
@@ -77,6 +77,8 @@
 export interface PresentInstance extends GroupInstance {
   /** Whether it has announced that it leaves the group. */
   readonly isLeaving: boolean;
+  /** Where it accepts connections, as HOST:PORT. */
+  readonly address: string;
 }
 
 /** An instance that is not in the directory and may return with its log. */
--- a/packages/decisions/test/primary-change/departed-instances.test.ts
+++ b/packages/decisions/test/primary-change/departed-instances.test.ts
@@ -38,6 +38,7 @@
   {nowMs = 0, leaving = []}: Reading = {},
 ): void {
   const present = instances.map(each => ({
+    address: each.id,
     ...each,
     isLeaving: leaving.includes(each),
   }));
@@ -189,6 +190,20 @@
     expect(departed.unbounded).toEqual([LEFT]);
   });
 
+  // Fails if a change waits for an instance that is back by another name.
+  it('are none whose address a later instance has', () => {
+    const successor = {id: 'i4', bornAtMs: 20, address: LEFT.id};
+    update(departed, STEADY, [PRIMARY, REMAINING, successor]);
+    expect(mayReturn()).toEqual([]);
+    expect(departed.unbounded).toEqual([LEFT]);
+  });
+
+  it('are those whose address only an earlier instance has', () => {
+    const other = {id: 'i4', bornAtMs: 1, address: LEFT.id};
+    update(departed, STEADY, [PRIMARY, REMAINING, other]);
+    expect(mayReturn()).toEqual([LEFT.id]);
+  });
+
   it('are counted from the last time that they went', () => {
     update(departed, STEADY, [PRIMARY, REMAINING], {nowMs: 0});
     update(departed, STEADY, ALL, {nowMs: 500});
--- a/packages/decisions/test/primary-change/group-under-faults.ts
+++ b/packages/decisions/test/primary-change/group-under-faults.ts
@@ -338,7 +338,7 @@
   private observeDirectory(record: PrimaryRecord): void {
     this.now += 1;
     const present: PresentInstance[] = this.instances.map(
-      ({id, bornAtMs, isLeaving}) => ({id, bornAtMs, isLeaving}),
+      ({id, bornAtMs, isLeaving}) => ({id, bornAtMs, isLeaving, address: id}),
     );
     this.departed.update(record, present, this.now);
   }
--- a/packages/decisions/test/restored-store/model-group.ts
+++ b/packages/decisions/test/restored-store/model-group.ts
@@ -178,6 +178,7 @@
         id,
         bornAtMs: logNumber,
         isLeaving: false,
+        address: id,
       })),
       0,
     );
--- a/packages/gateway/src/core/coordinator/group-departures.ts
+++ b/packages/gateway/src/core/coordinator/group-departures.ts
@@ -1,3 +1,4 @@
+import type {PresentInstance} from '@sapphireglade/decisions';
 import {DepartedInstances, PrimaryPhase} from '@sapphireglade/decisions';
 import type {
   InstanceDirectory,
@@ -96,6 +97,20 @@
     const stored = group.storedRecord;
     if (stored === undefined || isOutdated(stored)) return;
     const {record} = stored;
-    this.of(group.name).update(record, instances, steadyNowMs());
+    this.of(group.name).update(
+      record,
+      instances.map(toPresentInstance),
+      steadyNowMs(),
+    );
   }
 }
+
+function toPresentInstance({
+  id,
+  bornAtMs,
+  isLeaving,
+  host,
+  port,
+}: RegisteredInstance): PresentInstance {
+  return {id, bornAtMs, isLeaving, address: `${host}:${port}`};
+}
--- a/packages/gateway/src/core/coordinator/held-instances.ts
+++ b/packages/gateway/src/core/coordinator/held-instances.ts
@@ -1,5 +1,14 @@
-import type {ReplicationReport, TargetInputs} from '@sapphireglade/decisions';
-import {HeldReports, higherPosition} from '@sapphireglade/decisions';
+import type {
+  PromotionCandidate,
+  ReplicationReport,
+  TargetInputs,
+} from '@sapphireglade/decisions';
+import {
+  formatPosition,
+  HeldReports,
+  higherPosition,
+  isOldPrimaryByAnotherName,
+} from '@sapphireglade/decisions';
 import type {RegisteredInstance} from '../directory/index.js';
 import type {VersionedPrimaryRecord} from '../groups/index.js';
 import {steadyNowMs} from '../time/index.js';
@@ -14,6 +23,8 @@
   private readonly oldPrimaryReport = new HeldReports();
   private heldAtMs = steadyNowMs();
   private leadingReport: ReplicationReport | undefined;
+  /** Name by which the old primary has returned, if it is another one than before. */
+  private otherName: string | undefined;
 
   /**
    * @param context - Dependencies of the change.
@@ -76,6 +87,7 @@
       kind: CommandKind.HoldTerm,
       term,
     });
+    this.recordOtherName(known, held);
     const reports = await this.stepDownReturnedPrimaries(missing, held, term);
     if (reports.length > 0) this.heldAtMs = steadyNowMs();
     for (const report of reports) {
@@ -84,6 +96,26 @@
     }
   }
 
+  /** Recognizes the old primary if it has returned by another name. */
+  private recordOtherName(
+    {record}: VersionedPrimaryRecord,
+    reports: readonly ReplicationReport[],
+  ): void {
+    const returned = reports.find(each =>
+      isOldPrimaryByAnotherName(record, each),
+    );
+    if (returned === undefined) return;
+    this.otherName = returned.id;
+    this.context.departures.of(this.group).recordReport(record, returned);
+    this.context.log.info('The old primary has returned by another name.', {
+      group: this.group,
+      instance: returned.id,
+      before: record.primary,
+      term: record.term,
+      position: formatPosition(returned.received),
+    });
+  }
+
   /**
    * Steps down the instances that still lead, because a hold stops only
    * replicas. A primary that crashed returns as one, perhaps by another name.
@@ -195,17 +227,22 @@
     const {configuration, departures, directory} = this.context;
     const departed = departures.of(this.group);
     const old = directory.find(primary);
+    const candidates = this.replicas(known).map(({id, isLeaving}) => ({
+      id,
+      isLeaving,
+      report: this.replicaReports.find(id),
+    }));
+    const isReturned = ({id}: PromotionCandidate): boolean =>
+      old === undefined && id === this.otherName && !this.wasPromotionOrdered;
     return {
-      replicas: this.replicas(known).map(({id, isLeaving}) => ({
-        id,
-        isLeaving,
-        report: this.replicaReports.find(id),
-      })),
-      oldPrimary: old && {
-        id: old.id,
-        isLeaving: old.isLeaving,
-        report: this.oldPrimaryReport.find(old.id),
-      },
+      replicas: candidates.filter(each => !isReturned(each)),
+      oldPrimary: old
+        ? {
+            id: old.id,
+            isLeaving: old.isLeaving,
+            report: this.oldPrimaryReport.find(old.id),
+          }
+        : candidates.find(isReturned),
       mayOldPrimaryReport: old !== undefined,
       hasSynchronousReplication:
         configuration.current?.groups.get(this.group)
--- a/packages/gateway/src/core/directory/instance-directory.ts
+++ b/packages/gateway/src/core/directory/instance-directory.ts
@@ -218,6 +218,7 @@
       instance: instance.id,
       group: instance.group,
       zone: instance.availabilityZone,
+      address: `${instance.host}:${instance.port}`,
       leaving: instance.isLeaving,
       claimsPrimary: instance.claimsPrimary,
       bornAtMs: instance.bornAtMs,
--- a/packages/gateway/test/coordinator/returned-primary.test.ts
+++ b/packages/gateway/test/coordinator/returned-primary.test.ts
@@ -1,11 +1,13 @@
 import type {PrimaryRecord} from '@sapphireglade/decisions';
 import {PrimaryPhase} from '@sapphireglade/decisions';
 import {afterEach, beforeEach, describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
 import {
   PrimaryChangeReason,
   PrimaryChange,
 } from '../../src/core/coordinator/primary-change.js';
+import {steadyNowMs} from '../../src/core/time/index.js';
 import type {PrimaryChangeContext} from '../../src/index.js';
 import {DatabaseGroup, primaryRecordKey} from '../../src/index.js';
 import {GroupPromotions} from '../support/group-promotions.js';
@@ -15,6 +17,10 @@
 import {MemoryStoreState} from '../support/memory-store.js';
 
 const GROUP = 'ledger';
+
+/** Longer than a change of primary with views to revoke, in milliseconds. */
+const CHANGE_MS = 4_000;
+
 const SELF = 'proxy-1';
 
 /** Records which instances led when the first promotion was ordered. */
@@ -36,6 +42,7 @@
   let context: PrimaryChangeContext;
   let primary: MemoryInstance;
   let returned: MemoryInstance;
+  let isCoordinating: boolean;
 
   beforeEach(async () => {
     state = new MemoryStoreState();
@@ -44,12 +51,14 @@
     returned = group.instances[3]!;
     view = new DatabaseGroup(GROUP);
     promotions = new RecordingPromotions(group);
+    isCoordinating = true;
     context = createPrimaryChangeContext({
       self: SELF,
       state,
       group,
       promotions,
       view,
+      isCoordinating: () => isCoordinating,
     });
     const record: PrimaryRecord = {
       term: 1,
@@ -65,6 +74,7 @@
   });
 
   afterEach(() => {
+    isCoordinating = false;
     context.control.closeAll();
     group.close();
     state.close();
@@ -75,4 +85,31 @@
     expect(promotions.leaders).toEqual([]);
     expect(promotions.targets.length).toEqual(1);
   });
+
+  // Fails if the log of the old primary proves nothing because its name is another one.
+  it('promotes it at once if a replica went silent and nobody else has its commits', async () => {
+    const [, silent, behind] = group.instances as [
+      MemoryInstance,
+      MemoryInstance,
+      MemoryInstance,
+    ];
+    behind.log = [];
+    for (const gone of [primary, silent]) {
+      gone.isDown = true;
+      context.directory.markMissing(gone.id);
+      context.directory.removeMissing(steadyNowMs() + 60_000, false);
+    }
+
+    const change = new PrimaryChange(
+      context,
+      view,
+      PrimaryChangeReason.Unusable,
+    );
+    await Promise.race([change.run().catch(() => undefined), sleep(CHANGE_MS)]);
+
+    expect(promotions.targets).toEqual([returned.id]);
+    expect(context.metrics.render().includes('step="unverified"')).toEqual(
+      false,
+    );
+  });
 });
--- a/packages/gateway/test/support/primary-change-context.ts
+++ b/packages/gateway/test/support/primary-change-context.ts
@@ -54,7 +54,7 @@
   return {
     id,
     group,
-    host: 'memory',
+    host: id,
     port: 1,
     availabilityZone: 'zone-0',
     isLeaving: false,
