Require new reports of departed instances after a promotion order

Callers could lose a commit without a line that says so: an order whose result was not seen took effect late, the ordered instance confirmed a commit together with the old primary, and both left. The next target was promoted as if it was proved to be complete.

Cause: HeldReports.clear asked the instances that remain for new reports, but an instance that had reported before the order, and left after it, still counted as one that had reported all that it has. What it confirmed as the leader of the order's term was bounded by a position from before.

Change: clear also forgets who has reported. The positions still count.

Evidence: the random model has orders now whose results the coordinator does not see and that take effect before the next holds.

Ruled out: that the loss came from the order itself. As in the model of a restored store, an order is void once its target was held again or has lost its log.

--- a/packages/decisions/src/core/primary-change/held-reports.ts
+++ b/packages/decisions/src/core/primary-change/held-reports.ts
@@ -22,7 +22,7 @@
     string,
     {readonly report: ReplicationReport; readonly incarnation: Incarnation}
   >();
-  private readonly reported: GroupInstance[] = [];
+  private reported: GroupInstance[] = [];
   private highest: LogPosition | undefined;
 
   /** Highest position that any instance has reported since the change began. */
@@ -65,15 +65,23 @@
     return entry !== undefined && entry.incarnation === incarnation;
   }
 
-  /** Returns whether an incarnation has reported, even if it is gone by now. */
+  /**
+   * Returns whether an incarnation has reported all that it can have, even if it
+   * is gone by now.
+   */
   hasReported({id, bornAtMs}: GroupInstance): boolean {
     return this.reported.some(
       each => each.id === id && each.bornAtMs === bornAtMs,
     );
   }
 
-  /** Requires new reports; the positions that were reported still count. */
+  /**
+   * Requires new reports, because another instance may lead. The positions that
+   * were reported still count as acknowledged, but the instances may have
+   * confirmed more since.
+   */
   clear(): void {
     this.held.clear();
+    this.reported = [];
   }
 }
--- a/packages/decisions/test/primary-change/group-under-faults.ts
+++ b/packages/decisions/test/primary-change/group-under-faults.ts
@@ -4,6 +4,7 @@
   PrimaryRecord,
   PromotionCandidate,
   ReplicationReport,
+  TargetChoice,
   TargetInputs,
 } from '../../src/index.js';
 import {
@@ -15,6 +16,16 @@
   PrimaryPhase,
   termFields,
 } from '../../src/index.js';
+import type {ModelInstance} from './faulty-instances.js';
+import {FaultyInstances} from './faulty-instances.js';
+
+/** An instance that leads, or is ordered to, and its term. */
+interface Leadership {
+  readonly id: string;
+  readonly term: number;
+  /** Whether the order was reported as unverified. */
+  readonly isUnverified?: boolean;
+}
 
 /** How long an absent instance may still return, in model time; longer than a history. */
 const RETURN_WITHIN = 1_000;
@@ -25,22 +36,12 @@
 /** Changes what a coordinator reads that has just begun. */
 export type RecordFilter = (record: PrimaryRecord) => PrimaryRecord;
 
-/** One instance of the model. */
-interface ModelInstance {
-  readonly id: string;
-  log: LogPosition[];
-  bornAtMs: number;
-  isUp: boolean;
-  isDeaf: boolean;
-  isLeaving: boolean;
-}
-
 /**
  * A group whose instances go deaf, crash, lapse, return with and without their
  * logs, leave, are lost and are added, with a coordinator that replaces
  * primaries, and an observer that knows all logs.
  */
-export class GroupUnderFaults {
+export class GroupUnderFaults extends FaultyInstances {
   /**
    * Acknowledged commits that a promotion dropped although an instance had them
    * that is alive or returns, or dropped without reporting it.
@@ -50,13 +51,10 @@
   unverified = 0;
   /** Promotions in total. */
   promotions = 0;
-  /** Instances that were lost with their logs without an announcement. */
-  lostInstances = 0;
+  /** Orders that took effect after the coordinator had given them up. */
+  latePromotions = 0;
   /** Whether a coordinator began that did not know who had announced that it leaves. */
   hasForgottenLeave = false;
-  private readonly instances: ModelInstance[] = [];
-  /** Instances whose entries have lapsed and that return. */
-  private readonly absent: ModelInstance[] = [];
   private readonly acknowledged = new Map<string, LogPosition>();
   private departed = new DepartedInstances(RETURN_WITHIN);
   /** The record in the store. */
@@ -67,115 +65,31 @@
   };
   private held: HeldReports | undefined;
   private oldPrimaryReport = new HeldReports();
-  private created = 0;
+  /** An order whose result nobody has seen, until it takes effect or is void. */
+  private order: Leadership | undefined;
+  /** The instance that leads by an order that took effect late. */
+  private lateLeader: Leadership | undefined;
   private now = 0;
 
   constructor(
     private readonly filter: InputFilter = inputs => inputs,
     private readonly recordFilter: RecordFilter = record => record,
   ) {
+    super();
     for (let index = 0; index < 3; index += 1) this.add();
     this.updateDirectory();
   }
 
-  /** Adds an empty replica. */
-  add(): void {
-    this.created += 1;
-    this.instances.push({
-      id: `i${this.created}`,
-      log: [],
-      bornAtMs: this.created,
-      isUp: true,
-      isDeaf: false,
-      isLeaving: false,
-    });
-    this.replicate();
-    this.updateDirectory();
-  }
-
   /** Commits a write on the primary; it is acknowledged if a replica received it. */
   write(): void {
-    const leader = this.find(this.primary);
-    if (this.held !== undefined || leader?.isUp !== true) return;
+    const {leader} = this;
+    if (leader === undefined) return;
     const number = (leader.log.at(-1)?.position ?? 0) + 1;
-    const position = {term: this.term, position: number};
+    const position = {term: this.leadership.term, position: number};
     leader.log.push(position);
     if (this.replicate() > 0) this.acknowledged.set(keyOf(position), position);
   }
 
-  /** Changes whether an instance receives anything. */
-  toggleDeaf(index: number): void {
-    const instance = this.at(index);
-    if (instance === undefined) return;
-    instance.isDeaf = !instance.isDeaf;
-    this.replicate();
-  }
-
-  /** Stops an instance. */
-  crash(index: number): void {
-    const instance = this.at(index);
-    if (instance !== undefined) instance.isUp = false;
-  }
-
-  /** Starts a stopped instance again. A replica may have lost its log. */
-  restart(index: number, keepsLog: boolean): void {
-    const instance = this.at(index);
-    if (instance === undefined || instance.isUp) return;
-    instance.isUp = true;
-    this.created += 1;
-    instance.bornAtMs = this.created;
-    if (!keepsLog && instance.id !== this.primary) instance.log = [];
-    this.replicate();
-    this.updateDirectory();
-  }
-
-  /** Stops the replicas that are not leaving from receiving anything. */
-  cutPrimary(): void {
-    for (const instance of this.instances)
-      instance.isDeaf ||= !instance.isLeaving;
-  }
-
-  /** Lets an instance announce that it leaves. */
-  announceLeave(index: number): void {
-    const instance = this.at(index);
-    if (instance === undefined) return;
-    instance.isLeaving = true;
-    this.updateDirectory();
-  }
-
-  /** Removes an instance that has announced it, with its log. */
-  leave(index: number): void {
-    const instance = this.at(index);
-    if (instance?.isLeaving === true) this.remove(instance);
-  }
-
-  /** Removes an instance with its log for good, without an announcement. */
-  lose(index: number): void {
-    const instance = this.at(index);
-    if (instance === undefined || instance.isLeaving) return;
-    if (this.remove(instance)) this.lostInstances += 1;
-  }
-
-  /** Makes an instance dark until its entry has lapsed. A replica may lose its log. */
-  lapse(index: number, keepsLog: boolean): void {
-    const instance = this.at(index);
-    if (instance === undefined || instance.isLeaving) return;
-    if (!this.remove(instance)) return;
-    this.absent.push(instance);
-    if (!keepsLog && instance.id !== this.primary) this.stop(instance);
-  }
-
-  /** Lets an instance return whose entry had lapsed. */
-  comeBack(index: number): void {
-    const instance = this.absent[index % Math.max(1, this.absent.length)];
-    if (instance === undefined) return;
-    this.absent.splice(this.absent.indexOf(instance), 1);
-    instance.isUp = true;
-    this.instances.push(instance);
-    this.replicate();
-    this.updateDirectory();
-  }
-
   /** Lets the coordinator ask the primary for its position, if it can answer. */
   boundDepartures(): void {
     const leader = this.find(this.primary);
@@ -197,8 +111,13 @@
     this.oldPrimaryReport = new HeldReports();
   }
 
-  /** Starts a change of primary, or takes its next step. */
-  changePrimary(): void {
+  /**
+   * Starts a change of primary, or takes its next step.
+   *
+   * @param isOrderSeen - Whether the coordinator sees the result of its order,
+   *   if it gives one.
+   */
+  changePrimary(isOrderSeen = true): void {
     if (this.held === undefined) {
       this.held = new HeldReports();
       this.writeRecord({
@@ -209,7 +128,12 @@
     }
     for (const instance of this.instances.filter(({isUp}) => isUp)) {
       const reports =
-        instance.id === this.primary ? this.oldPrimaryReport : this.held;
+        instance.id === this.primary && this.orders === 0
+          ? this.oldPrimaryReport
+          : this.held;
+      // A hold ends the lead of an instance, and the orders to it.
+      if (this.order?.id === instance.id) this.order = undefined;
+      if (this.lateLeader?.id === instance.id) this.lateLeader = undefined;
       if (reports.isHeld(instance.id, instance.bornAtMs)) continue;
       reports.record(reportOf(instance, this.term), instance.bornAtMs);
     }
@@ -219,21 +143,46 @@
     if (target?.isUp !== true) return;
     this.promotions += 1;
     if (choice.unverified !== undefined) this.unverified += 1;
+    if (!isOrderSeen) {
+      this.loseOrder(choice, this.held);
+      return;
+    }
     this.observePromotion(target, choice.unverified !== undefined);
     this.lead(target, choice.position);
   }
 
+  /** Lets an order take effect whose result nobody has seen. */
+  promoteLate(): void {
+    const target = this.order && this.find(this.order.id);
+    if (target?.isUp !== true) return;
+    this.latePromotions += 1;
+    this.lateLeader = this.order;
+    this.order = undefined;
+    this.observePromotion(target, this.lateLeader?.isUnverified === true);
+    this.replicate();
+  }
+
+  /** Restarts the change after an order without a result. */
+  private loseOrder(
+    {target, unverified}: Extract<TargetChoice, {kind: 'promote'}>,
+    held: HeldReports,
+  ): void {
+    const orders = this.orders + 1;
+    const isUnverified = unverified !== undefined;
+    this.order = {id: target, term: this.term + orders, isUnverified};
+    held.clear();
+    this.oldPrimaryReport.clear();
+    const confirmers = this.departed.confirmersFor(this.record);
+    this.writeRecord({...this.record, confirmers, orders, target});
+  }
+
   /**
    * Lets every instance return that is alive.
    *
    * @returns Whether a change that is under way ends then.
    */
   settle(): boolean {
-    while (this.absent.length > 0) this.comeBack(0);
-    for (const [index, instance] of this.instances.entries()) {
-      instance.isDeaf = false;
-      this.restart(index, true);
-    }
+    this.returnAll();
     if (this.held !== undefined) this.changePrimary();
     return this.held === undefined;
   }
@@ -254,26 +203,14 @@
     }
   }
 
-  /** Removes an instance from the group, if at least two others remain. */
-  private remove(instance: ModelInstance): boolean {
-    if (this.instances.length < 3) return false;
-    this.instances.splice(this.instances.indexOf(instance), 1);
-    this.updateDirectory();
-    return true;
-  }
-
-  /** Ends an incarnation together with its log. */
-  private stop(instance: ModelInstance): void {
-    this.created += 1;
-    instance.bornAtMs = this.created;
-    instance.log = [];
-  }
-
   private lead(target: ModelInstance, position: LogPosition): void {
+    const term = this.term + this.orders + 1;
     this.held = undefined;
     this.oldPrimaryReport = new HeldReports();
+    this.order = undefined;
+    this.lateLeader = undefined;
     this.writeRecord({
-      term: this.term + 1,
+      term,
       primary: target.id,
       phase: PrimaryPhase.Steady,
       initialPosition: position,
@@ -283,14 +220,18 @@
   }
 
   private inputs(held: HeldReports): TargetInputs {
-    const replicas = this.instances.filter(({id}) => id !== this.primary);
+    const wasPromotionOrdered = this.orders > 0;
+    const replicas = this.instances.filter(
+      ({id}) => wasPromotionOrdered || id !== this.primary,
+    );
     const old = this.find(this.primary);
     return {
       replicas: replicas.map(each => candidateOf(each, held)),
       oldPrimary: old && candidateOf(old, this.oldPrimaryReport),
       mayOldPrimaryReport: old !== undefined,
       hasSynchronousReplication: true,
-      wasPromotionOrdered: false,
+      wasPromotionOrdered,
+      orderedTarget: this.record.target,
       minimumPosition: [this.departed.bound, held.highestPosition].reduce(
         higherPosition,
         this.record.initialPosition,
@@ -305,18 +246,30 @@
     };
   }
 
+  protected override hasKeptLog(id: string): boolean {
+    return id === this.leadership.id;
+  }
+
+  protected override onLogLost(id: string): void {
+    if (this.order?.id === id) this.order = undefined;
+  }
+
   /** Sends the log of the primary to the replicas; returns how many received it. */
-  private replicate(): number {
-    const leader = this.find(this.primary);
-    if (this.held !== undefined || leader?.isUp !== true) return 0;
+  protected override replicate(): number {
+    const {leader, held} = this;
+    if (leader === undefined) return 0;
     const receivers = this.instances.filter(
-      each => each !== leader && each.isUp && !each.isDeaf,
+      each =>
+        each !== leader &&
+        each.isUp &&
+        !each.isDeaf &&
+        held?.isHeld(each.id, each.bornAtMs) !== true,
     );
     for (const receiver of receivers) receiver.log = [...leader.log];
     return receivers.length;
   }
 
-  private updateDirectory(): void {
+  protected override updateDirectory(): void {
     this.observeDirectory(this.record);
     this.recordConfirmers();
   }
@@ -343,27 +296,38 @@
     this.departed.update(record, present, this.now);
   }
 
-  private get term(): number {
-    return this.record.term;
+  /** Who leads, or would if it was running. */
+  private get leadership(): Leadership {
+    return this.lateLeader ?? {id: this.primary, term: this.term};
   }
 
-  private get primary(): string {
-    return this.record.primary;
+  /** The instance that leads; the primary does not once a change has begun. */
+  private get leader(): ModelInstance | undefined {
+    const isStopped = this.held !== undefined && this.lateLeader === undefined;
+    const leader = this.find(this.leadership.id);
+    return isStopped || leader?.isUp !== true ? undefined : leader;
+  }
+
+  /** Number of orders without a result since the term began. */
+  private get orders(): number {
+    return this.record.orders ?? 0;
   }
 
-  private at(index: number): ModelInstance | undefined {
-    return this.instances[index % this.instances.length];
+  private get term(): number {
+    return this.record.term;
   }
 
-  private find(id: string): ModelInstance | undefined {
-    return this.instances.find(each => each.id === id);
+  private get primary(): string {
+    return this.record.primary;
   }
 }
 
+/** Returns a text that identifies a position. */
 function keyOf({term, position}: LogPosition): string {
   return `${term}.${position}`;
 }
 
+/** Returns the report of an instance that is held. */
 function reportOf(instance: ModelInstance, term: number): ReplicationReport {
   return {
     id: instance.id,
@@ -374,6 +338,7 @@
   };
 }
 
+/** Returns an instance with what it has reported. */
 function candidateOf(
   {id, isLeaving}: ModelInstance,
   reports: HeldReports,
--- a/packages/decisions/test/primary-change/target-under-faults.test.ts
+++ b/packages/decisions/test/primary-change/target-under-faults.test.ts
@@ -1,4 +1,4 @@
-import {describe, it} from 'node:test';
+import {beforeEach, describe, it} from 'node:test';
 import {expect} from 'earl';
 import fc from 'fast-check';
 import type {TargetInputs} from '../../src/index.js';
@@ -65,8 +65,15 @@
   {weight: 2, arbitrary: fc.constant({kind: 'cut'} as const)},
 );
 
+/** Events of a group whose coordinators also do not see the results of their orders. */
+const ORDER_EVENT = fc.oneof(
+  {weight: 43, arbitrary: ABSENCE_EVENT},
+  {weight: 5, arbitrary: fc.constant({kind: 'order'} as const)},
+  {weight: 6, arbitrary: fc.constant({kind: 'promote'} as const)},
+);
+
 type GroupEvent =
-  typeof ABSENCE_EVENT extends fc.Arbitrary<infer Event> ? Event : never;
+  typeof ORDER_EVENT extends fc.Arbitrary<infer Event> ? Event : never;
 
 const FAULTS = fc.array(FAULT_EVENT, {minLength: 5, maxLength: 40});
 
@@ -82,6 +89,10 @@
       return group.write();
     case 'change':
       return group.changePrimary();
+    case 'order':
+      return group.changePrimary(false);
+    case 'promote':
+      return group.promoteLate();
     case 'deaf':
       return group.toggleDeaf(event.index);
     case 'crash':
@@ -109,6 +120,12 @@
   }
 }
 
+const LATE_ORDERS = fc.array(ORDER_EVENT, {
+  minLength: 5,
+  maxLength: 50,
+  size: 'max',
+});
+
 /** Plays random histories; returns the groups in their last state. */
 function playHistories(
   runs: number,
@@ -272,3 +289,62 @@
     });
   });
 });
+
+describe('chooseTarget in a group whose coordinators do not see the results of their orders', () => {
+  it('promotes no instance without an acknowledged commit that another one has or returns with', () => {
+    const groups = playHistories(20_000, undefined, undefined, LATE_ORDERS);
+    expect(countLossy(groups)).toEqual(0);
+    expect(groups.some(({latePromotions}) => latePromotions > 1)).toEqual(true);
+  });
+
+  it('ends each change once every instance has returned or is known to be gone', () => {
+    const groups = playHistories(
+      10_000,
+      undefined,
+      undefined,
+      LATE_ORDERS,
+    ).filter(
+      ({lostInstances, hasForgottenLeave}) =>
+        lostInstances === 0 && !hasForgottenLeave,
+    );
+    expect(groups.length > 2_000).toEqual(true);
+    expect(groups.filter(group => !group.settle()).length).toEqual(0);
+    expect(countLossy(groups)).toEqual(0);
+  });
+
+  describe('if the ordered instance led and confirmed a commit with the old primary', () => {
+    let group: GroupUnderFaults;
+
+    beforeEach(() => {
+      group = new GroupUnderFaults();
+      group.add();
+      group.changePrimary(false);
+      group.toggleDeaf(2);
+      group.toggleDeaf(3);
+      group.promoteLate();
+      group.write();
+      group.announceLeave(1);
+    });
+
+    // Guards against reports from before an order that count as all that an instance has.
+    it('waits for the old primary if the ordered instance left', () => {
+      group.leave(1);
+      group.lapse(0, true);
+      group.changePrimary();
+      expect(group.promotions).toEqual(1);
+      group.comeBack(0);
+      group.changePrimary();
+      expect(group.promotions).toEqual(2);
+      expect(group.lost).toEqual([]);
+    });
+
+    it('reports what may be missing if both left', () => {
+      group.announceLeave(0);
+      group.leave(1);
+      group.leave(0);
+      group.changePrimary();
+      expect(group.unverified).toEqual(1);
+      expect(group.lost).toEqual([]);
+    });
+  });
+});
