Bound no departure of an instance that still answers

Acknowledged commits could be lost with a proof that was wrong: an instance that is cut off from the store only loses its entry, but still receives and confirms. The coordinator asked the primary once after the lapse and took the answer for a bound on all that the instance had confirmed.

Change: a departed instance is first asked at its last address. One that answers is not bounded, and asked again after 500 ms.

Not covered: an instance that confirms while the coordinator cannot reach it either.

--- a/packages/gateway/src/core/coordinator/group-departures.ts
+++ b/packages/gateway/src/core/coordinator/group-departures.ts
@@ -1,5 +1,6 @@
-import type {PresentInstance} from '@sapphireglade/decisions';
+import type {GroupInstance, PresentInstance} from '@sapphireglade/decisions';
 import {DepartedInstances, PrimaryPhase} from '@sapphireglade/decisions';
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {
   InstanceDirectory,
   RegisteredInstance,
@@ -17,6 +18,9 @@
  */
 const RETURN_WITHIN_MS = 2 * 3_600_000;
 
+/** Delay before a departed instance that still answers is asked again, in milliseconds. */
+const REACHABLE_RETRY_MS = 500;
+
 /**
  * Instances of each group that left during its current term, with what the
  * coordinator learns from the primary about the commits that they may have
@@ -25,7 +29,8 @@
 export class GroupDepartures {
   private readonly departed = new Map<string, DepartedInstances>();
   private readonly asking = new Set<string>();
-
+  /** The last registration of each instance that is present or not bounded yet. */
+  private readonly registrations = new Map<string, RegisteredInstance>();
   private readonly groups: DatabaseGroup[] = [];
 
   constructor(
@@ -52,7 +57,9 @@
 
   /**
    * Asks the primary of a steady group for its position if an instance has left
-   * since the last question: the answer bounds what the instance confirmed.
+   * since the last question: the answer bounds what the instance confirmed. One
+   * that still answers may be cut off from the store only, and may go on
+   * confirming, so it is not bounded.
    */
   async boundDepartures(group: DatabaseGroup): Promise<void> {
     const departed = this.of(group.name);
@@ -67,17 +74,39 @@
     if (primary === undefined) return;
     this.asking.add(group.name);
     try {
+      const gone = await this.findSilent(unbounded);
+      if (gone.length === 0) {
+        await sleep(REACHABLE_RETRY_MS);
+        return;
+      }
       const report = await this.control.sendCommand(primary, {
         kind: CommandKind.Status,
       });
       const isInTerm =
         report?.isPrimary === true && report.term === record.term;
-      if (isInTerm) departed.recordBound(unbounded, report.received);
+      if (isInTerm) departed.recordBound(gone, report.received);
     } finally {
       this.asking.delete(group.name);
     }
   }
 
+  /** Returns the departed instances that do not answer at their last address. */
+  private async findSilent(
+    departed: readonly GroupInstance[],
+  ): Promise<GroupInstance[]> {
+    const isSilent = await Promise.all(
+      departed.map(async ({id, bornAtMs}) => {
+        const last = this.registrations.get(id);
+        if (last === undefined || last.bornAtMs !== bornAtMs) return true;
+        const report = await this.control.sendCommand(last, {
+          kind: CommandKind.Status,
+        });
+        return report === undefined;
+      }),
+    );
+    return departed.filter((_, index) => isSilent[index]);
+  }
+
   /** Updates all groups in one pass over the directory. */
   private updateAll(): void {
     const byGroup = new Map<string, RegisteredInstance[]>();
@@ -88,6 +117,7 @@
     }
     for (const group of this.groups)
       this.update(group, byGroup.get(group.name) ?? []);
+    this.forgetRegistrations();
   }
 
   private update(
@@ -97,11 +127,23 @@
     const stored = group.storedRecord;
     if (stored === undefined || isOutdated(stored)) return;
     const {record} = stored;
-    this.of(group.name).update(
-      record,
-      instances.map(toPresentInstance),
-      steadyNowMs(),
+    const departed = this.of(group.name);
+    departed.update(record, instances.map(toPresentInstance), steadyNowMs());
+    for (const instance of instances)
+      this.registrations.set(instance.id, instance);
+  }
+
+  /** Forgets the instances that are neither present nor to be bounded. */
+  private forgetRegistrations(): void {
+    const unbounded = new Set(
+      [...this.departed.values()].flatMap(departed =>
+        departed.unbounded.map(({id}) => id),
+      ),
     );
+    for (const id of this.registrations.keys()) {
+      if (this.directory.find(id) === undefined && !unbounded.has(id))
+        this.registrations.delete(id);
+    }
   }
 }
 
--- a/packages/gateway/test/coordinator/record-confirmers.test.ts
+++ b/packages/gateway/test/coordinator/record-confirmers.test.ts
@@ -96,6 +96,7 @@
 
   it('names an instance that was bounded after it left, and the position', async () => {
     await group.commit(primary, 'write');
+    first.isDown = true;
     context.directory.markMissing(first.id);
     context.directory.removeMissing(steadyNowMs() + 60_000, false);
     await context.departures.boundDepartures(view);
--- a/packages/gateway/test/coordinator/target-choice-log.test.ts
+++ b/packages/gateway/test/coordinator/target-choice-log.test.ts
@@ -126,6 +126,7 @@
 
   it('names the position by which a departure was bounded', async () => {
     primary.isDown = false;
+    confirming.isDown = true;
     removeFromDirectory(confirming);
     await context.departures.boundDepartures(view);
     primary.isDown = true;
