Forget the holds of leaving replicas when the role is lost

Acknowledged commits could be lost with a wrong proof, found by review: a coordinator that lost the role and got it again went on counting what a leaving replica had received when it was held as a bound, although the coordinator in between had released it and it had confirmed since.

Evidence: before the change the case that is added here promoted the replica that stays (targets ["ledger-2"], one acknowledged write lost, not reported as unverified).

--- a/packages/decisions/src/core/primary-change/departed-instances.ts
+++ b/packages/decisions/src/core/primary-change/departed-instances.ts
@@ -207,6 +207,11 @@
     );
   }
 
+  /** Forgets every hold; another coordinator may have ended them. */
+  forgetHolds(): void {
+    this.holds = [];
+  }
+
   private withAbsences(
     {instances, departedPosition}: RecordedConfirmers,
     primary: string | undefined,
--- a/packages/gateway/src/core/coordinator/coordinator-task.ts
+++ b/packages/gateway/src/core/coordinator/coordinator-task.ts
@@ -153,6 +153,7 @@
   private check(): void {
     if (!this.options.isConnected()) return;
     if (!this.isCoordinator) {
+      this.leavingReplicas.observeRole();
       this.options.context.control.closeAll();
       this.coordinatorSinceMs = undefined;
       this.claimIfVacant();
--- a/packages/gateway/src/core/coordinator/group-departures.ts
+++ b/packages/gateway/src/core/coordinator/group-departures.ts
@@ -55,6 +55,11 @@
     return known;
   }
 
+  /** Forgets which replicas are held; called when the role is lost. */
+  forgetHolds(): void {
+    for (const departed of this.departed.values()) departed.forgetHolds();
+  }
+
   /**
    * Asks the primary of a steady group for its position if an instance has left
    * since the last question: the answer bounds what the instance confirmed. One
--- a/packages/gateway/src/core/coordinator/leaving-replicas.ts
+++ b/packages/gateway/src/core/coordinator/leaving-replicas.ts
@@ -33,6 +33,7 @@
 export class LeavingReplicas {
   private readonly replicas = new Map<string, LeavingReplica>();
   private readonly sending = new Set<string>();
+  private roleRevision = 0;
 
   /** @param context - Dependencies of the coordinator. */
   constructor(private readonly context: PrimaryChangeContext) {}
@@ -44,6 +45,7 @@
    */
   async update(group: DatabaseGroup): Promise<void> {
     const {directory, configuration} = this.context;
+    this.observeRole();
     const record = group.storedRecord?.record;
     const hasConfirmers =
       configuration.current?.groups.get(group.name)
@@ -60,6 +62,15 @@
     );
   }
 
+  /** Forgets every hold if the role is another one, because a coordinator in between may have ended them. */
+  observeRole(): void {
+    const revision = this.context.coordinatorRevision();
+    if (revision === this.roleRevision) return;
+    this.roleRevision = revision;
+    this.replicas.clear();
+    this.context.departures.forgetHolds();
+  }
+
   private async tell(
     group: DatabaseGroup,
     instance: RegisteredInstance,
@@ -86,13 +97,15 @@
     instance: RegisteredInstance,
     known: LeavingReplica | undefined,
   ): Promise<void> {
-    const {control, departures, log} = this.context;
+    const {control, departures, log, coordinatorRevision} = this.context;
     const record = group.storedRecord?.record;
     if (record === undefined) return;
+    const role = coordinatorRevision();
     const report = await control.sendCommand(instance, {
       kind: CommandKind.HoldTerm,
       term: record.term + 1,
     });
+    if (role !== coordinatorRevision()) return;
     this.remember(instance, report !== undefined);
     if (group.storedRecord?.record.term !== record.term) return;
     const departed = departures.of(group.name);
--- a/packages/gateway/test/coordinator/leaving-replicas.test.ts
+++ b/packages/gateway/test/coordinator/leaving-replicas.test.ts
@@ -99,6 +99,7 @@
 
   afterEach(async () => {
     await stopCoordinating();
+    isCoordinating = false;
     context.control.closeAll();
     group.close();
     state.close();
@@ -172,4 +173,31 @@
     expect(group.acknowledged.size).toEqual(1);
     expect(leaving.heldTerm).toEqual(0);
   });
+
+  // Guards against a bound by a hold that another coordinator has ended.
+  it('is not bounded by a hold from before the role was lost', async () => {
+    isCoordinating = false;
+    await sleep(SEVERAL_CHECKS_MS);
+    leaving.heldTerm = 0;
+    group.partition(primary.id, staying.id);
+    write('confirmed by the released replica');
+    await sleep(SEVERAL_CHECKS_MS);
+    expect(group.acknowledged.size).toEqual(1);
+    leaving.isDown = true;
+    removeFromDirectory(leaving);
+    primary.isDown = true;
+    removeFromDirectory(primary);
+    isCoordinating = true;
+    await stopCoordinating();
+
+    const change = new PrimaryChange(
+      context,
+      view,
+      PrimaryChangeReason.Unusable,
+    );
+    await Promise.race([change.run().catch(() => undefined), sleep(CHANGE_MS)]);
+
+    expect(promotions.targets).toEqual([]);
+    expect(group.lost).toEqual([]);
+  });
 });
