--- a/packages/gateway/src/core/primary-health/view-verification-task.ts
+++ b/packages/gateway/src/core/primary-health/view-verification-task.ts
@@ -127,7 +127,12 @@
   ): GroupMember[] {
     const members = this.nearestMembersFirst(group);
     if (includesAll) return members;
-    const replica = members.find(each => each.instance.id !== record.primary);
+    const replicas = members.filter(
+      ({instance}) => instance.id !== record.primary,
+    );
+    // A leaving replica is held, and does not follow.
+    const replica =
+      replicas.find(({instance}) => !instance.isLeaving) ?? replicas[0];
     const primary = members.find(each => each.instance.id === record.primary);
     return [primary, replica].filter(each => each !== undefined);
   }
