Do not count an order that the platform refused as one that may take effect

A group could stay without a primary for up to two hours, found by review: after an order that was refused, not sent or named an instance that is not running, the log of the old primary proved nothing any more, and a change with a silent replica waited for it.

Change: only an order that was accepted, or whose result is unknown, passes over a term and takes that proof away.

--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -57,6 +57,8 @@
   /** The instance that was ordered to lead last, if its promotion was not observed. */
   private orderedTarget: string | undefined;
   private readonly earlierOrder: EarlierOrder;
+  /** Whether the last order may take effect; one that was refused changes nothing. */
+  private mayHavePromoted = false;
   private revocation: ViewRevocation | undefined;
   /** Generation of the store in which the change began. */
   private readonly generation: number;
@@ -218,7 +220,7 @@
           choices.reportUnverified(choice);
         }
         if (await this.promote(known.record, target, position)) return;
-        known = await this.restartChange(known);
+        if (this.mayHavePromoted) known = await this.restartChange(known);
       } else if (choice.reason !== loggedReason) {
         loggedReason = choice.reason;
         this.log('The change of primary waits.', {waitsFor: choice.reason});
@@ -285,7 +287,6 @@
       isValid: () => ageMs() <= TOKEN_VALIDITY_MS && this.isStillCoordinator,
     });
     context.outstandingOrders.settle(group.name, {target, token: fencingToken});
-    this.orderedTarget = target;
     this.countStep('ordered');
     this.log('A promotion was ordered.', {
       target,
@@ -293,11 +294,11 @@
       answer,
       ageMs: Math.round(ageMs()),
     });
-    const isPossible =
+    this.mayHavePromoted =
       answer === PromotionResult.Accepted || answer === PromotionResult.Unknown;
-    return (
-      isPossible && (await this.awaitPromotion(target, old.term, lastPosition))
-    );
+    if (!this.mayHavePromoted) return false;
+    this.orderedTarget = target;
+    return this.awaitPromotion(target, old.term, lastPosition);
   }
 
   /** Waits until the promoted instance is primary. Returns false after the time limit. */
