Begin the term of a primary that was found to lead at its present position

Acknowledged commits were lost with a proof that was wrong, found by review: an order takes effect while its coordinator is gone, proxies without the store find the new primary and commit, the replica that confirmed leaves, and only then a coordinator records the primary. It recorded the position of the order as the start of the term and only the instances of that moment, so a replica without those commits was complete when the primary went silent.

Change: the position of the primary when it is found counts as the start of its term, as for an instance that leads without an order.

--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -153,11 +153,8 @@
     if (this.reason !== PrimaryChangeReason.Unfinished) return false;
     const leader = await this.earlierOrder.findPromoted(known);
     if (leader === undefined) return false;
-    const {target, lastPosition} = known.record;
-    await this.completeChange(
-      leader,
-      leader.id === target ? lastPosition : undefined,
-    );
+    // It may have led for a while, and who confirmed its commits may have left.
+    await this.completeChange(leader, undefined);
     return true;
   }
 
