Hold leaving replicas in the random model of changes

The model had no holds of leaving replicas, so nothing played the bounds that DepartedInstances takes from them.

A coordinator of the model now holds the leaving replicas of a steady group as replicasToHold says and records what they had received, or releases them and forgets the holds. A held replica receives and confirms nothing; a promotion and a restart end its hold; a new coordinator knows no holds.

--- a/packages/decisions/test/primary-change/fault-histories.ts
+++ b/packages/decisions/test/primary-change/fault-histories.ts
@@ -75,9 +75,32 @@
   {weight: 6, arbitrary: fc.constant({kind: 'promote'} as const)},
 );
 
+/** Events of a group whose coordinators hold the replicas that leave; most have to do with holds. */
+const HOLD_EVENT = fc.oneof(
+  {weight: 30, arbitrary: ORDER_EVENT},
+  {weight: 12, arbitrary: fc.constant({kind: 'write'} as const)},
+  {weight: 6, arbitrary: fc.constant({kind: 'add'} as const)},
+  {
+    weight: 8,
+    arbitrary: fc.record({kind: fc.constant('deaf' as const), index: INDEX}),
+  },
+  {
+    weight: 12,
+    arbitrary: fc.record({
+      kind: fc.constant('announce' as const),
+      index: INDEX,
+    }),
+  },
+  {
+    weight: 8,
+    arbitrary: fc.record({kind: fc.constant('leave' as const), index: INDEX}),
+  },
+  {weight: 24, arbitrary: fc.constant({kind: 'hold'} as const)},
+);
+
 type EventOf<Source> = Source extends fc.Arbitrary<infer Event> ? Event : never;
 
-type GroupEvent = EventOf<typeof ORDER_EVENT> | EventOf<typeof ELAPSE_EVENT>;
+type GroupEvent = EventOf<typeof HOLD_EVENT> | EventOf<typeof ELAPSE_EVENT>;
 
 /** Histories of faults. */
 const FAULTS = fc.array(FAULT_EVENT, {minLength: 5, maxLength: 40});
@@ -121,6 +144,8 @@
       return group.add();
     case 'bound':
       return group.boundDepartures();
+    case 'hold':
+      return group.holdLeaving();
     case 'elapse':
       return group.elapse();
     case 'coordinator':
@@ -142,15 +167,23 @@
   size: 'max',
 });
 
+/** Histories in which coordinators also hold the replicas that leave. */
+export const HOLDS = fc.array(HOLD_EVENT, {
+  minLength: 5,
+  maxLength: 50,
+  size: 'max',
+});
+
 /** Plays random histories; returns the groups in their last state. */
 export function playHistories(
   runs: number,
   filter?: InputFilter,
   recordFilter?: RecordFilter,
   histories: fc.Arbitrary<GroupEvent[]> = FAULTS,
+  Group = GroupUnderFaults,
 ): GroupUnderFaults[] {
   return fc.sample(histories, {seed: 26, numRuns: runs}).map(history => {
-    const group = new GroupUnderFaults(filter, recordFilter);
+    const group = new Group(filter, recordFilter);
     for (const event of history) apply(group, event);
     return group;
   });
--- a/packages/decisions/test/primary-change/faulty-instances.ts
+++ b/packages/decisions/test/primary-change/faulty-instances.ts
@@ -8,6 +8,8 @@
   isUp: boolean;
   isDeaf: boolean;
   isLeaving: boolean;
+  /** Whether the coordinator holds it as a replica that leaves. */
+  isHeld: boolean;
 }
 
 /**
@@ -32,6 +34,7 @@
       isUp: true,
       isDeaf: false,
       isLeaving: false,
+      isHeld: false,
     });
     this.replicate();
     this.updateDirectory();
@@ -56,6 +59,7 @@
     const instance = this.at(index);
     if (instance === undefined || instance.isUp) return;
     instance.isUp = true;
+    instance.isHeld = false;
     this.created += 1;
     instance.bornAtMs = this.created;
     if (!keepsLog && !this.hasKeptLog(instance.id)) this.loseLog(instance);
--- a/packages/decisions/test/primary-change/group-under-faults.ts
+++ b/packages/decisions/test/primary-change/group-under-faults.ts
@@ -1,4 +1,5 @@
 import type {
+  GroupInstance,
   LogPosition,
   PresentInstance,
   PrimaryRecord,
@@ -14,6 +15,7 @@
   HeldReports,
   higherPosition,
   PrimaryPhase,
+  replicasToHold,
   termFields,
 } from '../../src/index.js';
 import type {ModelInstance} from './faulty-instances.js';
@@ -51,6 +53,8 @@
   unverified = 0;
   /** Promotions in total. */
   promotions = 0;
+  /** Holds of leaving replicas. */
+  holds = 0;
   /** Orders that took effect after the coordinator had given them up. */
   latePromotions = 0;
   /** Whether a coordinator began that did not know who had announced that it leaves. */
@@ -63,6 +67,8 @@
     primary: 'i1',
     phase: PrimaryPhase.Steady,
   };
+  /** What a proxy knows of departures that was the coordinator before. */
+  protected idle?: DepartedInstances;
   private held: HeldReports | undefined;
   private oldPrimaryReport = new HeldReports();
   /** An order whose result nobody has seen, until it takes effect or is void. */
@@ -99,11 +105,35 @@
     this.recordConfirmers();
   }
 
+  /** Holds the leaving replicas of a steady group, or releases them if none stays. */
+  holdLeaving(): void {
+    if (this.held !== undefined) return;
+    const replicas = this.instances.filter(({id}) => id !== this.primary);
+    const held = replicasToHold(
+      replicas.map(each => ({...each, isRegistered: true})),
+    );
+    for (const replica of replicas.filter(({isLeaving}) => isLeaving)) {
+      const shouldHold = held.includes(replica.id);
+      if (!shouldHold) this.forgetHold(replica);
+      if (!replica.isUp) continue;
+      replica.isHeld = shouldHold;
+      if (!shouldHold) continue;
+      this.holds += 1;
+      this.departed.recordHold(replica, reportOf(replica, this.term).received);
+    }
+    this.replicate();
+  }
+
+  /** Forgets the hold of a replica that is released. */
+  protected forgetHold(replica: GroupInstance): void {
+    this.departed.forgetHold(replica);
+  }
+
   /** Replaces the coordinator by one that knows only the record and the directory. */
   changeCoordinator(): void {
     // The record of a change that waits is not written again.
     this.hasForgottenLeave ||= this.departed.isRecordOutdated(this.record);
-    this.departed = new DepartedInstances(RETURN_WITHIN);
+    this.departed = this.nextMemory(this.departed);
     this.record = this.recordFilter(this.record);
     this.observeDirectory(this.record);
     if (this.held === undefined) return;
@@ -159,6 +189,7 @@
     this.lateLeader = this.order;
     this.order = undefined;
     this.observePromotion(target, this.lateLeader?.isUnverified === true);
+    this.endHolds();
     this.replicate();
   }
 
@@ -217,9 +248,15 @@
       initialPosition: position,
       confirmers: {instances: confirmersAmong(this.instances, target.id)},
     });
+    this.endHolds();
     this.replicate();
   }
 
+  /** Ends the holds of leaving replicas, as a promotion does. */
+  private endHolds(): void {
+    for (const instance of this.instances) instance.isHeld = false;
+  }
+
   private inputs(held: HeldReports): TargetInputs {
     const wasPromotionOrdered = this.orders > 0;
     const replicas = this.instances.filter(
@@ -264,6 +301,7 @@
         each !== leader &&
         each.isUp &&
         !each.isDeaf &&
+        !each.isHeld &&
         held?.isHeld(each.id, each.bornAtMs) !== true,
     );
     for (const receiver of receivers) receiver.log = [...leader.log];
@@ -289,12 +327,18 @@
     this.observeDirectory(this.record);
   }
 
+  /** Returns what the next coordinator knows of departures when it begins. */
+  protected nextMemory(_last: DepartedInstances): DepartedInstances {
+    return new DepartedInstances(RETURN_WITHIN);
+  }
+
   private observeDirectory(record: PrimaryRecord): void {
     this.now += 1;
     const present: PresentInstance[] = this.instances.map(
       ({id, bornAtMs, isLeaving}) => ({id, bornAtMs, isLeaving, address: id}),
     );
     this.departed.update(record, present, this.now);
+    this.idle?.update(record, present, this.now);
   }
 
   /** Who leads, or would if it was running. */
