Forget the holds of leaving replicas once a promotion may have been ordered

Acknowledged commits could be lost with a wrong proof, found by the random model: two leaving replicas are held, one of them is promoted by an order that takes effect late, the other confirms its commit, and both leave. A promotion ends every hold, but the bounds by the holds of before were kept until a record with a higher term.

Evidence: without the change the case that is added lost ["2.2"].

--- a/packages/decisions/src/core/primary-change/departed-instances.ts
+++ b/packages/decisions/src/core/primary-change/departed-instances.ts
@@ -76,6 +76,8 @@
       this.holds = [];
       this.present = present;
     }
+    // A promotion that takes effect late ends every hold.
+    if (term === this.term && (record.orders ?? 0) > 0) this.holds = [];
     // An instance that has returned in the same incarnation has to report itself.
     this.departures = this.departures.filter(
       ({instance, bound}) =>
--- a/packages/decisions/test/primary-change/holds-under-faults.test.ts
+++ b/packages/decisions/test/primary-change/holds-under-faults.test.ts
@@ -68,4 +68,25 @@
       expect(group.lost).toEqual(['1.2']);
     });
   });
+
+  // Guards against holds that count although an order that took effect late ended them.
+  it('reports what may be missing if held replicas led and confirmed by a late order, and left', () => {
+    const group = new GroupUnderFaults();
+    group.add();
+    group.announceLeave(1);
+    group.announceLeave(2);
+    group.toggleDeaf(3);
+    group.write();
+    group.holdLeaving();
+    group.changePrimary(false);
+    group.toggleDeaf(0);
+    group.promoteLate();
+    group.write();
+    group.leave(1);
+    group.leave(1);
+    group.changePrimary();
+    expect(group.latePromotions).toEqual(1);
+    expect(group.lost).toEqual([]);
+    expect(group.unverified).toEqual(1);
+  });
 });
