Log each statement that is prepared on a connection

One line per preparation, with the request, the instance, a number of the connection, the name, the kind and the first 80 characters of the shape. A connection prepares a statement once, so the line is rare.

--- a/packages/gateway/src/core/pool/pooled-connection.ts
+++ b/packages/gateway/src/core/pool/pooled-connection.ts
@@ -25,8 +25,13 @@
   readonly awaitsReplica: boolean;
 }
 
+/** Number of connections that this process has opened. */
+let openedConnections = 0;
+
 /** A connection of a pool, with the session state that is set on it. */
 export class PooledConnection implements ConnectionSessionState {
+  /** Identifies the connection in logs; unique in this process. */
+  readonly id: number;
   /** Values that are set on the connection. */
   readonly values = new Map<string, string>();
   /** Names of the statements that are prepared on the connection. */
@@ -44,7 +49,10 @@
   constructor(
     private readonly connection: InstanceConnection,
     private readonly onReply: ReplyListener,
-  ) {}
+  ) {
+    openedConnections += 1;
+    this.id = openedConnections;
+  }
 
   /** Whether commands can be sent. */
   get isOpen(): boolean {
--- a/packages/gateway/src/core/sessions/command-result.ts
+++ b/packages/gateway/src/core/sessions/command-result.ts
@@ -1,12 +1,19 @@
-import type {PreparedStatement, SessionValues} from '@sapphireglade/decisions';
 import {
   planSynchronization,
   upstreamStatementName,
 } from '@sapphireglade/decisions';
+import type {Logger} from '@sapphireglade/runtime';
 import type {PooledConnection} from '../pool/index.js';
 import {steadyNowMs, TIMED_OUT, withTimeout} from '../time/index.js';
-import type {InstanceCommand, InstanceReply} from '../upstream/index.js';
+import type {
+  InstanceCommand,
+  InstanceReply,
+  PrepareCommand,
+} from '../upstream/index.js';
 import {CommandKind, ConnectionLostError} from '../upstream/index.js';
+import type {BoundConnection} from './bound-connection.js';
+import {logPreparation} from './log-preparation.js';
+import type {ExecutionRequest} from './runnable-statement.js';
 
 /** The result of a command that was not answered. */
 export type UnansweredCommand =
@@ -22,30 +29,34 @@
   | UnansweredCommand;
 
 /**
- * Replays the values of a session and one prepared statement on a connection.
+ * Replays the values of a session and the prepared statement of a request on a
+ * connection.
  *
- * @param connection - The connection.
- * @param values - Values of the session.
- * @param prepared - The statement that runs next, if it is prepared.
- * @param deadlineMs - Deadline, in milliseconds of the steady clock.
+ * @param bound - The connection, with its pool.
+ * @param request - The statement that runs next, with the session's values.
+ * @param log - Receives a line for each statement that is prepared.
  * @returns The failure if the replay did not succeed, in which case no
  *   statement of the caller has run; otherwise undefined.
  */
 export async function synchronizeSession(
-  connection: PooledConnection,
-  values: SessionValues,
-  prepared: PreparedStatement | undefined,
-  deadlineMs: number,
+  bound: BoundConnection,
+  request: ExecutionRequest,
+  log: Logger,
 ): Promise<UnansweredCommand | undefined> {
+  const {connection} = bound;
+  const {values, deadlineMs} = request;
+  const {prepared} = request.statement;
   const name = prepared && upstreamStatementName(prepared);
   const plan = planSynchronization(connection, values.values, name);
   if (!plan.clear && plan.values.length === 0 && !plan.prepare) {
     return undefined;
   }
-  const prepare: InstanceCommand | undefined =
+  const prepare: PrepareCommand | undefined =
     prepared === undefined || name === undefined
       ? undefined
       : {kind: CommandKind.Prepare, name, statement: prepared};
+  if (plan.prepare && prepare !== undefined)
+    logPreparation(log, bound, request.statement.requestId, prepare);
   try {
     const answer = await withTimeout(
       connection.synchronize(plan, prepare),
--- a/packages/gateway/src/core/sessions/local-transaction.ts
+++ b/packages/gateway/src/core/sessions/local-transaction.ts
@@ -5,10 +5,10 @@
 } from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {InstancePool, PooledConnection} from '../pool/index.js';
 import {steadyNowMs, TIMED_OUT, withTimeout} from '../time/index.js';
 import type {InstanceReply} from '../upstream/index.js';
 import {CommandKind} from '../upstream/index.js';
+import type {BoundConnection} from './bound-connection.js';
 import type {UnansweredCommand} from './command-result.js';
 import {sendCommand, synchronizeSession} from './command-result.js';
 import {
@@ -26,12 +26,6 @@
 /** Time allowed for a rollback before the connection is closed, in milliseconds. */
 const ROLLBACK_TIMEOUT_MS = 1_000;
 
-/** A connection that is bound to a transaction or a statement, with its pool. */
-export interface BoundConnection {
-  readonly pool: InstancePool;
-  readonly connection: PooledConnection;
-}
-
 /** A transaction that runs on a connection of this proxy. */
 export class LocalTransaction extends UpstreamTransaction {
   private bound: BoundConnection | undefined;
@@ -97,17 +91,12 @@
     request: ExecutionRequest,
     mayBeKept: boolean,
   ): Promise<InstanceReply> {
-    const {statement, values, deadlineMs} = request;
+    const {statement, deadlineMs} = request;
     let delayMs = INITIAL_BUSY_DELAY_MS;
     for (;;) {
       const {bound} = this;
       if (bound === undefined) throw transactionEndedError();
-      const failure = await synchronizeSession(
-        bound.connection,
-        values,
-        statement.prepared,
-        deadlineMs,
-      );
+      const failure = await synchronizeSession(bound, request, this.log);
       if (failure !== undefined)
         throw this.discardConnection(request, failure, false);
       // After a rollback during the replay, the connection may belong to another caller.
--- a/packages/gateway/src/core/sessions/statement-executor.ts
+++ b/packages/gateway/src/core/sessions/statement-executor.ts
@@ -11,6 +11,7 @@
 import {steadyNowMs} from '../time/index.js';
 import type {InstanceReply} from '../upstream/index.js';
 import {CommandKind} from '../upstream/index.js';
+import type {BoundConnection} from './bound-connection.js';
 import type {CommandResult, UnansweredCommand} from './command-result.js';
 import {sendCommand, synchronizeSession} from './command-result.js';
 import {
@@ -24,7 +25,6 @@
 import type {ExecutionRequest} from './runnable-statement.js';
 import {toCommand} from './runnable-statement.js';
 import type {ExecutionContext} from './session-context.js';
-import type {BoundConnection} from './local-transaction.js';
 import {LocalTransaction} from './local-transaction.js';
 import type {UpstreamTransaction} from './upstream-transaction.js';
 import {StatementRunner} from './statement-runner.js';
@@ -169,12 +169,7 @@
       if (!(error instanceof SapphiregladeError)) throw error;
       return {error, mayBeKept: false};
     }
-    const failure = await synchronizeSession(
-      bound.connection,
-      request.values,
-      request.statement.prepared,
-      request.deadlineMs,
-    );
+    const failure = await synchronizeSession(bound, request, this.context.log);
     if (failure !== undefined)
       return this.discardConnection(bound, failure, false);
     if (!isStillUsable(group, target)) {
--- a/packages/gateway/src/core/upstream/types.ts
+++ b/packages/gateway/src/core/upstream/types.ts
@@ -44,6 +44,14 @@
   StepDown: 'step-down',
 } as const;
 
+/** Prepares a statement on a connection. */
+export interface PrepareCommand {
+  readonly kind: typeof CommandKind.Prepare;
+  /** Name under which the statement is prepared upstream. */
+  readonly name: string;
+  readonly statement: PreparedStatement;
+}
+
 /** A command to an instance. */
 export type InstanceCommand =
   | {
@@ -78,11 +86,7 @@
       readonly name: string;
       readonly value: string;
     }
-  | {
-      readonly kind: typeof CommandKind.Prepare;
-      readonly name: string;
-      readonly statement: PreparedStatement;
-    }
+  | PrepareCommand
   | {
       readonly kind: typeof CommandKind.HoldTerm | typeof CommandKind.StepDown;
       readonly term: number;
