Name prepared statements by a digest at the instance

Cause: the name at the instance held the shape as the caller wrote it. A shape is the last field of PREPARE and may hold blanks; inside a name it stands before other fields, and the instance reads another name, kind, shape and item.

It is one field whatever a caller writes, equal for equal statements, so that connections are still shared, and always 22 characters long. A name is computed once for each statement object. Ruled out: numbering the names of each connection, which needs the connection wherever a command is built; encoding the shape with escapes, which keeps the length of the shape (up to 1 MiB) in each EXECUTE.

New properties: the name has only letters, digits, "-" and "_", and differs for different statements.

--- a/packages/decisions/src/core/connected-session/synchronization-plan.ts
+++ b/packages/decisions/src/core/connected-session/synchronization-plan.ts
@@ -1,8 +1,15 @@
+import {createHash} from 'node:crypto';
 import type {ConnectionSessionState, PreparedStatement} from './types.js';
 
 /** Maximum prepared names on one connection; at this number it is cleared. */
 const MAXIMUM_PREPARED_STATEMENTS = 500;
 
+/** Length of an upstream statement name; 22 characters carry 128 bits. */
+const STATEMENT_NAME_CHARACTERS = 22;
+
+/** Names that were computed, while their statements are in use. */
+const knownNames = new WeakMap<PreparedStatement, string>();
+
 /** Messages to send before a statement of a session may run. */
 export interface SynchronizationPlan {
   /** Whether all session state on the connection is cleared first. */
@@ -59,10 +66,20 @@
  * Returns the upstream name of a prepared statement.
  *
  * The name depends only on the statement, so that the names of different
- * callers cannot collide and connections can be shared.
+ * callers cannot collide and connections can be shared. It is a digest: a name
+ * is a field inside a message, where a shape with blanks would become several
+ * fields.
  *
  * @param statement - The statement.
+ * @returns A name of letters, digits, `-` and `_`, always of the same length.
  */
 export function upstreamStatementName(statement: PreparedStatement): string {
-  return `${statement.kind}_${statement.shape}`;
+  const known = knownNames.get(statement);
+  if (known !== undefined) return known;
+  const name = createHash('sha256')
+    .update(`${statement.kind} ${statement.shape}`)
+    .digest('base64url')
+    .slice(0, STATEMENT_NAME_CHARACTERS);
+  knownNames.set(statement, name);
+  return name;
 }
--- a/packages/decisions/test/connected-session/synchronization-plan.test.ts
+++ b/packages/decisions/test/connected-session/synchronization-plan.test.ts
@@ -37,7 +37,7 @@
       PreparedStatementKind.Read,
       PreparedStatementKind.Write,
     ),
-    shape: fc.constantFrom('q1', 'q2', 'q3'),
+    shape: fc.constantFrom('q1', 'q2', 'q3', 'q1 FETCH q2', 'read_q1', ' '),
   }),
   {nil: undefined},
 );
@@ -82,6 +82,42 @@
   });
 });
 
+describe('upstreamStatementName', () => {
+  const SHAPE = fc.oneof(
+    fc.string(),
+    fc
+      .array(fc.constantFrom('q1', 'FETCH', 'STORE', ' ', 'read', 'write', '_'))
+      .map(parts => parts.join('')),
+  );
+  const PREPARED = fc.record({
+    kind: fc.constantFrom(...Object.values(PreparedStatementKind)),
+    shape: SHAPE,
+  });
+
+  it('is one field of a message, whatever the shape holds', () => {
+    fc.assert(
+      fc.property(PREPARED, statement => {
+        const name = upstreamStatementName(statement);
+        expect(/^[A-Za-z0-9_-]{22}$/.test(name)).toEqual(true);
+      }),
+      {seed: 47, numRuns: 1_000},
+    );
+  });
+
+  it('is the same for equal statements and differs for all others', () => {
+    fc.assert(
+      fc.property(PREPARED, PREPARED, (left, right) => {
+        const isSameStatement =
+          left.kind === right.kind && left.shape === right.shape;
+        const isSameName =
+          upstreamStatementName(left) === upstreamStatementName({...right});
+        expect(isSameName).toEqual(isSameStatement);
+      }),
+      {seed: 48, numRuns: 1_000},
+    );
+  });
+});
+
 describe('SessionValues', () => {
   it('keeps a bounded number of values and names', () => {
     const session = new SessionValues();
