--- a/packages/gateway/src/core/sessions/caller-session.ts
+++ b/packages/gateway/src/core/sessions/caller-session.ts
@@ -141,9 +141,9 @@
   private dispatch({
     requestId,
     statement,
+    problem = 'The request is not a valid statement.',
   }: SessionRequest): Promise<SessionReply> {
-    if (statement === undefined)
-      throw invalidInputError('The request is not a valid statement.');
+    if (statement === undefined) throw invalidInputError(problem);
     if (this.refusesStatements) return Promise.resolve(this.refuse(statement));
     if (this.state === TransactionState.Failed) {
       return Promise.resolve(this.dispatchInFailedTransaction(statement));
--- a/packages/gateway/src/core/sessions/types.ts
+++ b/packages/gateway/src/core/sessions/types.ts
@@ -51,8 +51,10 @@
 export interface SessionRequest {
   /** Identifier of the request, assigned by the caller. */
   readonly requestId: string;
-  /** The statement; undefined if it could not be decoded. */
+  /** The statement; undefined if the request could not be decoded. */
   readonly statement: Statement | undefined;
+  /** Why it could not be decoded, if there is more to say than that. */
+  readonly problem?: string;
 }
 
 /** The reason why a request failed. */
