Refuse commands that an instance would read differently

Callers saw: an EXECUTE of just 1 MiB was answered with INDOUBT and its connection was lost, because the command to the instance is longer than the caller's (name, AFTER).

A connection says with canSend whether it can express a command: the statement is then refused with outcome "not run" (ABORTED, a promise) and nothing of it was sent; in a transaction it is rolled back. If a command that cannot be sent reaches a connection all the same, the connection closes with the reason, as parts of a replayed session may have been sent before.

Ruled out: MALFORMED for what is too long, which promises nothing to a single write.

--- a/packages/gateway/src/core/pool/pooled-connection.ts
+++ b/packages/gateway/src/core/pool/pooled-connection.ts
@@ -79,6 +79,11 @@
     return this.outstandingCommands.find(each => each.awaitsReplica)?.sentAtMs;
   }
 
+  /** Returns whether the instance's protocol can express a command. */
+  canSend(command: InstanceCommand): boolean {
+    return this.connection.canSend(command);
+  }
+
   /** Sends a command, and updates the state of the connection from its reply. */
   async run(command: InstanceCommand): Promise<InstanceReply> {
     if (!this.isOpen) throw new ConnectionLostError('it is closed', false);
--- a/packages/gateway/src/core/sessions/command-result.ts
+++ b/packages/gateway/src/core/sessions/command-result.ts
@@ -1,5 +1,8 @@
+import type {PreparedStatement} from '@sapphireglade/decisions';
 import {
+  ErrorKind,
   planSynchronization,
+  SapphiregladeError,
   upstreamStatementName,
 } from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
@@ -51,10 +54,7 @@
   if (!plan.clear && plan.values.length === 0 && !plan.prepare) {
     return undefined;
   }
-  const prepare: PrepareCommand | undefined =
-    prepared === undefined || name === undefined
-      ? undefined
-      : {kind: CommandKind.Prepare, name, statement: prepared};
+  const prepare = prepared && toPrepareCommand(prepared);
   if (plan.prepare && prepare !== undefined)
     logPreparation(log, bound, request.statement.requestId, prepare);
   try {
@@ -80,6 +80,33 @@
   }
 }
 
+/**
+ * Returns the error for a statement that the protocol of the instance cannot
+ * express, for example because its command is longer than a message may be.
+ *
+ * @param connection - The connection.
+ * @param command - The command that runs the statement.
+ * @param request - The statement.
+ */
+export function refuseUnsendable(
+  connection: PooledConnection,
+  command: InstanceCommand,
+  {statement: {prepared}}: ExecutionRequest,
+): SapphiregladeError | undefined {
+  const canPrepare =
+    prepared === undefined || connection.canSend(toPrepareCommand(prepared));
+  if (canPrepare && connection.canSend(command)) return undefined;
+  return new SapphiregladeError(
+    ErrorKind.BodyTooLarge,
+    'The statement does not fit in one message to the instance.',
+  );
+}
+
+function toPrepareCommand(statement: PreparedStatement): PrepareCommand {
+  const name = upstreamStatementName(statement);
+  return {kind: CommandKind.Prepare, name, statement};
+}
+
 /**
  * Runs one command on a connection.
  *
--- a/packages/gateway/src/core/sessions/local-transaction.ts
+++ b/packages/gateway/src/core/sessions/local-transaction.ts
@@ -10,7 +10,11 @@
 import {CommandKind} from '../upstream/index.js';
 import type {BoundConnection} from './bound-connection.js';
 import type {UnansweredCommand} from './command-result.js';
-import {sendCommand, synchronizeSession} from './command-result.js';
+import {
+  refuseUnsendable,
+  sendCommand,
+  synchronizeSession,
+} from './command-result.js';
 import {
   refuseUnconfirmedCommit,
   unansweredError,
@@ -92,10 +96,16 @@
     mayBeKept: boolean,
   ): Promise<InstanceReply> {
     const {statement, deadlineMs} = request;
+    const command = toCommand(statement, undefined);
     let delayMs = INITIAL_BUSY_DELAY_MS;
     for (;;) {
       const {bound} = this;
       if (bound === undefined) throw transactionEndedError();
+      const tooLong = refuseUnsendable(bound.connection, command, request);
+      if (tooLong !== undefined) {
+        this.rollBack();
+        throw tooLong;
+      }
       const failure = await synchronizeSession(bound, request, this.log);
       if (failure !== undefined)
         throw this.discardConnection(request, failure, false);
@@ -105,11 +115,7 @@
         this.rollBack();
         throw transactionEndedError();
       }
-      const outcome = await sendCommand(
-        bound.connection,
-        toCommand(statement, undefined),
-        deadlineMs,
-      );
+      const outcome = await sendCommand(bound.connection, command, deadlineMs);
       if (outcome.kind !== 'answered') {
         throw this.discardConnection(request, outcome, mayBeKept);
       }
--- a/packages/gateway/src/core/sessions/statement-executor.ts
+++ b/packages/gateway/src/core/sessions/statement-executor.ts
@@ -9,11 +9,15 @@
 import type {DatabaseGroup} from '../groups/index.js';
 import type {InstancePool} from '../pool/index.js';
 import {steadyNowMs} from '../time/index.js';
-import type {InstanceReply} from '../upstream/index.js';
+import type {InstanceCommand, InstanceReply} from '../upstream/index.js';
 import {CommandKind} from '../upstream/index.js';
 import type {BoundConnection} from './bound-connection.js';
-import type {CommandResult, UnansweredCommand} from './command-result.js';
-import {sendCommand, synchronizeSession} from './command-result.js';
+import type {UnansweredCommand} from './command-result.js';
+import {
+  refuseUnsendable,
+  sendCommand,
+  synchronizeSession,
+} from './command-result.js';
 import {
   refuseUnconfirmedCommit,
   unansweredError,
@@ -37,11 +41,8 @@
 
 /** An operation on a connection, and how it may be routed and retried. */
 interface UpstreamOperation {
-  /** Sends the command and returns its result. */
-  readonly run: (
-    target: ExecutionTarget,
-    bound: BoundConnection,
-  ) => Promise<CommandResult>;
+  /** Returns the command for an instance. */
+  readonly commandFor: (target: ExecutionTarget) => InstanceCommand;
   /** Whether a replica may serve the operation. */
   readonly allowsReplica: boolean;
   /** Whether it may be sent again even if it may have run. */
@@ -83,14 +84,10 @@
   }
 
   override async run(request: ExecutionRequest): Promise<InstanceReply> {
-    const {statement, deadlineMs} = request;
+    const {statement} = request;
     const {reply} = await this.executeWithRetries(request, {
-      run: ({atLeast}, {connection}) =>
-        sendCommand(
-          connection,
-          toCommand(statement, statement.isRead ? atLeast : undefined),
-          deadlineMs,
-        ),
+      commandFor: ({atLeast}) =>
+        toCommand(statement, statement.isRead ? atLeast : undefined),
       allowsReplica: statement.isRead,
       isRetryable: statement.isRead,
       keepsConnection: false,
@@ -103,12 +100,11 @@
     isReadOnly: boolean,
   ): Promise<UpstreamTransaction> {
     const {bound, group, target} = await this.executeWithRetries(request, {
-      run: ({atLeast}, {connection}) =>
-        sendCommand(
-          connection,
-          {kind: CommandKind.Begin, isReadOnly, atLeast},
-          request.deadlineMs,
-        ),
+      commandFor: ({atLeast}) => ({
+        kind: CommandKind.Begin,
+        isReadOnly,
+        atLeast,
+      }),
       allowsReplica: isReadOnly,
       isRetryable: true,
       keepsConnection: true,
@@ -169,6 +165,12 @@
       if (!(error instanceof SapphiregladeError)) throw error;
       return {error, mayBeKept: false};
     }
+    const command = operation.commandFor(target);
+    const tooLong = refuseUnsendable(bound.connection, command, request);
+    if (tooLong !== undefined) {
+      pool.release(bound.connection);
+      throw tooLong;
+    }
     const failure = await synchronizeSession(bound, request, this.context.log);
     if (failure !== undefined)
       return this.discardConnection(bound, failure, false);
@@ -185,7 +187,11 @@
       return {error: unconfirmed, mayBeKept: false};
     }
     this.context.lateUseLog.record(request, target);
-    const outcome = await operation.run(target, bound);
+    const outcome = await sendCommand(
+      bound.connection,
+      command,
+      request.deadlineMs,
+    );
     if (outcome.kind !== 'answered') {
       return this.discardConnection(bound, outcome, !operation.isRetryable);
     }
--- a/packages/gateway/src/core/upstream/instance-connection.ts
+++ b/packages/gateway/src/core/upstream/instance-connection.ts
@@ -17,7 +17,18 @@
   abstract readonly greeting: InstanceReply;
 
   /**
-   * Sends a command.
+   * Returns whether the protocol of the instance can express a command; every
+   * command unless a protocol has limits.
+   *
+   * @param _command - The command.
+   */
+  canSend(_command: InstanceCommand): boolean {
+    return true;
+  }
+
+  /**
+   * Sends a command. A connection that is asked for a command that it cannot send
+   * closes.
    *
    * @throws ConnectionLostError if the connection is lost before the reply.
    */
--- a/packages/gateway/test/sessions/local-transaction.test.ts
+++ b/packages/gateway/test/sessions/local-transaction.test.ts
@@ -1,5 +1,8 @@
+import type {PreparedStatement} from '@sapphireglade/decisions';
 import {
   ErrorKind,
+  Outcome,
+  PreparedStatementKind,
   SessionValues,
   TransactionState,
 } from '@sapphireglade/decisions';
@@ -36,8 +39,14 @@
   override readonly isOpen = true;
   override readonly greeting = REPLY;
   readonly sent: InstanceCommand['kind'][] = [];
+  /** The kind of command that does not fit in a message. */
+  tooLong: InstanceCommand['kind'] | undefined;
   private readonly waiting: (() => void)[] = [];
 
+  override canSend({kind}: InstanceCommand): boolean {
+    return kind !== this.tooLong;
+  }
+
   override run(command: InstanceCommand): Promise<InstanceReply> {
     this.sent.push(command.kind);
     return new Promise(resolve => this.waiting.push(() => resolve(REPLY)));
@@ -82,13 +91,16 @@
   });
 
   /** Runs a read; resolves to its reply or to the error. */
-  function read(values: SessionValues): Promise<InstanceReply | Error> {
+  function read(
+    values: SessionValues,
+    prepared?: PreparedStatement,
+  ): Promise<InstanceReply | Error> {
     const statement = {
       requestId: 'read',
       isRead: true,
       awaitsReplica: false,
       text: 'FETCH',
-      prepared: undefined,
+      prepared,
       parameters: '',
     };
     const deadlineMs = performance.now() + 1_000;
@@ -97,6 +109,24 @@
       .catch((error: Error) => error);
   }
 
+  describe('with a statement that does not fit in a message', () => {
+    for (const kind of [CommandKind.Prepare, CommandKind.Execute]) {
+      it(`sends nothing of it and is rolled back: ${kind}`, async () => {
+        connection.tooLong = kind;
+        const prepared = {kind: PreparedStatementKind.Read, shape: 'q'};
+        const running = read(new SessionValues(), prepared);
+        expect(await running).toHaveSubset({
+          kind: ErrorKind.BodyTooLarge,
+          outcome: Outcome.NotRun,
+        });
+        expect(connection.sent).toEqual([
+          CommandKind.Begin,
+          CommandKind.Rollback,
+        ]);
+      });
+    }
+  });
+
   describe('on an instance that must be left alone', () => {
     it('is rolled back instead of sending its first statement', async () => {
       isUsable = false;
