Check what an instance reads against what callers sent

Callers with unusual shapes saw their statements run as others: a shape with a blank splits the upstream name, so that the instance reads a part of it as the kind, the shape or the item.

The tests play sessions that share connections, on the session and pool code of the gateway, with and without a link, and read the bytes with a model that is written from the protocol's description alone.

--- a/packages/gateway/test/support/index.ts
+++ b/packages/gateway/test/support/index.ts
@@ -1,4 +1,10 @@
-/** In-memory models of the store and of a replicated group, for the tests of all packages. */
+/** In-memory models of the store and of a replicated group, and links, for the tests of all packages. */
+export {
+  sendCommand,
+  synchronizeSession,
+} from '../../src/core/sessions/command-result.js';
+export {carryReplyOverLink, carryRequestOverLink} from './link-crossing.js';
+export {GROUP, LinkedProxy, publish, requestOf} from './linked-proxy.js';
 export type {Change, LogEntry} from './memory-group.js';
 export {MemoryGroup, MemoryInstance} from './memory-group.js';
 export type {StoreBackup} from './memory-store.js';
