--- a/packages/gateway/test/support/index.ts
+++ b/packages/gateway/test/support/index.ts
@@ -3,7 +3,11 @@
   sendCommand,
   synchronizeSession,
 } from '../../src/core/sessions/command-result.js';
-export {carryReplyOverLink, carryRequestOverLink} from './link-crossing.js';
+export {
+  carryErrorOverLink,
+  carryReplyOverLink,
+  carryRequestOverLink,
+} from './link-crossing.js';
 export {GROUP, LinkedProxy, publish, requestOf} from './linked-proxy.js';
 export type {Change, LogEntry} from './memory-group.js';
 export {MemoryGroup, MemoryInstance} from './memory-group.js';
--- a/packages/gateway/test/support/link-crossing.ts
+++ b/packages/gateway/test/support/link-crossing.ts
@@ -1,7 +1,9 @@
+import {SapphiregladeError} from '@sapphireglade/decisions';
 import {FrameKind, FrameReader, encodeFrame} from '@sapphireglade/protocol';
 import {
   decodeExecution,
   decodeResponse,
+  encodeError,
   encodeExecution,
   encodeReply,
   ForwardedKind,
@@ -33,6 +35,13 @@
   return response.reply;
 }
 
+/** Returns an error as an entry proxy reads it from a link. */
+export function carryErrorOverLink(error: unknown): SapphiregladeError {
+  const response = decodeResponse(carryOverLink(encodeError(error)));
+  if (response instanceof SapphiregladeError) return response;
+  throw new Error('The error could not be decoded.');
+}
+
 /** Encodes a body as a frame and decodes the bytes. */
 function carryOverLink(body: unknown): unknown {
   const bytes = encodeFrame({
