Reject a command that cannot be sent without ending its connection

A connection that was asked for a command that the protocol cannot express closed, also when nothing of it had been sent, and replies to commands before it were lost. The command alone is rejected as not sent; who replays a session discards the connection after a rejected command, as before. A rejected command is no longer counted as unanswered.

--- a/packages/gateway/src/core/pool/pooled-connection.ts
+++ b/packages/gateway/src/core/pool/pooled-connection.ts
@@ -88,12 +88,12 @@
   async run(command: InstanceCommand): Promise<InstanceReply> {
     if (!this.isOpen) throw new ConnectionLostError('it is closed', false);
     const sentAtMs = steadyNowMs();
-    this.outstandingCommands.push({
-      sentAtMs,
-      awaitsReplica: awaitsReplica(command),
+    const outstanding = {sentAtMs, awaitsReplica: awaitsReplica(command)};
+    this.outstandingCommands.push(outstanding);
+    const reply = await this.connection.run(command).finally(() => {
+      const index = this.outstandingCommands.indexOf(outstanding);
+      this.outstandingCommands.splice(index, 1);
     });
-    const reply = await this.connection.run(command);
-    this.outstandingCommands.shift();
     this.lastReplyAtMs = steadyNowMs();
     this.transactionState = reply.state;
     this.trackSessionState(command, reply);
--- a/packages/gateway/src/core/upstream/instance-connection.ts
+++ b/packages/gateway/src/core/upstream/instance-connection.ts
@@ -27,10 +27,10 @@
   }
 
   /**
-   * Sends a command. A connection that is asked for a command that it cannot send
-   * closes.
+   * Sends a command.
    *
-   * @throws ConnectionLostError if the connection is lost before the reply.
+   * @throws ConnectionLostError if the connection is lost before the reply, or if
+   *   the command cannot be sent.
    */
   abstract run(command: InstanceCommand): Promise<InstanceReply>;
 
