Let the model of the wire refuse what a connection cannot send

The model ran statements past the check whether a connection can send them, which came later than the model. It now asks as the executors do.

--- a/packages/gateway/test/support/index.ts
+++ b/packages/gateway/test/support/index.ts
@@ -1,5 +1,6 @@
 /** In-memory models of the store and of a replicated group, and links, for the tests of all packages. */
 export {
+  refuseUnsendable,
   sendCommand,
   synchronizeSession,
 } from '../../src/core/sessions/command-result.js';
