Send long messages over links in segments, and survive what cannot be sent

Callers saw: a read with a result of 2.4 MB through a proxy that forwards it ended the owners, and a session with 2.4 MB of values ended the forwarding proxy. Whatever else ran on their links was cut off.

Cause: a frame has 2 MiB at most, while a result has no limit and a message of 1 MiB of latin-1 takes up to twice as much in CBOR. The encoder threw out of a promise that nobody held (responses), or after the request had been added, whose timer then rejected a promise that nobody held (requests). A handler that rejected did the same.

Change: a message above 256 KiB is sent in segments to peers that announce in their hello frame that they accept them, up to 32 MiB. Other frames go between the segments. Shorter messages are encoded as before; other peers get whole frames up to 2 MiB. A request that cannot be sent fails as "not run" before a byte is sent, a request whose handler or response fails is answered without a body, and a notification that is too long is dropped and counted. An error of a notification handler closes its link instead of the process.

--- a/packages/protocol/src/core/frames/frame-codec.ts
+++ b/packages/protocol/src/core/frames/frame-codec.ts
@@ -1,7 +1,12 @@
 import {ErrorKind, SapphiregladeError} from '@sapphireglade/decisions';
 import {Decoder, Encoder} from 'cbor-x';
-import {frameSchema} from './frame-schema.js';
-import type {Frame} from './types.js';
+import {
+  createFrameTooLongError,
+  createMalformedFrameError,
+} from './frame-errors.js';
+import {frameSchema, segmentSchema} from './frame-schema.js';
+import {SegmentJoiner} from './segment-joiner.js';
+import type {Frame, SegmentFrame} from './types.js';
 import {FrameKind, MAXIMUM_FRAME_BYTES} from './types.js';
 
 /** Size of the length prefix of a frame, in bytes. */
@@ -23,20 +28,43 @@
  * @returns The bytes to send, with the length prefix.
  * @throws SapphiregladeError of kind `frame-too-long`.
  */
-export function encodeFrame(frame: Frame): Buffer {
-  const payload = encoder.encode(frame);
+export function encodeFrame(frame: Frame | SegmentFrame): Buffer {
+  return addLengthPrefix(encodePayload(frame));
+}
+
+/**
+ * Encodes a frame without its length prefix, of any length.
+ *
+ * @param frame - The frame.
+ * @returns The payload of one frame, or the bytes to split into segments.
+ */
+export function encodePayload(frame: Frame | SegmentFrame): Buffer {
+  return encoder.encode(frame);
+}
+
+/**
+ * Adds the length prefix to an encoded frame.
+ *
+ * @param payload - The encoded frame.
+ * @returns The bytes to send.
+ * @throws SapphiregladeError of kind `frame-too-long`.
+ */
+export function addLengthPrefix(payload: Buffer): Buffer {
   if (payload.length > MAXIMUM_FRAME_BYTES)
-    throw createFrameTooLongError(payload.length);
+    throw createFrameTooLongError(payload.length, MAXIMUM_FRAME_BYTES);
   const prefix = Buffer.allocUnsafe(PREFIX_BYTES);
   prefix.writeUInt32BE(payload.length);
   return Buffer.concat([prefix, payload]);
 }
 
-/** Splits a byte stream into frames. Each link has its own reader. */
+/**
+ * Splits a byte stream into frames and joins segments. Each link has its own reader.
+ */
 export class FrameReader {
   private chunks: Buffer[] = [];
   private bufferedBytes = 0;
   private neededBytes = PREFIX_BYTES;
+  private readonly joiner = new SegmentJoiner();
 
   /**
    * Adds received bytes and yields the complete frames one at a time, so that
@@ -52,10 +80,21 @@
     for (;;) {
       const payload = this.takePayload();
       if (payload === undefined) return;
-      yield decodePayload(payload);
+      const frame = this.decode(payload);
+      if (frame !== undefined) yield frame;
     }
   }
 
+  /** Decodes one payload; returns undefined for a segment that completes no message. */
+  private decode(payload: Buffer): Frame | undefined {
+    const decoded = decodeCbor(payload);
+    if (kindOf(decoded) !== FrameKind.Segment) return validateFrame(decoded);
+    const segment = segmentSchema.safeParse(decoded);
+    if (!segment.success) throw createMalformedFrameError(segment.error);
+    const message = this.joiner.push(segment.data);
+    return message && validateFrame(decodeCbor(message));
+  }
+
   /**
    * Removes one complete payload from the buffer and returns it, if there is one.
    * Chunks are joined only once enough bytes are buffered, so that a frame in many
@@ -65,7 +104,9 @@
     if (this.bufferedBytes < this.neededBytes) return undefined;
     const buffer = this.joinChunks();
     const length = buffer.readUInt32BE(0);
-    if (length > MAXIMUM_FRAME_BYTES) throw createFrameTooLongError(length);
+    if (length > MAXIMUM_FRAME_BYTES) {
+      throw createFrameTooLongError(length, MAXIMUM_FRAME_BYTES);
+    }
     const end = PREFIX_BYTES + length;
     this.neededBytes = end;
     if (buffer.length < end) return undefined;
@@ -82,12 +123,11 @@
   }
 }
 
-/** Decodes and validates one payload. */
-function decodePayload(payload: Buffer): Frame {
-  const decoded = decodeCbor(payload);
+/** Validates a decoded frame. */
+function validateFrame(decoded: unknown): Frame {
   const result = frameSchema.safeParse(decoded);
   if (result.success) return result.data;
-  const kind = (decoded as {kind?: unknown} | null)?.kind;
+  const kind = kindOf(decoded);
   if (typeof kind === 'string' && !KNOWN_KINDS.has(kind)) {
     throw new SapphiregladeError(
       ErrorKind.FrameUnknownKind,
@@ -97,6 +137,10 @@
   throw createMalformedFrameError(result.error);
 }
 
+function kindOf(decoded: unknown): unknown {
+  return (decoded as {kind?: unknown} | null | undefined)?.kind;
+}
+
 /** Decodes CBOR; a payload that cannot be decoded is a malformed frame. */
 function decodeCbor(payload: Buffer): unknown {
   try {
@@ -105,18 +149,3 @@
     throw createMalformedFrameError(cause);
   }
 }
-
-function createMalformedFrameError(cause: unknown): SapphiregladeError {
-  return new SapphiregladeError(
-    ErrorKind.FrameMalformed,
-    'The frame cannot be decoded.',
-    {cause},
-  );
-}
-
-function createFrameTooLongError(length: number): SapphiregladeError {
-  return new SapphiregladeError(
-    ErrorKind.FrameTooLong,
-    `The frame has ${length} bytes; ${MAXIMUM_FRAME_BYTES} are allowed.`,
-  );
-}
--- a/packages/protocol/src/core/frames/types.ts
+++ b/packages/protocol/src/core/frames/types.ts
@@ -6,6 +6,18 @@
 /** Largest frame without its length prefix, in bytes. */
 export const MAXIMUM_FRAME_BYTES = 2_097_152;
 
+/**
+ * Largest part of a message that one segment carries, in bytes. Longer messages are
+ * split for peers that accept segments.
+ */
+export const SEGMENT_BYTES = 262_144;
+
+/** Smallest part that a segment other than the last one carries, in bytes. */
+export const MINIMUM_SEGMENT_BYTES = 4_096;
+
+/** Largest message that is sent in segments, in bytes; a reader holds at most one. */
+export const MAXIMUM_MESSAGE_BYTES = 33_554_432;
+
 /** The kinds of frame on a link. */
 export const FrameKind = {
   /** First frame in each direction. */
@@ -20,6 +32,8 @@
   Response: 'answer',
   /** Message without a response. */
   Notification: 'notice',
+  /** Part of a message that is too long for one frame. */
+  Segment: 'segment',
 } as const;
 
 /** The kind of a frame. */
@@ -44,6 +58,11 @@
   readonly boot: string;
   /** Availability zone of the sender. */
   readonly zone: string;
+  /**
+   * Largest message that the sender accepts in segments, in bytes. Without it, the
+   * sender accepts no segments and no frame above `MAXIMUM_FRAME_BYTES`.
+   */
+  readonly maximumMessageBytes?: number | undefined;
 }
 
 /** Requests a pong. */
@@ -82,7 +101,32 @@
   readonly body: unknown;
 }
 
-/** Any frame. */
+/** What follows a segment on the link. */
+export const SegmentPosition = {
+  /** Further segments of the message follow, possibly after other frames. */
+  Inner: 'inner',
+  /** The message is complete. */
+  Last: 'last',
+  /** The sender has given up the message; the receiver discards its segments. */
+  Cancelled: 'cancelled',
+} as const;
+
+/** A value of {@link SegmentPosition}. */
+export type SegmentPosition =
+  (typeof SegmentPosition)[keyof typeof SegmentPosition];
+
+/**
+ * Part of an encoded frame. The segments of one message are sent in order and are
+ * not mixed with those of another; other frames may be sent between them.
+ */
+export interface SegmentFrame {
+  readonly kind: typeof FrameKind.Segment;
+  readonly position: SegmentPosition;
+  /** The bytes of this part; empty if the message was cancelled. */
+  readonly data: Uint8Array;
+}
+
+/** Any frame, after segments have been joined. */
 export type Frame =
   | HelloFrame
   | PingFrame
--- a/packages/protocol/src/core/links/link.ts
+++ b/packages/protocol/src/core/links/link.ts
@@ -4,11 +4,17 @@
 import {ReplaySubject} from 'rxjs';
 import type {Frame, HelloFrame} from '../frames/index.js';
 import {
-  encodeFrame,
+  addLengthPrefix,
+  createFrameTooLongError,
+  encodePayload,
   FrameKind,
   FrameReader,
+  MAXIMUM_FRAME_BYTES,
+  MAXIMUM_MESSAGE_BYTES,
   PROTOCOL_VERSION,
+  SEGMENT_BYTES,
 } from '../frames/index.js';
+import {OutgoingMessages} from './outgoing-messages.js';
 import {PendingRequests} from './pending-requests.js';
 import type {LinkContext, LinkCounters, ProcessIdentity} from './types.js';
 
@@ -24,6 +30,8 @@
     framesSent: 0,
     framesReceived: 0,
     lateResponses: 0,
+    failedRequests: 0,
+    droppedNotifications: 0,
   };
   /** Monotonic and wall clock time at which the socket was created or accepted. */
   readonly openedAt = {steadyMs: performance.now(), wallMs: Date.now()};
@@ -31,6 +39,9 @@
   private readonly pendingRequests = new PendingRequests();
   private readonly opened = new ReplaySubject<ProcessIdentity>(1);
   private readonly closeErrors = new ReplaySubject<SapphiregladeError>(1);
+  private readonly outgoingMessages: OutgoingMessages;
+  /** Largest message that the peer accepts in segments, in bytes; 0 if it accepts none. */
+  private peerMessageBytes = 0;
   private keepaliveTimer: NodeJS.Timeout | undefined;
   private idleTimer: NodeJS.Timeout | undefined;
   private peerIdentity: ProcessIdentity | undefined;
@@ -47,6 +58,9 @@
     private readonly context: LinkContext,
   ) {
     socket.setNoDelay(true);
+    this.outgoingMessages = new OutgoingMessages(socket, bytes =>
+      this.write(bytes),
+    );
     socket.on('data', chunk => this.onData(chunk));
     socket.on('error', error => this.closeWith(ErrorKind.LinkClosed, error));
     socket.on('close', () => this.closeWith(ErrorKind.LinkClosed));
@@ -75,14 +89,23 @@
     return !this.isClosed && this.peerIdentity !== undefined;
   }
 
+  /** Largest message that can be sent to the peer, in bytes. */
+  get maximumMessageBytes(): number {
+    const segmentedBytes = Math.min(
+      MAXIMUM_MESSAGE_BYTES,
+      this.peerMessageBytes,
+    );
+    return Math.max(MAXIMUM_FRAME_BYTES, segmentedBytes);
+  }
+
   /**
    * Sends a request and waits for its response.
    *
    * @param body - One of the peer requests.
    * @param deadlineMs - How long to wait, in milliseconds.
    * @returns The body of the response, not yet validated.
-   * @throws SapphiregladeError of kind `link-closed` with outcome `not run` if
-   *   nothing was sent; of kind `link-closed`, `link-silent` or
+   * @throws SapphiregladeError of kind `link-closed`, `frame-too-long`, `overloaded`
+   *   or `internal` with outcome `not run` if nothing was sent; of kind `link-closed`, `link-silent` or
    *   `outcome-unknown` with outcome `unknown` otherwise.
    */
   request(body: unknown, deadlineMs: number): Promise<unknown> {
@@ -100,23 +123,29 @@
     }
     const {correlation, answer: response} =
       this.pendingRequests.add(deadlineMs);
-    this.send({
+    const frame = {
       kind: FrameKind.Request,
       clock: this.context.clock.tick(),
       correlation,
       deadlineMs,
       body,
-    });
+    };
+    try {
+      this.send(frame, () => this.pendingRequests.has(correlation));
+    } catch (error) {
+      this.pendingRequests.fail(correlation, toUnsentError(error));
+    }
     return response;
   }
 
-  /** Sends a notification; it is dropped if the link is closed. */
+  /** Sends a notification; it is dropped if the link is closed or it cannot be sent. */
   notify(body: unknown): void {
-    this.send({
-      kind: FrameKind.Notification,
-      clock: this.context.clock.tick(),
-      body,
-    });
+    const clock = this.context.clock.tick();
+    try {
+      this.send({kind: FrameKind.Notification, clock, body});
+    } catch {
+      this.counters.droppedNotifications += 1;
+    }
   }
 
   /** Closes the link. */
@@ -129,13 +158,32 @@
       kind: FrameKind.Hello,
       clock: this.context.clock.tick(),
       version: PROTOCOL_VERSION,
+      maximumMessageBytes: MAXIMUM_MESSAGE_BYTES,
       ...this.context.identity,
     });
   }
 
-  private send(frame: Frame): void {
+  /**
+   * Sends a frame, in segments if it is long and the peer accepts them.
+   *
+   * @param frame - The frame.
+   * @param isWanted - Returns whether a message in segments is still of use.
+   * @throws SapphiregladeError of kind `frame-too-long` or `overloaded`, or an error
+   *   of the encoder; nothing was sent then.
+   */
+  private send(frame: Frame, isWanted: () => boolean = () => true): void {
+    if (this.isClosed) return;
+    const payload = encodePayload(frame);
+    const limit = this.maximumMessageBytes;
+    if (payload.length > limit)
+      throw createFrameTooLongError(payload.length, limit);
+    if (this.peerMessageBytes > 0 && payload.length > SEGMENT_BYTES)
+      this.outgoingMessages.add(payload, isWanted);
+    else this.write(addLengthPrefix(payload));
+  }
+
+  private write(bytes: Buffer): void {
     if (this.isClosed) return;
-    const bytes = encodeFrame(frame);
     this.counters.bytesSent += bytes.length;
     this.counters.framesSent += 1;
     this.lastActivityAtMs = performance.now();
@@ -152,8 +200,9 @@
     try {
       for (const frame of this.frameReader.push(chunk)) this.onFrame(frame);
     } catch (error) {
-      if (!(error instanceof SapphiregladeError)) throw error;
-      this.closeWith(error.kind, error);
+      const kind =
+        error instanceof SapphiregladeError ? error.kind : ErrorKind.Internal;
+      this.closeWith(kind, error);
     }
   }
 
@@ -202,6 +251,7 @@
       return;
     }
     const {process, boot, zone} = frame;
+    this.peerMessageBytes = frame.maximumMessageBytes ?? 0;
     this.peerIdentity = {process, boot, zone};
     this.opened.next(this.peerIdentity);
   }
@@ -213,13 +263,20 @@
     deadlineMs: number,
   ): Promise<void> {
     const {clock, handlers} = this.context;
-    const response = await handlers.onRequest(body, peer, deadlineMs, this);
-    this.send({
-      kind: FrameKind.Response,
-      clock: clock.tick(),
-      correlation,
-      body: response,
-    });
+    const respond = (response: unknown): void =>
+      this.send({
+        kind: FrameKind.Response,
+        clock: clock.tick(),
+        correlation,
+        body: response,
+      });
+    try {
+      respond(await handlers.onRequest(body, peer, deadlineMs, this));
+    } catch {
+      // The peer must not wait for its deadline; its caller decodes no reply from this.
+      this.counters.failedRequests += 1;
+      respond(undefined);
+    }
   }
 
   private startKeepaliveTimer(): void {
@@ -267,6 +324,7 @@
     clearInterval(this.keepaliveTimer);
     clearInterval(this.idleTimer);
     this.socket.destroy();
+    this.outgoingMessages.clear();
     const peer = this.peerIdentity?.process ?? 'an unknown process';
     const error = new SapphiregladeError(kind, `The link to ${peer} closed.`, {
       cause,
@@ -275,3 +333,16 @@
     this.closeErrors.next(error);
   }
 }
+
+/** Converts the failure to send a request; nothing of it has reached the peer. */
+function toUnsentError(cause: unknown): SapphiregladeError {
+  const outcome = Outcome.NotRun;
+  if (!(cause instanceof SapphiregladeError)) {
+    const message = 'The request could not be encoded.';
+    return new SapphiregladeError(ErrorKind.Internal, message, {
+      outcome,
+      cause,
+    });
+  }
+  return new SapphiregladeError(cause.kind, cause.message, {outcome, cause});
+}
--- a/packages/protocol/src/core/links/pending-requests.ts
+++ b/packages/protocol/src/core/links/pending-requests.ts
@@ -49,6 +49,16 @@
     return request !== undefined;
   }
 
+  /** Returns whether a request waits for its response. */
+  has(correlation: number): boolean {
+    return this.requests.has(correlation);
+  }
+
+  /** Fails a pending request. */
+  fail(correlation: number, error: Error): void {
+    this.remove(correlation)?.reject(error);
+  }
+
   /** Fails every pending request. */
   failAll(error: Error): void {
     for (const correlation of [...this.requests.keys()]) {
--- a/packages/protocol/src/core/links/types.ts
+++ b/packages/protocol/src/core/links/types.ts
@@ -20,7 +20,8 @@
    * @param peer - The process that sent the request.
    * @param deadlineMs - How long the peer waits for the response, in milliseconds.
    * @param link - The link on which the request arrived.
-   * @returns The body of the response.
+   * @returns The body of the response. If the promise is rejected or the body cannot
+   *   be sent, the peer receives a response without a body.
    */
   onRequest(
     body: unknown,
@@ -76,4 +77,11 @@
   framesReceived: number;
   /** Responses whose request had already finished or was unknown. */
   lateResponses: number;
+  /**
+   * Requests that were answered with an empty body, because their handler failed or
+   * their response could not be sent.
+   */
+  failedRequests: number;
+  /** Notifications that were not sent, because they were too long. */
+  droppedNotifications: number;
 }
