Answer with an error when a link cannot carry a result or request

Callers saw: a result that no link carries left the request without an answer until its deadline, and the owner that was asked was avoided, or another one ran the read again.

Cause: the owner learned only in the encoder that its reply is too long; the entry proxy took any failure to send as one of the owner's.

Change: the owner checks a reply against the limit of the link. A read is answered as failed, a write or its commit as of unknown outcome, and a transaction is rolled back at the owner. A request that cannot be sent is refused as "not run" (in a transaction: rolled back) and does not count against the owner.

--- a/packages/gateway/src/core/forwarding/forwarded-request-server.ts
+++ b/packages/gateway/src/core/forwarding/forwarded-request-server.ts
@@ -22,6 +22,7 @@
   ForwardedExecution,
 } from './messages.js';
 import {
+  assertReplyFits,
   decodeExecution,
   encodeError,
   encodeReply,
@@ -184,8 +185,7 @@
   ): Promise<InstanceReply> {
     switch (request.kind) {
       case ForwardedKind.Statement:
-        this.assertCanServe(request.execution.group);
-        return this.options.runner.run(this.decode(request.execution, link));
+        return this.serveStatement(request.execution, link);
       case ForwardedKind.RollBack:
         endTransaction(
           this.linkStateOf(link).transactions,
@@ -197,6 +197,16 @@
     }
   }
 
+  private async serveStatement(
+    execution: ForwardedExecution,
+    link: Link,
+  ): Promise<InstanceReply> {
+    this.assertCanServe(execution.group);
+    const reply = await this.options.runner.run(this.decode(execution, link));
+    assertReplyFits(reply, execution.isRead, link.maximumMessageBytes);
+    return reply;
+  }
+
   private async serveTransaction(
     request: TransactionMessage,
     link: Link,
@@ -211,9 +221,15 @@
     forwarded.isBusy = true;
     try {
       const {transaction} = forwarded;
-      if (!request.isCommit) return await transaction.run(execution);
+      if (!request.isCommit) {
+        const reply = await transaction.run(execution);
+        // A reply that cannot be sent ends the transaction, so nothing of it is kept.
+        assertReplyFits(reply, true, link.maximumMessageBytes);
+        return reply;
+      }
       const reply = await transaction.commit(execution);
       transactions.delete(request.transaction);
+      assertReplyFits(reply, !transaction.hasWritten, link.maximumMessageBytes);
       return reply;
     } catch (error) {
       endTransaction(transactions, request.transaction);
--- a/packages/gateway/src/core/forwarding/forwarding-runner.ts
+++ b/packages/gateway/src/core/forwarding/forwarding-runner.ts
@@ -178,6 +178,7 @@
   result: PeerResult,
   isRetryable: boolean,
 ): OwnerReply | SapphiregladeError {
+  if (result.kind === 'refused') return unsentError(result.error);
   if (result.kind === 'failed') return linkError(result, isRetryable);
   const response = decodeResponse(result.body);
   if (response instanceof SapphiregladeError) return response;
@@ -202,6 +203,14 @@
   return new SapphiregladeError(kind, reason);
 }
 
+/** Creates the error for a request that this proxy could not send; another owner may accept it. */
+function unsentError(cause: SapphiregladeError): SapphiregladeError {
+  return new SapphiregladeError(ErrorKind.Overloaded, cause.message, {
+    retryAfterMs: RETRY_AFTER_MS,
+    cause,
+  });
+}
+
 function noOwnerError(group: string): SapphiregladeError {
   return new SapphiregladeError(
     ErrorKind.NoOwner,
--- a/packages/gateway/src/core/forwarding/messages.ts
+++ b/packages/gateway/src/core/forwarding/messages.ts
@@ -166,6 +166,34 @@
   };
 }
 
+/** Bytes reserved for the fields of a response besides its rows. */
+const RESPONSE_FIELDS_BYTES = 4_096;
+
+/** Largest encoding of the length of a row, in bytes. */
+const ROW_LENGTH_BYTES = 5;
+
+/**
+ * Checks that a link can carry the reply to a statement.
+ *
+ * @param reply - The reply.
+ * @param isRead - Whether the statement changed nothing, or nothing that is kept.
+ * @param maximumBytes - Largest message that the link carries, in bytes.
+ * @throws SapphiregladeError of kind `run-failed`, or `outcome-unknown` for a write.
+ */
+export function assertReplyFits(
+  {rows, signature}: InstanceReply,
+  isRead: boolean,
+  maximumBytes: number,
+): void {
+  let bytes = RESPONSE_FIELDS_BYTES + Buffer.byteLength(signature ?? '');
+  for (const row of rows) bytes += ROW_LENGTH_BYTES + Buffer.byteLength(row);
+  if (bytes <= maximumBytes) return;
+  throw new SapphiregladeError(
+    isRead ? ErrorKind.RunFailed : ErrorKind.OutcomeUnknown,
+    `The result has ${bytes} bytes; ${maximumBytes} can be sent to the proxy of the caller.`,
+  );
+}
+
 /** Encodes a reply for the link. */
 export function encodeReply(
   reply: InstanceReply,
--- a/packages/gateway/src/core/forwarding/owner-peer.ts
+++ b/packages/gateway/src/core/forwarding/owner-peer.ts
@@ -1,4 +1,4 @@
-import {Outcome, SapphiregladeError} from '@sapphireglade/decisions';
+import {ErrorKind, Outcome, SapphiregladeError} from '@sapphireglade/decisions';
 import type {Link, LinkDialer} from '@sapphireglade/protocol';
 import type {MemberRecord} from '../membership/index.js';
 import {steadyNowMs} from '../time/index.js';
@@ -24,6 +24,8 @@
 /** The response of an owner, or the failure to get one. */
 export type PeerResult =
   | {readonly kind: 'answered'; readonly body: unknown; readonly link: Link}
+  /** This proxy could not send the request, for a reason that is no fault of the owner. */
+  | {readonly kind: 'refused'; readonly error: SapphiregladeError}
   | {
       readonly kind: 'failed';
       /** Whether a byte of the request may have reached the owner. */
@@ -31,6 +33,13 @@
       readonly reason: string;
     };
 
+/** Errors of requests of which nothing was sent, over a link that stays usable. */
+const UNSENT_REQUEST_ERRORS: ReadonlySet<ErrorKind> = new Set<ErrorKind>([
+  ErrorKind.FrameTooLong,
+  ErrorKind.Overloaded,
+  ErrorKind.Internal,
+]);
+
 /** A proxy that owns groups, as the peer of an entry proxy. */
 export class OwnerPeer {
   private outstandingRequests = 0;
@@ -122,6 +131,9 @@
   }
 
   private failed(error: SapphiregladeError): PeerResult {
+    const isRefused =
+      error.outcome === Outcome.NotRun && UNSENT_REQUEST_ERRORS.has(error.kind);
+    if (isRefused) return {kind: 'refused', error};
     this.avoidUntilMs = steadyNowMs() + this.avoidanceMs;
     this.avoidanceMs = Math.min(MAXIMUM_AVOIDANCE_MS, this.avoidanceMs * 2);
     const wasSent = error.outcome !== Outcome.NotRun;
--- a/packages/gateway/src/core/forwarding/remote-transaction.ts
+++ b/packages/gateway/src/core/forwarding/remote-transaction.ts
@@ -72,6 +72,9 @@
     const {peer, link} = this.boundLink;
     const body = this.encode(request, isCommit, false);
     const result = await peer.requestOverLink(link, body, request.deadlineMs);
+    // The caller ends the transaction; its owner learns it from the rollback.
+    if (result.kind === 'refused')
+      throw transactionLostError(result.error.message);
     const response =
       result.kind === 'answered' ? decodeResponse(result.body) : undefined;
     if (response instanceof SapphiregladeError) throw response;
