--- a/packages/proxy/src/core/peers/peer-dispatcher.ts
+++ b/packages/proxy/src/core/peers/peer-dispatcher.ts
@@ -80,7 +80,16 @@
         `No handler is registered for ${parsed.data.type}.`,
       );
     }
-    return handler(parsed.data, peer, processingTimeMs(deadlineMs));
+    try {
+      return await handler(parsed.data, peer, processingTimeMs(deadlineMs));
+    } catch (error) {
+      this.log.error('The handler of a request from a peer failed.', {
+        peer: peer.process,
+        type: parsed.data.type,
+        error: String(error),
+      });
+      throw error;
+    }
   }
 
   onNotification(body: unknown, peer: ProcessIdentity): void {
