Bound the bytes of names, values and shapes in one session

Callers saw: nothing refused a session with 1,000 values of 1 MiB each. It exceeds the memory of a proxy (350 MB), and all values go with each forwarded request.

Cause: a session bounded the number of its entries, not their size.

Change: a session holds at most 4 MiB of names, values and shapes, counted with one byte a character. A value or statement above it is refused before it is acknowledged, as one above the number is; the earlier one stays. An owner refuses a forwarded session above it instead of dropping values.

The tests of forwarding pass with it (33 of 33), among them a session with 2.4 MB of values.

--- a/packages/decisions/src/core/connected-session/session-values.ts
+++ b/packages/decisions/src/core/connected-session/session-values.ts
@@ -3,6 +3,14 @@
 /** Maximum number of values and prepared names in one session. */
 const MAXIMUM_ENTRIES = 1_000;
 
+/**
+ * Maximum size of the names, values and shapes of one session, in bytes. Each
+ * character has one byte, as in the messages of callers. It is enough for several of
+ * the longest messages, which have 1 MiB; with the longest statement, whose characters
+ * may take two bytes each, it stays below the longest message between proxies.
+ */
+export const MAXIMUM_SESSION_BYTES = 4_194_304;
+
 /**
  * Values and prepared names that were acknowledged to one caller.
  *
@@ -12,6 +20,7 @@
 export class SessionValues {
   private readonly settings = new Map<string, string>();
   private readonly statements = new Map<string, PreparedStatement>();
+  private heldBytes = 0;
 
   /** Values by name. */
   get values(): ReadonlyMap<string, string> {
@@ -21,23 +30,26 @@
   /**
    * Sets a value.
    *
-   * @returns Whether it was stored; the number of values is bounded.
+   * @returns Whether it was stored; the number of values and their size are bounded.
    */
   set(name: string, value: string): boolean {
-    if (!this.settings.has(name) && this.isFull) return false;
-    this.settings.set(name, value);
-    return true;
+    const previous = this.settings.get(name);
+    const isStored = this.reserve(name, previous, value);
+    if (isStored) this.settings.set(name, value);
+    return isStored;
   }
 
   /**
    * Stores a prepared statement under the caller's name for it.
    *
-   * @returns Whether it was stored; the number of names is bounded.
+   * @returns Whether it was stored; the number of names and the size of the shapes are
+   *   bounded.
    */
   prepare(name: string, statement: PreparedStatement): boolean {
-    if (!this.statements.has(name) && this.isFull) return false;
-    this.statements.set(name, statement);
-    return true;
+    const previous = this.statements.get(name)?.shape;
+    const isStored = this.reserve(name, previous, statement.shape);
+    if (isStored) this.statements.set(name, statement);
+    return isStored;
   }
 
   /**
@@ -46,6 +58,9 @@
    * @returns Whether the name existed.
    */
   deallocate(name: string): boolean {
+    const statement = this.statements.get(name);
+    if (statement === undefined) return false;
+    this.heldBytes -= name.length + statement.shape.length;
     return this.statements.delete(name);
   }
 
@@ -54,7 +69,24 @@
     return this.statements.get(name);
   }
 
-  private get isFull(): boolean {
-    return this.settings.size + this.statements.size >= MAXIMUM_ENTRIES;
+  /**
+   * Counts an entry that is added or replaced, if the session can hold it.
+   *
+   * @param name - Name of the entry.
+   * @param previous - Text stored under the name so far, if any.
+   * @param text - The value or shape to store.
+   */
+  private reserve(
+    name: string,
+    previous: string | undefined,
+    text: string,
+  ): boolean {
+    const isNew = previous === undefined;
+    const entries = this.settings.size + this.statements.size;
+    if (isNew && entries >= MAXIMUM_ENTRIES) return false;
+    const addedBytes = text.length + (isNew ? name.length : -previous.length);
+    if (this.heldBytes + addedBytes > MAXIMUM_SESSION_BYTES) return false;
+    this.heldBytes += addedBytes;
+    return true;
   }
 }
--- a/packages/gateway/src/core/forwarding/messages.ts
+++ b/packages/gateway/src/core/forwarding/messages.ts
@@ -129,6 +129,7 @@
  *
  * @param execution - The request as received.
  * @param maximumAgeMs - Upper bound of the time since it was sent, in milliseconds.
+ * @throws SapphiregladeError of kind `invalid-input` if a session cannot hold the values.
  */
 export function decodeExecution(
   execution: ForwardedExecution,
@@ -137,7 +138,13 @@
   const nowMs = steadyNowMs();
   const sentAtMs = nowMs - maximumAgeMs;
   const values = new SessionValues();
-  for (const [name, value] of execution.values) values.set(name, value);
+  for (const [name, value] of execution.values) {
+    if (values.set(name, value)) continue;
+    throw new SapphiregladeError(
+      ErrorKind.InvalidInput,
+      'The session holds too many values.',
+    );
+  }
   const {requestId, isRead, awaitsReplica, parameters} = execution;
   return {
     statement: {
