Copy the names and values that a session keeps

Callers saw: nothing, until a proxy ran out of memory. A message may have 1 MiB, a session 1,000 entries; short names and values that came in long messages (a long request id, or a value that was replaced since) kept the whole messages in memory, uncounted.

Cause: a part of a longer string refers to all of it in V8, and fields are parts of the line in which they were received.

Change: a session copies what it stores.

--- a/packages/decisions/src/core/connected-session/session-values.ts
+++ b/packages/decisions/src/core/connected-session/session-values.ts
@@ -35,7 +35,7 @@
   set(name: string, value: string): boolean {
     const previous = this.settings.get(name);
     const isStored = this.reserve(name, previous, value);
-    if (isStored) this.settings.set(name, value);
+    if (isStored) this.settings.set(copyText(name), copyText(value));
     return isStored;
   }
 
@@ -48,8 +48,10 @@
   prepare(name: string, statement: PreparedStatement): boolean {
     const previous = this.statements.get(name)?.shape;
     const isStored = this.reserve(name, previous, statement.shape);
-    if (isStored) this.statements.set(name, statement);
-    return isStored;
+    if (!isStored) return false;
+    const shape = copyText(statement.shape);
+    this.statements.set(copyText(name), {kind: statement.kind, shape});
+    return true;
   }
 
   /**
@@ -90,3 +92,11 @@
     return true;
   }
 }
+
+/**
+ * Returns a copy of a text. A part of a longer text refers to all of it, which would
+ * then stay in memory without being counted.
+ */
+function copyText(text: string): string {
+  return structuredClone(text);
+}
