Encode slashes in the names of a release's key

Callers saw: nothing yet. A change of primary waits until each proxy has released the old primary. The release of group "a" by proxy "b/c" counted as that of group "a/b" by proxy "c", which might still use the old primary.

Cause: the key joins both names with a slash, and both may hold slashes.

Change: slashes and percent signs in the names are percent-encoded. Keys of other names are as before. Between versions that differ for such a name, a change waits for the end of the view instead.

--- a/packages/gateway/src/core/primary-health/primary-releases.ts
+++ b/packages/gateway/src/core/primary-health/primary-releases.ts
@@ -72,7 +72,7 @@
     member: string,
     {revision, generation = 0}: ReleasedRecord,
   ): boolean {
-    const released = this.released.get(`${group}/${member}`);
+    const released = this.released.get(releaseName(group, member));
     return (
       released !== undefined &&
       released.generation === generation &&
@@ -116,7 +116,7 @@
         conditions: [],
         puts: [
           {
-            key: `${RELEASE_PREFIX}${group}/${this.self}`,
+            key: RELEASE_PREFIX + releaseName(group, this.self),
             value: releaseValue(known),
             leaseId,
           },
@@ -133,6 +133,18 @@
   }
 }
 
+/**
+ * Returns the part of a release's key that names the group and the proxy. A slash in a
+ * name is encoded, so that the key of no other group and proxy is the same.
+ */
+function releaseName(group: string, proxy: string): string {
+  return [group, proxy].map(encodeNamePart).join('/');
+}
+
+function encodeNamePart(name: string): string {
+  return name.replace(/[%/]/g, encodeURIComponent);
+}
+
 /** Returns the value of a release. */
 export function releaseValue({
   revision,
