Look up shares of an instance as own properties only

Not seen at callers.

Cause: names of instances may be "constructor", and the record is a plain object whose inherited property was taken for the list of shares.

Change: only own properties count, also where a proxy lists the shares it has read.

--- a/packages/decisions/src/core/shares/share-record.ts
+++ b/packages/decisions/src/core/shares/share-record.ts
@@ -54,6 +54,8 @@
   record: ShareRecord,
   instance: string,
 ): readonly ShareGrant[] {
+  // Ignores inherited properties, because names such as "constructor" are allowed.
+  if (!Object.hasOwn(record.instances, instance)) return [];
   return record.instances[instance] ?? [];
 }
 
--- a/packages/proxy/src/core/shares/group-shares.ts
+++ b/packages/proxy/src/core/shares/group-shares.ts
@@ -7,6 +7,7 @@
 import {
   decodeShareRecord,
   encodeShareRecord,
+  grantsOf,
   nextShareSwap,
   observeShares,
   planShareChange,
@@ -43,7 +44,8 @@
 
   /** Returns the shares of an instance, as last read from the store. */
   grants(instance: string): readonly ShareGrant[] {
-    return this.state.stored?.record.instances[instance] ?? [];
+    const {stored} = this.state;
+    return stored === undefined ? [] : grantsOf(stored.record, instance);
   }
 
   /**
