Refuse names in the settings that no key, header or frame can hold

Callers saw: a proxy with such a name starts and then fails at each use of it. The platform's store takes keys of at most 200 bytes, links take names of at most 256 characters in their first frame, and a header takes no line end.

Cause: the settings allowed any text as name and availability zone.

Change: both have 1 to 100 bytes and no control characters or lone surrogates; the start is refused otherwise.

--- a/packages/gateway/src/core/settings/settings-schema.ts
+++ b/packages/gateway/src/core/settings/settings-schema.ts
@@ -4,12 +4,26 @@
 /** An address as HOST:PORT. */
 const address = z.string().regex(/^[^:\s]+:\d{1,5}$/, 'must be HOST:PORT');
 
+/**
+ * Longest name of a VM or zone, in bytes; the keys of the store that contain it have at
+ * most 200 bytes.
+ */
+const MAXIMUM_NAME_BYTES = 100;
+
+/** A name that becomes part of keys, headers and messages. */
+const name = z
+  .string()
+  .regex(/^[^\p{Cc}\p{Cs}]+$/u, 'must not be empty or hold control characters')
+  .refine(text => Buffer.byteLength(text) <= MAXIMUM_NAME_BYTES, {
+    error: `must have at most ${MAXIMUM_NAME_BYTES} bytes`,
+  });
+
 /** Schema of the settings file of a gateway process. */
 export const gatewaySettingsSchema = z.strictObject({
   /** Name of this VM, unique in the deployment. */
-  name: z.string().min(1),
+  name,
   /** Availability zone of this VM. */
-  availabilityZone: z.string().min(1),
+  availabilityZone: name,
   /** Region of each availability zone. */
   regions: z.record(z.string(), z.string()),
   /** Addresses on which this process listens. */
