Find the region of a zone among own properties only

Not seen at callers. Instances name their zones as they like; for a zone named "constructor" the region was a function, which is no region that a message or a log can hold.

Cause: the regions are a plain object.

Change: only own properties count; another zone is a region of its own, as before.

--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -34,6 +34,7 @@
 import type {SessionContext} from '../sessions/index.js';
 import {CallerSession} from '../sessions/index.js';
 import type {RunningSettings} from '../settings/index.js';
+import {findRegion} from '../settings/index.js';
 import {StoreWatchers} from './store-watchers.js';
 import {readClocks, withTimeout} from '../time/index.js';
 import {createExecutor} from './create-executor.js';
@@ -272,8 +273,7 @@
 
   /** Returns the region of an availability zone. */
   private get regionOf(): (zone: string) => string {
-    const {regions} = this.settings.current;
-    return zone => regions[zone] ?? zone;
+    return findRegion.bind(undefined, this.settings.current.regions);
   }
 
   /** Region of this VM. */
