Check the group in the handle of a transaction

Callers saw: a caller that writes another group into a handle (it is JSON in base64) had its grants checked for that group, and a commit waited for the confirmation of that group's replicas instead of those of the transaction's own.

Cause: an owner compared the caller and the run of the owner with those of the transaction, not the group.

Change: a request whose group is not that of the transaction is answered as for one that is not open; the transaction is not affected.

Evidence: 2 of the 7 tests of transaction-table.test.ts failed before (a statement and a commit with a changed group) and pass now.

--- a/packages/proxy/src/core/execution/transaction-table.ts
+++ b/packages/proxy/src/core/execution/transaction-table.ts
@@ -125,6 +125,10 @@
     await Promise.all([...this.open.keys()].map(id => this.abandon(id)));
   }
 
+  /**
+   * Returns the transaction of a request. The caller may have changed the handle that
+   * the request comes from, and its grants were checked for the group of the handle.
+   */
   private requireTransaction(
     request: TransactionStatementRequest | FinishTransactionRequest,
   ): OpenTransaction {
@@ -133,7 +137,8 @@
     if (
       transaction === undefined ||
       !isSameBoot ||
-      transaction.caller !== request.caller
+      transaction.caller !== request.caller ||
+      transaction.group !== request.group
     ) {
       throw new SapphiregladeError(
         ErrorKind.TransactionLost,
