Encode the kind in the path of a list of resources

Callers saw: `get 'group&kind=caller'` or a kind with "#", "+" or "%" asked for another kind or sent other parameters.

Cause: the kind was put into the query as it was.

Change: the query is encoded.

--- a/packages/operator/src/core/client/operator-client.ts
+++ b/packages/operator/src/core/client/operator-client.ts
@@ -57,7 +57,8 @@
 
   /** Lists the resources of one kind, or of all kinds. */
   list(kind?: string): Promise<ResourceListResponse> {
-    const query = kind === undefined ? '' : `?kind=${kind}`;
+    const query =
+      kind === undefined ? '' : `?${new URLSearchParams({kind}).toString()}`;
     const path = `/v1/resources${query}`;
     return this.sendAndParse({method: 'GET', path}, resourceListResponseSchema);
   }
