Keep the labels of a series in their places

Not seen at users. A zero byte in the name of a group shifted the labels of its series: the rest of the name was shown as the instance, and two series could be one.

Cause: the key of a series joins the values with a zero byte, which names may hold.

Change: a zero byte in a value is replaced by the character for unknown ones.

--- a/packages/runtime/src/core/metrics/prometheus-text.ts
+++ b/packages/runtime/src/core/metrics/prometheus-text.ts
@@ -6,9 +6,12 @@
 /** Media type of the text format. */
 export const PROMETHEUS_MEDIA_TYPE = 'text/plain; version=0.0.4; charset=utf-8';
 
-/** Separates the label values in a key; no label value contains it. */
+/** Separates the label values in a key; it is replaced in values. */
 const KEY_SEPARATOR = '\u0000';
 
+/** Replaces the separator in label values. */
+const REPLACEMENT_CHARACTER = '\ufffd';
+
 /**
  * Builds the key of a series from its label values.
  *
@@ -20,9 +23,9 @@
   labels: MetricLabels,
 ): string {
   if (names.length === 0) return '';
-  let key = labels[names[0]!] ?? '';
+  let key = toKeyPart(labels[names[0]!]);
   for (let index = 1; index < names.length; index += 1) {
-    key += KEY_SEPARATOR + (labels[names[index]!] ?? '');
+    key += KEY_SEPARATOR + toKeyPart(labels[names[index]!]);
   }
   return key;
 }
@@ -59,6 +62,13 @@
   return `${series} ${value}`;
 }
 
+/** Returns a label value without the separator, so that each value keeps its place. */
+function toKeyPart(value = ''): string {
+  return value.includes(KEY_SEPARATOR)
+    ? value.replaceAll(KEY_SEPARATOR, REPLACEMENT_CHARACTER)
+    : value;
+}
+
 /** Escapes the characters that the text format does not allow in a label value. */
 function escapeLabel(value: string): string {
   return value
