Keep a healthy primary after a restore beside a held leaving replica

Callers saw: after the platform's store came back from a backup, the coordinator replaced a healthy primary if a replica was leaving, with the refused writes of a change that nothing called for. With three instances the same primary was promoted again in another term.

Cause: the coordinator of a steady group holds a leaving replica for the next term, so that it confirms nothing alone. `decideRecordRecovery` took every hold above the leader's term for a part of a change whose record was lost.

Ruled out: to confirm the leader at once on the word of a follower that is not held. It rules an order out only if that follower was listed during the lost change, and the present rule does not need that. To release the replica first: that ends the evidence, and it could confirm alone.

Change: a hold of a leaving replica for just the term after the leader's is passed over once an order of an earlier generation cannot arrive any more (10 s, as elsewhere), and only with the proofs asked for so far, from instances that are not held. Until then the recovery waits if the leader is in use. A leader that is held, withheld or followed by nobody else is replaced as before; no rule of the choice of a target is touched. A record is therefore up to 10 s longer out of date than with a change.

--- a/packages/decisions/src/core/restored-store/record-recovery.ts
+++ b/packages/decisions/src/core/restored-store/record-recovery.ts
@@ -44,6 +44,11 @@
   readonly instances: readonly RecoveryCandidate[];
   /** How long the decision has been waiting, in milliseconds. */
   readonly waitedMs: number;
+  /**
+   * How long an order of an earlier generation of the store may still arrive
+   * after the decision began to wait, in milliseconds.
+   */
+  readonly orderPendingMs: number;
 }
 
 /** What to do with the record of a group after the store was restored. */
@@ -84,6 +89,11 @@
  * An instance that is only late does not cost such a leader its place: it may be
  * a former primary that is partitioned from the others.
  *
+ * A leaving replica is held while its group is steady, for the term after that
+ * of the leader. The same hold precedes an order to promote it, so it proves
+ * nothing until every order of an earlier generation has arrived. A leader that
+ * is in use keeps its place meanwhile.
+ *
  * @param inputs - The records that are left, and the reports of the instances.
  * @returns The action, with the record that it needs.
  */
@@ -100,14 +110,18 @@
   const isTimeLeft = waitedMs < MAXIMUM_RECOVERY_WAIT_MS;
   if (leader !== undefined) {
     const missing = missingProof(instances, leader);
-    if (missing === undefined) return confirmRecovery(leader);
     const isFollowed = reports.some(each => isFollower(each, leader.term));
     const isInUse = isFollowed && !isWithheld(instances, leader);
     const isLateTimeOver = waitedMs >= LATE_INSTANCE_WAIT_MS;
-    if (isInUse && isLateTimeOver && areOthersUninvolved(instances, leader)) {
-      return confirmRecovery(leader);
-    }
-    if (isInUse && isTimeLeft) return waitRecovery(missing);
+    const isProven =
+      missing === undefined ||
+      (isInUse && isLateTimeOver && areOthersUninvolved(instances, leader));
+    const pending = pendingHolds(inputs, leader);
+    if (isProven && pending === undefined) return confirmRecovery(leader);
+    if (isProven && isInUse && pending !== undefined)
+      return waitRecovery(pending);
+    if (isInUse && isTimeLeft && missing !== undefined)
+      return waitRecovery(missing);
   }
   const primary = lastKnownPrimary(evidence);
   // The primary of a group that was created in the lost seconds may be late.
@@ -124,11 +138,12 @@
   readonly reports: readonly ReplicationReport[];
   /** Highest term of any record or report. */
   readonly term: number;
-  /** Highest term at which an instance is held. */
+  /** Highest term at which an instance is held, also if it may be held because it leaves. */
   readonly heldTerm: number;
   /**
    * The only leader of the highest term, unless a record or a hold shows that
-   * another instance may lead a higher one.
+   * another instance may lead a higher one. A leaving replica may be held for
+   * the next term without that.
    */
   readonly leader: ReplicationReport | undefined;
 }
@@ -154,7 +169,13 @@
     0,
     ...records.map(record => record.term + ordersOf(record)),
   );
-  const isOrderPossible = orderedTerm > term || heldTerm > term;
+  const isHeldForOrder = instances.some(
+    each =>
+      each.report !== undefined &&
+      each.report.heldTerm > term &&
+      !mayBeHeldAsLeaving(each, term),
+  );
+  const isOrderPossible = orderedTerm > term || isHeldForOrder;
   const leader =
     leaders.length === 1 && !isOrderPossible ? leaders[0] : undefined;
   return {records, reports, term, heldTerm, leader};
@@ -167,9 +188,38 @@
   return instances.some(each => each.id === leader && each.isWithheld === true);
 }
 
-/** Returns whether an instance follows a term; there is no leader if one is held at a higher term. */
+/** Returns whether an instance follows a term and is not held at a higher one. */
 function isFollower(report: ReplicationReport, term: number): boolean {
-  return !report.isPrimary && report.term === term;
+  return !report.isPrimary && report.term === term && report.heldTerm <= term;
+}
+
+/**
+ * Returns whether an instance is held as the coordinator of a steady group holds
+ * a leaving replica, so that it confirms no commits of a term.
+ */
+function mayBeHeldAsLeaving(
+  {isLeaving, report}: RecoveryCandidate,
+  term: number,
+): boolean {
+  return (
+    isLeaving &&
+    report !== undefined &&
+    !report.isPrimary &&
+    report.term <= term &&
+    report.heldTerm === term + 1
+  );
+}
+
+/** Returns why leaving replicas that are held may yet be promoted; undefined if none may be. */
+function pendingHolds(
+  {instances, waitedMs, orderPendingMs}: RecordRecoveryInputs,
+  {term}: ReplicationReport,
+): string | undefined {
+  if (waitedMs >= orderPendingMs) return undefined;
+  const held = instances.filter(each => mayBeHeldAsLeaving(each, term));
+  if (held.length === 0) return undefined;
+  const names = held.map(({id}) => id).join(' ');
+  return `leaving replicas may be held for an order: ${names}`;
 }
 
 /** Returns what is missing to rule out an order; undefined if nothing is. */
@@ -179,7 +229,9 @@
 ): string | undefined {
   const others = instances.filter(({id}) => id !== leader);
   const late = others.filter(
-    ({report}) => report === undefined || !isFollower(report, term),
+    each =>
+      each.report === undefined ||
+      !(isFollower(each.report, term) || mayBeHeldAsLeaving(each, term)),
   );
   if (late.length > 0) {
     const names = late.map(({id}) => id).join(' ');
@@ -212,19 +264,17 @@
  * down, and so was every replica that could hold a commit. An instance that has
  * been running for long enough, is in an earlier term and is not held for the
  * term of the leader or a later one is therefore no target of an order of that
- * term.
+ * term. A leaving replica that is held counts once no order can arrive any more.
  */
 function areOthersUninvolved(
   instances: readonly RecoveryCandidate[],
   {id: leader, term}: ReplicationReport,
 ): boolean {
-  const isUninvolved = ({
-    id,
-    report,
-    mayHaveLostHold,
-  }: RecoveryCandidate): boolean => {
+  const isUninvolved = (candidate: RecoveryCandidate): boolean => {
+    const {id, report, mayHaveLostHold} = candidate;
     if (report === undefined) return false;
     if (id === leader || isFollower(report, term)) return true;
+    if (mayBeHeldAsLeaving(candidate, term)) return true;
     const isInEarlierTerm = report.term < term && report.heldTerm < term;
     return isInEarlierTerm && mayHaveLostHold !== true;
   };
--- a/packages/decisions/test/restored-store/group-over-restores.ts
+++ b/packages/decisions/test/restored-store/group-over-restores.ts
@@ -30,6 +30,7 @@
     | 'crash'
     | 'restart'
     | 'lose'
+    | 'leave'
     | 'restore'
     | 'expire'
     | 'replace-coordinator';
@@ -59,6 +60,7 @@
 export class GroupOverRestores {
   readonly counts: CoordinatorCounts = {
     confirmed: 0,
+    confirmedDespiteHold: 0,
     changedAfterRestore: 0,
     promotedAfterRestore: 0,
     waited: 0,
@@ -134,6 +136,9 @@
       case 'crash':
         instance.isUp = false;
         return;
+      case 'leave':
+        instance.isLeaving = true;
+        return;
       case 'restart':
       case 'lose':
         return group.restart(instance, this.keepsLog(kind, instance), now);
--- a/packages/decisions/test/restored-store/model-change.ts
+++ b/packages/decisions/test/restored-store/model-change.ts
@@ -124,7 +124,7 @@
       report: ReplicationReport | undefined;
     } => ({
       id,
-      isLeaving: false,
+      isLeaving: this.group.find(id).isLeaving,
       report,
     });
     const {primary} = this.base;
--- a/packages/decisions/test/restored-store/model-coordinator.ts
+++ b/packages/decisions/test/restored-store/model-coordinator.ts
@@ -7,6 +7,7 @@
 import {
   GenerationChange,
   PrimaryPhase,
+  replicasToHold,
   StoreGenerations,
 } from '../../src/index.js';
 import {ModelChange} from './model-change.js';
@@ -38,6 +39,8 @@
 /** What the coordinators of a history have done. */
 export interface CoordinatorCounts {
   confirmed: number;
+  /** Records that were written again although a leaving replica was held. */
+  confirmedDespiteHold: number;
   /** Changes that began with a record of an earlier generation. */
   changedAfterRestore: number;
   /** Such changes that ended. */
@@ -104,7 +107,10 @@
       }
     } else if (replacesPrimary) {
       this.change = new ModelChange(this.context.group, known.record);
-    } else this.boundDepartures(known.record, reachable);
+    } else {
+      this.boundDepartures(known.record, reachable);
+      this.holdLeavingReplicas(known.record, reachable);
+    }
   }
 
   private readStore(now: number): void {
@@ -164,13 +170,14 @@
       remembered: this.remembered,
       instances: this.context.group.instances.map(each => ({
         id: each.id,
-        isLeaving: false,
+        isLeaving: each.isLeaving,
         report: reachable.includes(each)
           ? this.context.group.report(each)
           : undefined,
         mayHaveLostHold: now - each.startedAt <= ORDER_LIFETIME,
       })),
       waitedMs: (now - this.recoverySince) * UNIT_MS,
+      orderPendingMs: ORDER_LIFETIME * UNIT_MS,
     });
     const {counts, group} = this.context;
     switch (decided.kind) {
@@ -179,6 +186,8 @@
         return;
       case 'confirm':
         counts.confirmed += 1;
+        if (reachable.some(each => each.heldTerm > decided.leader.term))
+          counts.confirmedDespiteHold += 1;
         this.write(steadyRecord(decided.leader, decided.initialPosition), now);
         return;
       case 'change':
@@ -296,6 +305,23 @@
     group.departed.recordBound(group.departed.unbounded, received);
   }
 
+  /** Holds the leaving replicas while another one stays, and releases them otherwise. */
+  private holdLeavingReplicas(
+    {term, primary}: PrimaryRecord,
+    reachable: readonly ModelInstance[],
+  ): void {
+    const {group} = this.context;
+    const replicas = group.instances.filter(({id}) => id !== primary);
+    const held = replicasToHold(
+      replicas.map(({id, isLeaving}) => ({id, isLeaving, isRegistered: true})),
+    );
+    for (const replica of replicas) {
+      if (!replica.isLeaving || !reachable.includes(replica)) continue;
+      if (held.includes(replica.id)) group.hold(replica, term + 1);
+      else group.release(replica);
+    }
+  }
+
   private recordOf({
     base,
     orders,
--- a/packages/decisions/test/restored-store/model-group.ts
+++ b/packages/decisions/test/restored-store/model-group.ts
@@ -13,6 +13,8 @@
   term: number;
   heldTerm: number;
   startedAt: number;
+  /** Whether it has announced that it leaves; what starts in its place does not. */
+  isLeaving: boolean;
   /** Changes with each start. */
   incarnation: number;
   /** Changes with each loss of the log. */
@@ -66,6 +68,7 @@
       term: 1,
       heldTerm: 0,
       startedAt: -Infinity,
+      isLeaving: false,
       incarnation: 0,
       logNumber: 0,
     }));
@@ -163,6 +166,7 @@
       incarnation: this.starts,
     });
     if (!isLastLeader && !keepsLog) {
+      instance.isLeaving = false;
       instance.log = [];
       instance.logNumber += 1;
       instance.term = 0;
--- a/packages/decisions/test/restored-store/record-recovery.test.ts
+++ b/packages/decisions/test/restored-store/record-recovery.test.ts
@@ -57,6 +57,7 @@
     remembered: undefined,
     instances: [],
     waitedMs: 0,
+    orderPendingMs: 0,
     ...inputs,
   });
 }
--- a/packages/decisions/test/restored-store/restore-histories.ts
+++ b/packages/decisions/test/restored-store/restore-histories.ts
@@ -3,8 +3,11 @@
 
 type EventKind = HistoryEvent['kind'];
 
+/** Relative frequencies of the kinds of events that are drawn. */
+type EventWeights = Readonly<Partial<Record<EventKind, number>>>;
+
 /** How often each kind of event is drawn where nothing is prescribed. */
-const WEIGHTS: Readonly<Record<EventKind, number>> = {
+const WEIGHTS: EventWeights = {
   act: 40,
   write: 10,
   confirm: 4,
@@ -116,6 +119,74 @@
 /** A change whose end is lost. */
 const LOST_CHANGE = fc.tuple(CHANGE, RECOVERY).map(parts => parts.flat());
 
+/** Steps of one coordinator without anything between them. */
+function plainSteps(
+  first: number,
+  delays: readonly number[],
+  {replacesPrimary = false, unreachable = 0} = {},
+): HistoryEvent[] {
+  return delays.map(delay =>
+    event('act', first, Number(!replacesPrimary), delay, unreachable),
+  );
+}
+
+/** Time of a recovery at which proxies and orders go on. */
+const AFTERMATH = fc
+  .array(fc.oneof(SERVICE, fc.constant([event('promote', 0, 0, 0)])), {
+    minLength: 2,
+    maxLength: 6,
+  })
+  .map(parts => parts.flat());
+
+/**
+ * Instances that announce that they leave and are held, an order of a coordinator
+ * that reaches some instances only, and a restore that may lose all of it.
+ */
+const LOST_ORDER_BESIDE_LEAVES = fc
+  .record({
+    leaving: fc.uniqueArray(fc.nat({max: 2}), {minLength: 1, maxLength: 2}),
+    first: fc.nat({max: 1}),
+    replacesPrimary: fc.boolean(),
+    unreachable: fc.constantFrom(0, 1, 2, 4),
+    lost: fc.nat({max: 4}),
+    restarted: fc.uniqueArray(fc.nat({max: 2}), {maxLength: 2}),
+    settling: fc.constantFrom([0, 0, 26, 0], [0, 0, 26, 61, 0]),
+    before: SERVICE,
+    after: AFTERMATH,
+    later: AFTERMATH,
+  })
+  .map(({leaving, first, before, after, later, ...more}) => [
+    ...leaving.map(index => event('leave', index, 0, 0)),
+    ...before,
+    ...plainSteps(first, [0, 0, 0]),
+    ...plainSteps(first, [0, 0, 0, 11, 0, 0], more),
+    event('restore', 0, more.lost, 0),
+    ...more.restarted.map(index => event('restart', index, 0, 0)),
+    ...plainSteps(1 - first, more.settling),
+    ...after,
+    ...plainSteps(1 - first, [0, 0]),
+    ...later,
+  ]);
+
+/** What starts in the place of an instance that has left. */
+const REPLACEMENT = fc
+  .nat({max: 2})
+  .map(index => [event('lose', index, 0, 0), event('follow', index, 0, 0)]);
+
+/** Histories in which replicas also announce that they leave. */
+export const HISTORY_WITH_LEAVES: fc.Arbitrary<readonly HistoryEvent[]> = fc
+  .array(
+    fc.oneof(
+      {weight: 8, arbitrary: EVENT.map(each => [each])},
+      {weight: 8, arbitrary: SERVICE},
+      {weight: 2, arbitrary: REPLACEMENT},
+      {weight: 1, arbitrary: CHANGE},
+      {weight: 3, arbitrary: LOST_ORDER_BESIDE_LEAVES},
+    ),
+    {minLength: 15, maxLength: 40, size: 'max'},
+  )
+  .map(parts => parts.flat());
+
 /** Histories of the model: single events, and longer runs of coordinators among them. */
 export const HISTORY: fc.Arbitrary<readonly HistoryEvent[]> = fc
   .array(
--- a/packages/gateway/src/core/coordinator/record-recovery.ts
+++ b/packages/gateway/src/core/coordinator/record-recovery.ts
@@ -97,6 +97,7 @@
           isWithheld: usePolicy.useOf(instance, true) === InstanceUse.Leaving,
         })),
         waitedMs: steadyNowMs() - sinceMs,
+        orderPendingMs: this.context.outstandingOrders.limitMs,
       }),
     );
   }
