Bound departures since the backup when a restored record is confirmed

Callers saw: after a restore of the platform's store, a group whose primary crashed soon after its record was written again had no primary for up to two hours, if the record in the backup listed an instance that had left meanwhile or started again, and the coordinator's process had not seen it go.

Cause: `RecordRecovery` wrote the restored list of confirmers again, although it had just found the primary leading its term. Who had gone was only known as unbounded from then on, until a later check had asked the primary; a crash in between left no proof of any target.

Failed before: departed-instances-after-restore.test.ts, "does not make a change of primary wait for that instance" and "... for an earlier start of an instance either" (promotions [], expected ["ledger-1"]) and "goes on to expect that instance, ...". "makes it wait if that instance may have confirmed a commit that the others lack" passed before and does now.

Ruled out: to leave instances that are gone off the list. They would not be expected to return, and a replica behind the bound could be promoted unverified.

Change: before a leader is confirmed, the coordinator learns the departures from the record that names it, asks those that are gone at the address known of them, and bounds the silent ones by the position that the leader reports after that, as in a steady group. The same proof, earlier; none is added to the choice of a target. Nothing is written if the store is restored again meanwhile.

Not mended: a change that the recovery itself begins, because nobody leads, goes on waiting for such an instance.

--- a/packages/gateway/src/core/coordinator/group-departures.ts
+++ b/packages/gateway/src/core/coordinator/group-departures.ts
@@ -1,4 +1,8 @@
-import type {GroupInstance, PresentInstance} from '@sapphireglade/decisions';
+import type {
+  GroupInstance,
+  PresentInstance,
+  PrimaryRecord,
+} from '@sapphireglade/decisions';
 import {DepartedInstances, PrimaryPhase} from '@sapphireglade/decisions';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {
@@ -67,34 +71,55 @@
    * confirming, so it is not bounded.
    */
   async boundDepartures(group: DatabaseGroup): Promise<void> {
-    const departed = this.of(group.name);
-    const {unbounded} = departed;
     const record = group.storedRecord?.record;
     const canAsk =
-      unbounded.length > 0 &&
+      this.of(group.name).unbounded.length > 0 &&
       record?.phase === PrimaryPhase.Steady &&
       !this.asking.has(group.name);
-    if (!canAsk) return;
-    const primary = this.directory.find(record.primary);
-    if (primary === undefined) return;
+    if (!canAsk || this.directory.find(record.primary) === undefined) return;
     this.asking.add(group.name);
     try {
-      const gone = await this.findSilent(unbounded);
-      if (gone.length === 0) {
-        await sleep(REACHABLE_RETRY_MS);
-        return;
-      }
-      const report = await this.control.sendCommand(primary, {
-        kind: CommandKind.Status,
-      });
-      const isInTerm =
-        report?.isPrimary === true && report.term === record.term;
-      if (isInTerm) departed.recordBound(gone, report.received);
+      const isAnySilent = await this.bound(group.name, record);
+      if (!isAnySilent) await sleep(REACHABLE_RETRY_MS);
     } finally {
       this.asking.delete(group.name);
     }
   }
 
+  /**
+   * Learns from a record of an earlier generation of the store which instances
+   * have left, and bounds what they confirmed as in a steady group.
+   *
+   * @param group - Name of the group.
+   * @param record - The record, whose primary was found to lead its term.
+   */
+  async recover(group: string, record: PrimaryRecord): Promise<void> {
+    const present = this.directory.findByGroup(group).map(toPresentInstance);
+    this.of(group).update(record, present, steadyNowMs());
+    await this.bound(group, record);
+  }
+
+  /**
+   * Asks the departed instances of a group, then its primary if one is silent.
+   *
+   * @returns Whether any departed instance is silent.
+   */
+  private async bound(
+    group: string,
+    {primary, term}: PrimaryRecord,
+  ): Promise<boolean> {
+    const departed = this.of(group);
+    const gone = await this.findSilent(departed.unbounded);
+    const instance = this.directory.find(primary);
+    if (gone.length === 0 || instance === undefined) return gone.length > 0;
+    const report = await this.control.sendCommand(instance, {
+      kind: CommandKind.Status,
+    });
+    if (report?.isPrimary === true && report.term === term)
+      departed.recordBound(gone, report.received);
+    return true;
+  }
+
   /** Returns the departed instances that do not answer at their last address. */
   private async findSilent(
     departed: readonly GroupInstance[],
--- a/packages/gateway/src/core/coordinator/record-recovery.ts
+++ b/packages/gateway/src/core/coordinator/record-recovery.ts
@@ -135,15 +135,25 @@
     this.logRecovery(group, recovery);
     if (recovery.kind === 'wait') return;
     // After a change record, the next check finds an unfinished change of primary.
-    await this.write(
-      group,
-      recovery.kind === 'change'
-        ? recovery.record
-        : toSteadyRecord(recovery.leader),
-    );
+    if (recovery.kind === 'change') await this.write(group, recovery.record);
+    else await this.confirm(group, recovery.leader);
     this.waiting.delete(group.name);
   }
 
+  /** Records a leader that stays in use, without the instances that are gone and that its log includes. */
+  private async confirm(
+    group: DatabaseGroup,
+    leader: ReplicationReport,
+  ): Promise<void> {
+    const {departures, store} = this.context;
+    const {generation} = store;
+    const record = toSteadyRecord(leader);
+    const known = this.knownRecord(group, record);
+    if (known !== undefined) await departures.recover(group.name, known);
+    // The reports say nothing about a later generation.
+    if (store.generation === generation) await this.write(group, record);
+  }
+
   private async write(
     group: DatabaseGroup,
     record: PrimaryRecord,
@@ -157,16 +167,24 @@
   /** Returns who may have confirmed commits of the term, as far as it is known. */
   private confirmersOf(
     group: DatabaseGroup,
-    {term, primary}: PrimaryRecord,
+    record: PrimaryRecord,
   ): RecordedConfirmers | undefined {
     const {departures, directory} = this.context;
-    const known = [group.recordBeforeRestore, group.storedRecord]
-      .map(versioned => versioned?.record)
-      .find(record => record?.term === term && record.primary === primary);
+    const known = this.knownRecord(group, record);
     if (known !== undefined)
       return departures.of(group.name).confirmersFor(known);
     const instances = directory.findByGroup(group.name);
-    return {instances: confirmersAmong(instances, primary)};
+    return {instances: confirmersAmong(instances, record.primary)};
+  }
+
+  /** Returns the newest record of an earlier generation that names a primary and its term, if any does. */
+  private knownRecord(
+    {recordBeforeRestore, storedRecord}: DatabaseGroup,
+    {term, primary}: PrimaryRecord,
+  ): PrimaryRecord | undefined {
+    return [recordBeforeRestore, storedRecord]
+      .map(versioned => versioned?.record)
+      .find(record => record?.term === term && record.primary === primary);
   }
 
   private waitsSinceMs(group: string, generation: number): number {
