Show that a change after a restore waits for an instance gone since the backup

Callers see: a group whose primary is down when the platform's store is restored, in a process that started since, has no primary for up to two hours, if the record in the backup lists an instance that has gone; also once the primary is back with its log and everybody else reports.

Cause: nobody leads, so the recovery begins a change as after an order whose end nobody saw. All that may hold commits have to report then, and the instance that is gone is listed, cannot be bounded without a primary in use, and is expected to return for two hours.

Why it is not mended here: each acknowledged commit is on two instances, so the reports of all but one would prove the highest position, if the primary is still the start that it was before the restore. A start under the same name knows nothing of before, and the record names the start of each confirmer, not that of the primary. Without it, such a promotion could lose commits. The record has to carry it first.

The fixture for tests of restores ends its role when it is closed; a change that was under way kept the test process from ending.

--- a/packages/gateway/test/support/restored-coordinator.ts
+++ b/packages/gateway/test/support/restored-coordinator.ts
@@ -16,8 +16,8 @@
   readonly state: MemoryStoreState;
   readonly group: MemoryGroup;
   readonly promotions: PromotionService;
-  /** The record in the backup. */
-  readonly record: PrimaryRecord;
+  /** The record in the backup; by default the one that the store has. */
+  readonly record?: PrimaryRecord;
   /** The instances in the directory; by default all of the group. */
   readonly registered?: readonly MemoryInstance[];
   /** How long an order of before the restore may still arrive, in milliseconds. */
@@ -42,8 +42,10 @@
     orderPendingMs,
   }: RestoredCoordinatorOptions) {
     const key = primaryRecordKey(group.name);
-    const before = {...record, generation: state.generation};
-    state.put(key, JSON.stringify(before));
+    if (record !== undefined) {
+      const {generation} = state;
+      state.put(key, JSON.stringify({...record, generation}));
+    }
     state.restore(state.backup());
     this.view = new DatabaseGroup(group.name);
     this.context = createPrimaryChangeContext({
@@ -56,9 +58,10 @@
       ...(registered && {registered}),
       ...(orderPendingMs !== undefined && {orderPendingMs}),
     });
-    const {revision} = state.items.get(key)!;
+    const {revision, value} = state.items.get(key)!;
+    const restored = JSON.parse(value.toString()) as PrimaryRecord;
     const {generation} = state;
-    this.view.applyRecord({record: before, revision, generation});
+    this.view.applyRecord({record: restored, revision, generation});
     this.task = new CoordinatorTask({
       context: {
         ...this.context,
@@ -66,10 +69,7 @@
         knownProxies: {names: []} as never,
         ownersOf: () => [],
       },
-      key: {
-        holder: SELF,
-        revision: this.context.coordinatorRevision(),
-      } as never,
+      key: this.key() as never,
       lease: undefined as never,
       holder: SELF,
       isConnected: () => true,
@@ -94,4 +94,18 @@
     this.isCoordinating = false;
     this.context.control.closeAll();
   }
+
+  /** Returns the key of the role, which this process holds until it is closed. */
+  private key(): {
+    readonly holder: string | undefined;
+    readonly revision: number;
+  } {
+    const isCoordinating = (): boolean => this.isCoordinating;
+    return {
+      get holder() {
+        return isCoordinating() ? SELF : undefined;
+      },
+      revision: this.context.coordinatorRevision(),
+    };
+  }
 }
