Stop sending a response once its request was given up

Callers saw: nothing wrong, but a slow link went on carrying a long result that its request no longer waited for, and what followed came later.

Cause: only requests were given up while their segments were sent.

Change: the segments of a response are sent for as long as the peer waits for it, and cancelled after that.

Evidence: the new test of long-messages.test.ts failed before (the response arrived late) and passes now, 14 of 14 with the others.

--- a/packages/protocol/src/core/links/link.ts
+++ b/packages/protocol/src/core/links/link.ts
@@ -263,13 +263,13 @@
     deadlineMs: number,
   ): Promise<void> {
     const {clock, handlers} = this.context;
-    const respond = (response: unknown): void =>
-      this.send({
-        kind: FrameKind.Response,
-        clock: clock.tick(),
-        correlation,
-        body: response,
-      });
+    const endsAtMs = performance.now() + deadlineMs;
+    const respond = (response: unknown): void => {
+      const kind = FrameKind.Response;
+      const frame = {kind, clock: clock.tick(), correlation, body: response};
+      // The peer began to wait before the request arrived here.
+      this.send(frame, () => performance.now() < endsAtMs);
+    };
     try {
       respond(await handlers.onRequest(body, peer, deadlineMs, this));
     } catch {
--- a/packages/protocol/test/long-messages.test.ts
+++ b/packages/protocol/test/long-messages.test.ts
@@ -1,6 +1,7 @@
 import type {AddressInfo, Server, Socket} from 'node:net';
 import {connect, createServer} from 'node:net';
 import {afterEach, describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {ErrorKind, Outcome, SapphiregladeError} from '@sapphireglade/decisions';
 import {HybridLogicalClock} from '@sapphireglade/runtime';
 import {expect} from 'earl';
@@ -196,6 +197,29 @@
     });
   });
 
+  describe('a response whose request was given up while its segments are sent', () => {
+    it('is not completed, and the next one is', async () => {
+      // Long messages are sent in order, so the second arrives after the first.
+      const answers = [LONG_TEXT.repeat(6), LONG_TEXT];
+      const dialer = await dialLink({
+        ...ECHO,
+        onRequest: async () => answers.shift(),
+      });
+      const {address, port} = dialer.address;
+      const socket = connect({host: address, port});
+      clients.push(socket);
+      const link = new Link(socket, linkContext('a', ECHO));
+      await firstValueFrom(link.opened$);
+      socket.pause();
+      const error = await failureOf(link.request({}, 100));
+      expect(error.kind).toEqual(ErrorKind.OutcomeUnknown);
+      await sleep(100);
+      socket.resume();
+      expect(await link.request({}, AMPLE_MS)).toEqual(LONG_TEXT);
+      expect(link.counters.lateResponses).toEqual(0);
+    });
+  });
+
   describe('a peer that does not accept segments', () => {
     it('gets whole frames up to the limit of a frame, and nothing longer', async () => {
       const received: Frame[] = [];
