Release the buffer of a long message once it is encoded

Not seen by callers: after one message of 30 MB over a link a process held 112 MB of buffers for good (found by review with a script; VMs have 350 MB).

Cause: the encoder keeps a buffer of the length of the longest message. Change: it gets a small one after a long message. Evidence: "keeps no buffer of the length of a long message" failed before.

--- a/packages/protocol/src/core/frames/frame-codec.ts
+++ b/packages/protocol/src/core/frames/frame-codec.ts
@@ -9,6 +9,9 @@
 import type {Frame, SegmentFrame} from './types.js';
 import {FrameKind, MAXIMUM_FRAME_BYTES} from './types.js';
 
+/** Size of the buffer that the encoder keeps after a long message, in bytes. */
+const ENCODER_BUFFER_BYTES = 65_536;
+
 /** Size of the length prefix of a frame, in bytes. */
 const PREFIX_BYTES = 4;
 
@@ -17,7 +20,13 @@
   mapsAsObjects: true,
   tagUint8Array: false,
 };
-const encoder = new Encoder(CODEC_OPTIONS);
+/** Adds a method that the types of the library lack. */
+interface BufferedEncoder extends Encoder {
+  /** Encodes into another buffer from now on. */
+  useBuffer(buffer: Buffer): void;
+}
+
+const encoder = new Encoder(CODEC_OPTIONS) as BufferedEncoder;
 const decoder = new Decoder(CODEC_OPTIONS);
 const KNOWN_KINDS: ReadonlySet<unknown> = new Set(Object.values(FrameKind));
 
@@ -39,7 +48,11 @@
  * @returns The payload of one frame, or the bytes to split into segments.
  */
 export function encodePayload(frame: Frame | SegmentFrame): Buffer {
-  return encoder.encode(frame);
+  const payload = encoder.encode(frame);
+  // The encoder would keep a buffer of the length of the longest message.
+  if (payload.length > ENCODER_BUFFER_BYTES)
+    encoder.useBuffer(Buffer.allocUnsafeSlow(ENCODER_BUFFER_BYTES));
+  return payload;
 }
 
 /**
