Keep other requests and transactions apart from long messages on a link

Callers could see, found by review: one long request that reached its owner after its deadline made the owner refuse all others on the link for 0.1 s and close it, so that writes under way ended INDOUBT; a result that could not wait behind others on a slow link left its transaction open at the owner until its idle time; an error of a handler of notifications was reported as the outcome of all requests that waited, also as "not run".

Cause: a late request was taken to show that its link was paused, but one that is sent in segments is overtaken by others; what waits already was not counted when a result was checked; a link closed with the kind of any error.

Change: a request that may span segments says nothing about its link; a result is checked against what may still wait, and its transaction is rolled back with an error to the caller; only errors of frames keep their kind.

--- a/packages/gateway/src/core/forwarding/forwarded-request-server.ts
+++ b/packages/gateway/src/core/forwarding/forwarded-request-server.ts
@@ -28,6 +28,7 @@
   encodeReply,
   ForwardedKind,
   forwardedSchema,
+  maySpanSegments,
 } from './messages.js';
 
 /** Added to the idle timeout of a transaction at its owner, in milliseconds, so that the timeout of the entry proxy expires first. */
@@ -203,7 +204,7 @@
   ): Promise<InstanceReply> {
     this.assertCanServe(execution.group);
     const reply = await this.options.runner.run(this.decode(execution, link));
-    assertReplyFits(reply, execution.isRead, link.maximumMessageBytes);
+    assertReplyFits(reply, execution.isRead, link.acceptedMessageBytes);
     return reply;
   }
 
@@ -224,12 +225,16 @@
       if (!request.isCommit) {
         const reply = await transaction.run(execution);
         // A reply that cannot be sent ends the transaction, so nothing of it is kept.
-        assertReplyFits(reply, true, link.maximumMessageBytes);
+        assertReplyFits(reply, true, link.acceptedMessageBytes);
         return reply;
       }
       const reply = await transaction.commit(execution);
       transactions.delete(request.transaction);
-      assertReplyFits(reply, !transaction.hasWritten, link.maximumMessageBytes);
+      assertReplyFits(
+        reply,
+        !transaction.hasWritten,
+        link.acceptedMessageBytes,
+      );
       return reply;
     } catch (error) {
       endTransaction(transactions, request.transaction);
@@ -258,8 +263,10 @@
       readClocks(),
     );
     const isExpired = ageMs >= execution.remainingMs;
-    // A sender that gave up a moment ago says nothing about the other requests of the link.
-    const wasPaused = isExpired && ageMs >= PAUSED_LINK_AGE_MS;
+    // A sender that gave up a moment ago says nothing about the other requests of the link,
+    // and other requests overtake one that is sent in segments.
+    const wasPaused =
+      isExpired && ageMs >= PAUSED_LINK_AGE_MS && !maySpanSegments(execution);
     if (wasPaused && !linkState.hasExpiredRequest) {
       linkState.hasExpiredRequest = true;
       this.options.log.warn(
--- a/packages/gateway/src/core/forwarding/messages.ts
+++ b/packages/gateway/src/core/forwarding/messages.ts
@@ -7,6 +7,7 @@
   SessionValues,
   TransactionState,
 } from '@sapphireglade/decisions';
+import {SEGMENT_BYTES} from '@sapphireglade/protocol';
 import * as z from 'zod';
 import type {ExecutionRequest} from '../sessions/index.js';
 import {readClocks, steadyNowMs} from '../time/index.js';
@@ -173,6 +174,17 @@
   };
 }
 
+/** Returns whether a request may be so long that it was sent in segments. */
+export function maySpanSegments(execution: ForwardedExecution): boolean {
+  const {text = '', parameters, prepared, values} = execution;
+  const texts = [text, parameters, prepared?.shape ?? '', ...values.flat()];
+  const characters = texts.reduce((sum, {length}) => sum + length, 0);
+  return characters > MAXIMUM_UNSPLIT_CHARACTERS;
+}
+
+/** Most characters of a request that fits in one segment with its other fields. */
+const MAXIMUM_UNSPLIT_CHARACTERS = SEGMENT_BYTES / 4;
+
 /** Bytes reserved for the fields of a response besides its rows. */
 const RESPONSE_FIELDS_BYTES = 4_096;
 
--- a/packages/protocol/src/core/links/link.ts
+++ b/packages/protocol/src/core/links/link.ts
@@ -21,6 +21,13 @@
 /** Most unsent bytes; the link is closed above this. */
 const MAXIMUM_UNSENT_BYTES = 16_777_216;
 
+/** Errors of bytes that are no frame. */
+const FRAME_ERRORS: ReadonlySet<ErrorKind> = new Set<ErrorKind>([
+  ErrorKind.FrameTooLong,
+  ErrorKind.FrameMalformed,
+  ErrorKind.FrameUnknownKind,
+]);
+
 /** A socket between two proxies that carries many concurrent requests. */
 export class Link {
   /** Counters of the link's traffic. */
@@ -98,6 +105,16 @@
     return Math.max(MAXIMUM_FRAME_BYTES, segmentedBytes);
   }
 
+  /** Largest message that can be sent now, with those that wait, in bytes. */
+  get acceptedMessageBytes(): number {
+    if (this.peerMessageBytes === 0) return this.maximumMessageBytes;
+    const {freeBytes} = this.outgoingMessages;
+    return Math.max(
+      SEGMENT_BYTES,
+      Math.min(this.maximumMessageBytes, freeBytes),
+    );
+  }
+
   /**
    * Sends a request and waits for its response.
    *
@@ -200,9 +217,10 @@
     try {
       for (const frame of this.frameReader.push(chunk)) this.onFrame(frame);
     } catch (error) {
-      const kind =
-        error instanceof SapphiregladeError ? error.kind : ErrorKind.Internal;
-      this.closeWith(kind, error);
+      const isFrameError =
+        error instanceof SapphiregladeError && FRAME_ERRORS.has(error.kind);
+      // An error of a handler says nothing about the requests that were sent.
+      this.closeWith(isFrameError ? error.kind : ErrorKind.Internal, error);
     }
   }
 
--- a/packages/protocol/src/core/links/outgoing-messages.ts
+++ b/packages/protocol/src/core/links/outgoing-messages.ts
@@ -41,6 +41,11 @@
     socket.on('drain', () => this.writeSegments());
   }
 
+  /** Bytes of messages that may be added. */
+  get freeBytes(): number {
+    return MAXIMUM_WAITING_BYTES - this.waitingBytes;
+  }
+
   /**
    * Sends a message as the socket accepts it.
    *
@@ -51,7 +56,7 @@
    *   nothing was sent then.
    */
   add(payload: Buffer, isWanted: () => boolean): void {
-    if (this.waitingBytes + payload.length > MAXIMUM_WAITING_BYTES) {
+    if (payload.length > this.freeBytes) {
       throw new SapphiregladeError(
         ErrorKind.Overloaded,
         'Too many bytes wait to be sent over the link.',
