Make the wait for a lost instance a setting

Operators see: `instanceReturnWithinMs`, milliseconds above 0, two hours by default, taken over while running.

Ruled out: a setting per instance or group, which the settings file has no place for, and 0 as a value, which would give up every proof at once by mistake.

Change: `AbsentInstances` asks for the time at each check, so a shorter one also ends a wait that is under way. A promotion that follows is reported as unverified, as before after two hours. The default is the same, so no proof changes.

--- a/packages/decisions/src/core/primary-change/absent-instances.ts
+++ b/packages/decisions/src/core/primary-change/absent-instances.ts
@@ -39,10 +39,10 @@
   private updatedAtMs = -Infinity;
 
   /**
-   * @param returnWithinMs - How long an instance may be absent and still return
-   *   with its log, in milliseconds.
+   * @param returnWithinMs - Returns how long an instance may be absent and still
+   *   return with its log, in milliseconds.
    */
-  constructor(private readonly returnWithinMs: number) {}
+  constructor(private readonly returnWithinMs: () => number) {}
 
   /**
    * Updates what is known.
@@ -139,8 +139,9 @@
 
   /** Removes the instances that were absent for too long, except those that may be named again. */
   private forget(named: readonly GroupInstance[]): void {
+    const returnWithinMs = this.returnWithinMs();
     for (const [id, {absentSinceMs = Infinity}] of this.sightings) {
-      const isExpired = this.updatedAtMs - absentSinceMs >= this.returnWithinMs;
+      const isExpired = this.updatedAtMs - absentSinceMs >= returnWithinMs;
       if (isExpired && !named.some(each => each.id === id))
         this.sightings.delete(id);
     }
@@ -153,7 +154,7 @@
     return (
       absentSinceMs !== undefined &&
       !isLeaving &&
-      nowMs - absentSinceMs < this.returnWithinMs
+      nowMs - absentSinceMs < this.returnWithinMs()
     );
   }
 }
--- a/packages/decisions/src/core/primary-change/departed-instances.ts
+++ b/packages/decisions/src/core/primary-change/departed-instances.ts
@@ -44,10 +44,10 @@
   private readonly absences: AbsentInstances;
 
   /**
-   * @param returnWithinMs - How long an instance whose entry has lapsed may
-   *   still return with its log, in milliseconds.
+   * @param returnWithinMs - Returns how long an instance whose entry has lapsed
+   *   may still return with its log, in milliseconds.
    */
-  constructor(returnWithinMs: number) {
+  constructor(returnWithinMs: () => number) {
     this.absences = new AbsentInstances(returnWithinMs);
   }
 
--- a/packages/decisions/test/primary-change/departed-instances.test.ts
+++ b/packages/decisions/test/primary-change/departed-instances.test.ts
@@ -49,7 +49,7 @@
   let departed: DepartedInstances;
 
   beforeEach(() => {
-    departed = new DepartedInstances(RETURN_WITHIN_MS);
+    departed = new DepartedInstances(() => RETURN_WITHIN_MS);
   });
 
   it('counts an instance that the record lists and the directory lacks', () => {
@@ -96,7 +96,7 @@
 
 describe('DepartedInstances of a proxy that does not coordinate', () => {
   it('takes over that the coordinator has bounded a departure', () => {
-    const departed = new DepartedInstances(RETURN_WITHIN_MS);
+    const departed = new DepartedInstances(() => RETURN_WITHIN_MS);
     update(departed, recordWith({instances: [LEFT, REMAINING]}), ALL);
     update(departed, recordWith({instances: [LEFT, REMAINING]}), [
       PRIMARY,
@@ -116,7 +116,7 @@
   });
 
   it('takes it over if its own directory drops the instance later', () => {
-    const departed = new DepartedInstances(RETURN_WITHIN_MS);
+    const departed = new DepartedInstances(() => RETURN_WITHIN_MS);
     update(departed, recordWith({instances: [LEFT, REMAINING]}), ALL);
     const bounded = recordWith({
       instances: [REMAINING],
@@ -129,7 +129,7 @@
   });
 
   it('counts an instance again that was listed again', () => {
-    const departed = new DepartedInstances(RETURN_WITHIN_MS);
+    const departed = new DepartedInstances(() => RETURN_WITHIN_MS);
     update(departed, recordWith({instances: [LEFT, REMAINING]}), ALL);
     const departedPosition = AFTER_DEPARTURE;
     update(
@@ -144,7 +144,7 @@
   });
 
   it('keeps a departure that the coordinator never listed', () => {
-    const departed = new DepartedInstances(RETURN_WITHIN_MS);
+    const departed = new DepartedInstances(() => RETURN_WITHIN_MS);
     update(departed, recordWith({instances: [REMAINING]}), ALL);
     update(departed, recordWith({instances: [REMAINING]}), [
       PRIMARY,
@@ -164,7 +164,7 @@
   }
 
   beforeEach(() => {
-    departed = new DepartedInstances(RETURN_WITHIN_MS);
+    departed = new DepartedInstances(() => RETURN_WITHIN_MS);
     update(departed, STEADY, ALL);
   });
 
@@ -212,6 +212,17 @@
     expect(mayReturn(600 + RETURN_WITHIN_MS)).toEqual([]);
   });
 
+  it('are none any more once the time is shortened', () => {
+    let returnWithinMs = RETURN_WITHIN_MS;
+    departed = new DepartedInstances(() => returnWithinMs);
+    update(departed, STEADY, ALL);
+    update(departed, STEADY, [PRIMARY, REMAINING]);
+    expect(mayReturn(1)).toEqual([LEFT.id]);
+    returnWithinMs = 1;
+    expect(mayReturn(1)).toEqual([]);
+    expect(departed.unbounded).toEqual([LEFT]);
+  });
+
   it('are named by the record once they are bounded, until they are not expected any more', () => {
     update(departed, STEADY, [PRIMARY, REMAINING]);
     departed.recordBound(departed.unbounded, AFTER_DEPARTURE);
@@ -222,7 +233,7 @@
       absent: [LEFT],
     });
 
-    const next = new DepartedInstances(RETURN_WITHIN_MS);
+    const next = new DepartedInstances(() => RETURN_WITHIN_MS);
     const record = recordWith(confirmers);
     update(next, record, [PRIMARY, REMAINING]);
     expect(next.mayReturn(0)).toEqual([{...LEFT, isBounded: true}]);
@@ -244,7 +255,7 @@
   });
 
   it('are known to a coordinator that did not see how they went', () => {
-    departed = new DepartedInstances(RETURN_WITHIN_MS);
+    departed = new DepartedInstances(() => RETURN_WITHIN_MS);
     update(departed, STEADY, [REMAINING], {nowMs: 50});
     expect(mayReturn(49 + RETURN_WITHIN_MS)).toEqual([LEFT.id, PRIMARY.id]);
     expect(mayReturn(50 + RETURN_WITHIN_MS)).toEqual([]);
@@ -254,7 +265,7 @@
     update(departed, STEADY, ALL, {leaving: [PRIMARY, LEFT]});
     expect(departed.isRecordOutdated(STEADY)).toEqual(true);
     const record = recordWith(departed.confirmersFor(STEADY));
-    departed = new DepartedInstances(RETURN_WITHIN_MS);
+    departed = new DepartedInstances(() => RETURN_WITHIN_MS);
     update(departed, record, [REMAINING]);
     expect(mayReturn()).toEqual([]);
     expect(departed.isRecordOutdated(record)).toEqual(false);
--- a/packages/decisions/test/primary-change/group-under-faults.ts
+++ b/packages/decisions/test/primary-change/group-under-faults.ts
@@ -60,7 +60,7 @@
   /** Whether a coordinator began that did not know who had announced that it leaves. */
   hasForgottenLeave = false;
   private readonly acknowledged = new Map<string, LogPosition>();
-  private departed = new DepartedInstances(RETURN_WITHIN);
+  private departed = new DepartedInstances(() => RETURN_WITHIN);
   /** The record in the store. */
   private record: PrimaryRecord = {
     term: 1,
@@ -329,7 +329,7 @@
 
   /** Returns what the next coordinator knows of departures when it begins. */
   protected nextMemory(_last: DepartedInstances): DepartedInstances {
-    return new DepartedInstances(RETURN_WITHIN);
+    return new DepartedInstances(() => RETURN_WITHIN);
   }
 
   private observeDirectory(record: PrimaryRecord): void {
--- a/packages/decisions/test/restored-store/model-group.ts
+++ b/packages/decisions/test/restored-store/model-group.ts
@@ -47,7 +47,7 @@
   readonly lost: string[] = [];
   /** Tokens that were not above all earlier ones. */
   readonly tokensBack: string[] = [];
-  readonly departed = new DepartedInstances(Infinity);
+  readonly departed = new DepartedInstances(() => Infinity);
   readonly instances: readonly ModelInstance[];
   /** Highest term that any instance has led. */
   highestTerm = 1;
--- a/packages/gateway/src/core/coordinator/group-departures.ts
+++ b/packages/gateway/src/core/coordinator/group-departures.ts
@@ -15,13 +15,6 @@
 import {CommandKind} from '../upstream/index.js';
 import type {ControlConnections} from './control-connections.js';
 
-/**
- * How long an instance whose entry has lapsed may still return with its log, in
- * milliseconds; regions lose connectivity to each other for an hour now and
- * then.
- */
-const RETURN_WITHIN_MS = 2 * 3_600_000;
-
 /** Delay before a departed instance that still answers is asked again, in milliseconds. */
 const REACHABLE_RETRY_MS = 500;
 
@@ -37,10 +30,18 @@
   private readonly registrations = new Map<string, RegisteredInstance>();
   private readonly groups: DatabaseGroup[] = [];
 
+  /**
+   * @param directory - The instances.
+   * @param groups - The groups whose records are observed.
+   * @param control - Connections to the instances.
+   * @param returnWithinMs - Returns how long an instance whose entry has lapsed
+   *   may still return with its log, in milliseconds.
+   */
   constructor(
     private readonly directory: InstanceDirectory,
     groups: Pick<GroupRegistry, 'onGroup'>,
     private readonly control: ControlConnections,
+    private readonly returnWithinMs: () => number,
   ) {
     groups.onGroup(group => {
       this.groups.push(group);
@@ -54,7 +55,7 @@
   /** Returns the departures of a group. */
   of(group: string): DepartedInstances {
     const known =
-      this.departed.get(group) ?? new DepartedInstances(RETURN_WITHIN_MS);
+      this.departed.get(group) ?? new DepartedInstances(this.returnWithinMs);
     this.departed.set(group, known);
     return known;
   }
--- a/packages/gateway/src/core/coordinator/index.ts
+++ b/packages/gateway/src/core/coordinator/index.ts
@@ -9,4 +9,5 @@
 export type {PrimaryChangeContext} from './primary-change-context.js';
 export * from './control-connections.js';
 export * from './group-departures.js';
+export * from './group-observers.js';
 export * from './outstanding-orders.js';
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -9,8 +9,7 @@
   ControlConnections,
   CoordinatorKey,
   CoordinatorTask,
-  GroupDepartures,
-  OutstandingOrders,
+  observeGroups,
 } from '../coordinator/index.js';
 import {InstanceDirectory} from '../directory/index.js';
 import {ForwardingService} from '../forwarding/index.js';
@@ -246,8 +245,7 @@
         releases,
         knownProxies,
         control,
-        departures: new GroupDepartures(this.directory, this.groups, control),
-        outstandingOrders: new OutstandingOrders(this.groups),
+        ...observeGroups(this.directory, this.groups, control, settings),
         promotions,
         followedRevision: () => this.storeWatchers.proxyKeys.revision,
         metrics: this.metrics,
--- a/packages/gateway/src/core/settings/setting-effects.ts
+++ b/packages/gateway/src/core/settings/setting-effects.ts
@@ -31,6 +31,7 @@
   'promotion.address': SettingEffect.WhileRunning,
   configurationWithinMs: SettingEffect.WhileRunning,
   leaveWithinMs: SettingEffect.WhileRunning,
+  instanceReturnWithinMs: SettingEffect.WhileRunning,
   maximumCallers: SettingEffect.WhileRunning,
   stopGraceS: SettingEffect.WhileRunning,
   logLevel: SettingEffect.WhileRunning,
--- a/packages/gateway/src/core/settings/settings-schema.ts
+++ b/packages/gateway/src/core/settings/settings-schema.ts
@@ -56,6 +56,12 @@
   configurationWithinMs: z.number().positive().default(3_000),
   /** Time within which a leaving instance must no longer receive new statements, in milliseconds. */
   leaveWithinMs: z.number().positive().default(7_000),
+  /**
+   * Time for which an instance whose entry has lapsed is expected to return with
+   * its log, in milliseconds. Regions lose connectivity to each other for an hour
+   * now and then.
+   */
+  instanceReturnWithinMs: z.number().positive().default(7_200_000),
   /** Maximum number of concurrent callers; bounds memory and file descriptors. */
   maximumCallers: z.number().int().positive(),
   /** Maximum duration of a stop, in seconds. */
--- a/packages/gateway/test/settings/settings-change.test.ts
+++ b/packages/gateway/test/settings/settings-change.test.ts
@@ -30,6 +30,7 @@
   'promotion.address': ({promotion}) => (promotion.address = 'other:1'),
   configurationWithinMs: settings => (settings.configurationWithinMs = 7),
   leaveWithinMs: settings => (settings.leaveWithinMs = 7),
+  instanceReturnWithinMs: settings => (settings.instanceReturnWithinMs = 7),
   maximumCallers: settings => (settings.maximumCallers = 7),
   stopGraceS: settings => (settings.stopGraceS = 7),
   logLevel: settings => (settings.logLevel = LogLevel.Debug),
--- a/packages/gateway/test/support/memory-fleet.ts
+++ b/packages/gateway/test/support/memory-fleet.ts
@@ -305,6 +305,7 @@
     promotion: {address: 'memory:4'},
     configurationWithinMs: 3_000,
     leaveWithinMs: 7_000,
+    instanceReturnWithinMs: 7_200_000,
     maximumCallers: 100,
     stopGraceS: 0.1,
     logLevel: LogLevel.Error,
--- a/packages/gateway/test/support/primary-change-context.ts
+++ b/packages/gateway/test/support/primary-change-context.ts
@@ -27,6 +27,9 @@
 /** How long an order that is found in a record may still arrive by default, in milliseconds. */
 const ORDER_PENDING_MS = 100;
 
+/** How long an instance whose entry has lapsed may return by default, in milliseconds. */
+const RETURN_WITHIN_MS = 7_200_000;
+
 /** Options for a context of a primary change. */
 export interface PrimaryChangeContextOptions {
   /** Name of the proxy that coordinates. */
@@ -42,6 +45,8 @@
   readonly registered?: readonly MemoryInstance[];
   /** How long an order that is found in a record may still arrive, in milliseconds. */
   readonly orderPendingMs?: number;
+  /** Returns how long an instance whose entry has lapsed may return, in milliseconds. */
+  readonly returnWithinMs?: () => number;
   /** Receives the log lines; by default nothing does. */
   readonly log?: Logger;
 }
@@ -74,6 +79,7 @@
   isCoordinating = () => true,
   registered = group.instances,
   orderPendingMs = ORDER_PENDING_MS,
+  returnWithinMs = () => RETURN_WITHIN_MS,
   log = createSilentLogger(),
 }: PrimaryChangeContextOptions): PrimaryChangeContext {
   const store = new MemoryStore(state);
@@ -118,7 +124,7 @@
     knownProxies: new KnownProxies(),
     releases: new PrimaryReleases(self, store, undefined as never, log),
     control,
-    departures: new GroupDepartures(directory, groups, control),
+    departures: new GroupDepartures(directory, groups, control, returnWithinMs),
     outstandingOrders: new OutstandingOrders(groups, orderPendingMs),
     coordinatorRevision: () => (isCoordinating() ? revision : 0),
     coordinatorForMs: () => undefined,
