Let a new owner take no more connections than are spare

Callers saw: with nine proxies before a limit of eight, an instance could refuse a connection over its limit when an owner was replaced, and what waited for that connection was refused or served later.

Cause: seven connections are divided among three owners and a spare place. The remainder goes to the holders that rank first for the instance, so a new owner may get two while only one is spare, and owners that are busy or paused have not yet closed what they hold beyond their smaller shares: 2, 2 and 2 of before and 2 of the new owner are 8, with the coordinator's connection 9.

Ruled out: a share of nothing for a new owner, because its callers would be refused for up to five seconds; a second spare place, which takes connections from all owners at all times.

Change: who has been an owner for five seconds or less gets no part of the remainder. The others' shares stay.

--- a/packages/decisions/src/core/connection-plan/connection-holder-tracker.ts
+++ b/packages/decisions/src/core/connection-plan/connection-holder-tracker.ts
@@ -28,6 +28,7 @@
  */
 export class ConnectionHolderTracker {
   private readonly lastListedAtMs = new Map<string, number>();
+  private readonly listedSinceMs = new Map<string, number>();
   private firstUpdateAtMs: number | undefined;
 
   /**
@@ -46,7 +47,13 @@
     earlier: readonly string[] = [],
   ): string[] {
     this.firstUpdateAtMs ??= nowMs;
-    for (const name of listed) this.lastListedAtMs.set(name, nowMs);
+    for (const name of this.listedSinceMs.keys()) {
+      if (!listed.includes(name)) this.listedSinceMs.delete(name);
+    }
+    for (const name of listed) {
+      this.lastListedAtMs.set(name, nowMs);
+      if (!this.listedSinceMs.has(name)) this.listedSinceMs.set(name, nowMs);
+    }
     for (const [name, atMs] of this.lastListedAtMs) {
       if (nowMs - atMs > HOLDER_RETENTION_MS) this.lastListedAtMs.delete(name);
     }
@@ -61,4 +68,16 @@
     const assumed = Array.from({length: missing}, (_, index) => `?${index}`);
     return [...names, ...assumed];
   }
+
+  /**
+   * Returns whether a proxy has been listed for so short a time that holders of
+   * before may still have connections beyond their present shares.
+   *
+   * @param name - Name of the proxy.
+   * @param nowMs - The time, in milliseconds of the process clock.
+   */
+  isNew(name: string, nowMs: number): boolean {
+    const sinceMs = this.listedSinceMs.get(name);
+    return sinceMs === undefined || nowMs - sinceMs <= HOLDER_RETENTION_MS;
+  }
 }
--- a/packages/decisions/src/core/connection-plan/connection-share.ts
+++ b/packages/decisions/src/core/connection-plan/connection-share.ts
@@ -11,6 +11,11 @@
   readonly name: string;
   /** Weight of its share; an integer. */
   readonly weight: number;
+  /**
+   * Whether holders of before it may still have connections beyond their shares.
+   * It gets no part of the remainder then, so that the spare share suffices.
+   */
+  readonly isNew?: boolean | undefined;
 }
 
 /**
@@ -40,6 +45,7 @@
  * @param limit - Connections that the owners may hold in total.
  * @param owners - Names of all proxies that may hold connections.
  * @param isNear - Returns whether an owner is in the zone of the instance.
+ * @param isNew - Returns whether an owner has just become one.
  * @returns The holders with their weights, and a spare one for an owner that
  *   takes over.
  */
@@ -47,6 +53,7 @@
   limit: number,
   owners: readonly string[],
   isNear: (owner: string) => boolean,
+  isNew: (owner: string) => boolean = () => false,
 ): WeightedHolder[] {
   const near = owners.filter(isNear).length;
   const far = owners.length - near;
@@ -55,7 +62,11 @@
   while (nearWeight > 1 && farShare() < MINIMUM_FAR_CONNECTIONS)
     nearWeight -= 1;
   return [
-    ...owners.map(name => ({name, weight: isNear(name) ? nearWeight : 1})),
+    ...owners.map(name => ({
+      name,
+      weight: isNear(name) ? nearWeight : 1,
+      isNew: isNew(name),
+    })),
     {name: SPARE_HOLDER, weight: nearWeight},
   ];
 }
@@ -91,6 +102,6 @@
   const allotted = allHolders.reduce((sum, each) => sum + shareOf(each), 0);
   const names = allHolders.map(({name}) => name);
   const rank = rankNodes(instance, names).indexOf(self);
-  const extra = rank < limit - allotted ? 1 : 0;
+  const extra = rank < limit - allotted && own.isNew !== true ? 1 : 0;
   return Math.max(MINIMUM_CONNECTIONS, shareOf(own) + extra);
 }
--- a/packages/gateway/src/core/groups/group-registry.ts
+++ b/packages/gateway/src/core/groups/group-registry.ts
@@ -37,6 +37,13 @@
   readonly log: Logger;
 }
 
+/** The proxies that may hold connections of a group. */
+interface ShareHolders {
+  readonly names: readonly string[];
+  /** Returns whether a proxy has just become an owner. */
+  readonly isNew: (name: string) => boolean;
+}
+
 /**
  * All groups, with connection pools to the instances listed by the directory.
  */
@@ -144,25 +151,28 @@
   }
 
   /** Returns the proxies that may hold connections of a group. */
-  private shareHoldersOf(name: string): string[] {
+  private shareHoldersOf(group: string): ShareHolders {
     const {ownership, earlierProxies} = this.options;
     const tracker =
-      this.shareHolders.get(name) ?? new ConnectionHolderTracker();
-    this.shareHolders.set(name, tracker);
-    const owners = ownership.ownersOf(name);
-    return tracker.update(owners, steadyNowMs(), earlierProxies());
+      this.shareHolders.get(group) ?? new ConnectionHolderTracker();
+    this.shareHolders.set(group, tracker);
+    const owners = ownership.ownersOf(group);
+    const nowMs = steadyNowMs();
+    const names = tracker.update(owners, nowMs, earlierProxies());
+    return {names, isNew: name => tracker.isNew(name, nowMs)};
   }
 
   private shareOf(
     {id, availabilityZone}: RegisteredInstance,
     connectionLimit: number,
-    names: readonly string[],
+    {names, isNew}: ShareHolders,
   ): number {
     const usable = connectionLimit - RESERVED_CONNECTIONS;
     const holders = assignHolderWeights(
       usable,
       names,
       name => this.options.zoneOf(name) === availabilityZone,
+      isNew,
     );
     return connectionShare(id, usable, holders, this.options.self);
   }
