Bound nothing by a restored record of an earlier term

Callers could see: an acknowledged commit lost, after a restore of the platform's store to a time before a change of primary, if the former primary was partitioned from the present one and still led its term for the coordinator, and a replica had left.

Cause: until the record is recovered, the stored one is that of the backup, while the departures that the process remembers are of the present term. The coordinator asked the primary of the stored record, which still led that term, and took its position as the bound of what the replica had confirmed in the present one. In the same way it took the hold of a leaving replica for the earlier term as standing still in the present one, which it does not stop.

Ruled out: to ask and hold nothing until the record is recovered. Mostly the term is the same, and a leaving replica could confirm alone meanwhile.

Change: bounds and holds count only if the record is of the term whose departures are known.

--- a/packages/decisions/src/core/primary-change/departed-instances.ts
+++ b/packages/decisions/src/core/primary-change/departed-instances.ts
@@ -114,6 +114,11 @@
       this.absences.recordOtherName(record.primary);
   }
 
+  /** The term whose departures are known; 0 before the first record. */
+  get currentTerm(): number {
+    return this.term;
+  }
+
   /** The departures of the term. */
   get all(): readonly Readonly<Departure>[] {
     return this.departures;
--- a/packages/gateway/src/core/coordinator/group-departures.ts
+++ b/packages/gateway/src/core/coordinator/group-departures.ts
@@ -110,6 +110,8 @@
     {primary, term}: PrimaryRecord,
   ): Promise<boolean> {
     const departed = this.of(group);
+    // A restored record may be of an earlier term, whose primary still leads it.
+    if (departed.currentTerm !== term) return true;
     const gone = await this.findSilent(departed.unbounded);
     const instance = this.directory.find(primary);
     if (gone.length === 0 || instance === undefined) return gone.length > 0;
--- a/packages/gateway/src/core/coordinator/leaving-replicas.ts
+++ b/packages/gateway/src/core/coordinator/leaving-replicas.ts
@@ -113,7 +113,9 @@
       if (report !== undefined) departed.forgetHold(instance);
       return;
     }
-    departed.recordHold(instance, report.received);
+    // After a restore, a hold for an earlier term does not stop it in the present one.
+    if (departed.currentTerm === record.term)
+      departed.recordHold(instance, report.received);
     if (known?.isHeld === true) return;
     log.info('A leaving replica was held; it confirms no more commits.', {
       group: group.name,
