--- a/packages/protocol/src/core/links/link.ts
+++ b/packages/protocol/src/core/links/link.ts
@@ -122,8 +122,9 @@
    * @param deadlineMs - How long to wait, in milliseconds.
    * @returns The body of the response, not yet validated.
    * @throws SapphiregladeError of kind `link-closed`, `frame-too-long`, `overloaded`
-   *   or `internal` with outcome `not run` if nothing was sent; of kind `link-closed`, `link-silent` or
-   *   `outcome-unknown` with outcome `unknown` otherwise.
+   *   or `internal` with outcome `not run` if nothing was sent; of kind
+   *   `link-closed`, `link-silent` or `outcome-unknown` with outcome `unknown`
+   *   otherwise.
    */
   request(body: unknown, deadlineMs: number): Promise<unknown> {
     if (this.isClosed) {
