Quote values in text logs that are not one word

A field with a line end began another line of the log, and values with blanks ran into the next field; a caller of the proxy chooses the request's identifier. Lines in JSON are as before.

--- a/packages/runtime/src/core/logging/logger.ts
+++ b/packages/runtime/src/core/logging/logger.ts
@@ -113,8 +113,13 @@
   const [message, fields] = entry.args as [string, LogFields];
   const details = Object.entries(fields)
     .filter(([, value]) => value !== undefined)
-    .map(([name, value]) => ` ${name}=${String(value)}`)
+    .map(([name, value]) => ` ${name}=${quoteIfNeeded(String(value))}`)
     .join('');
   const time = entry.date.toISOString();
   return `${time} ${entry.type} [${entry.tag}] ${message}${details}`;
 }
+
+/** Quotes a value that would not be read as one word of one line. */
+function quoteIfNeeded(value: string): string {
+  return /^[^\s"=\\\p{Cc}]*$/u.test(value) ? value : JSON.stringify(value);
+}
