Refuse texts and numbers that change on their way to an owner

Callers of the proxy could see: SQL or a parameter with half of a surrogate pair, which JSON can express, reached the instance with other characters over a link, and two such texts became one; a whole number above 2^53 was rounded when its body was read.

--- a/packages/protocol/src/core/caller/schemas.ts
+++ b/packages/protocol/src/core/caller/schemas.ts
@@ -16,7 +16,6 @@
 import {nameSchema} from '@sapphireglade/decisions';
 import * as z from 'zod';
 import type {Row} from '../upstream/index.js';
-import {sqlValueSchema} from '../upstream/index.js';
 
 /** Header that carries the session token, in requests and responses. */
 export const SESSION_HEADER = 'sapphireglade-session';
@@ -30,17 +29,31 @@
 /** Longest deadline, in milliseconds. */
 const MAXIMUM_DEADLINE_MS = 60_000;
 
+/** Largest whole number that a database stores as one, exclusive. */
+const INTEGER_LIMIT = 2 ** 63;
+
 const requestIdSchema = z.string().min(1).max(128);
 const deadlineSchema = z
   .int()
   .min(1)
   .max(MAXIMUM_DEADLINE_MS)
   .default(DEFAULT_DEADLINE_MS);
+/** Text that has the same characters in every encoding. */
+const textSchema = z.string().refine(text => !/\p{Surrogate}/u.test(text), {
+  message: 'The text holds half of a surrogate pair.',
+});
+const numberSchema = z.number().refine(isExactNumber, {
+  message: 'The whole number would be rounded; send it as text.',
+});
+
 const sqlFields = {
   /** SQL text. */
-  sql: z.string().min(1).max(MAXIMUM_SQL_LENGTH),
+  sql: textSchema.min(1).max(MAXIMUM_SQL_LENGTH),
   /** Values for the placeholders. */
-  parameters: z.array(sqlValueSchema).max(MAXIMUM_PARAMETERS).default([]),
+  parameters: z
+    .array(z.union([textSchema, numberSchema, z.null()]))
+    .max(MAXIMUM_PARAMETERS)
+    .default([]),
 };
 
 /** Body of `POST /v1/statements`. */
@@ -133,3 +146,9 @@
   readonly servedBy: ServedBy;
   readonly error?: CallerResponseError;
 }
+
+/** Returns whether a parsed number cannot be a whole number of a database that was rounded. */
+function isExactNumber(value: number): boolean {
+  if (!Number.isInteger(value) || Number.isSafeInteger(value)) return true;
+  return Math.abs(value) > INTEGER_LIMIT;
+}
