--- a/packages/gateway/test/forwarding/unsent-responses.test.ts
+++ b/packages/gateway/test/forwarding/unsent-responses.test.ts
@@ -1,5 +1,6 @@
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {ErrorKind} from '@sapphireglade/decisions';
 import {createSilentLogger} from '@sapphireglade/runtime';
 import {expect} from 'earl';
 import type {ForwardedMessage} from '../../src/core/forwarding/messages.js';
@@ -43,8 +44,8 @@
     peer.request(3, firstStatement());
     await sleep(SERVE_MS);
     peer.socket.resume();
-    // A caller cannot read this response, so its transaction has ended.
-    expect(await peer.response(3)).toEqual(undefined);
+    const {error} = (await peer.response(3)) as {error?: unknown};
+    expect(error).toEqual(ErrorKind.RunFailed);
     expect(owner.runner.events).toEqual(['begin', 'run t1', 'roll back']);
   });
 });
