Tell zones with blanks in their names apart in the plan of owners

The key under which a plan of owners is kept joined the names of zones with blanks, so that two lists of zones could be one key. Found by review, by reading; the version of the zones in the key hides it mostly. No test of its own.

--- a/packages/gateway/src/core/ownership/group-ownership.ts
+++ b/packages/gateway/src/core/ownership/group-ownership.ts
@@ -76,7 +76,7 @@
     const limit =
       configuration.current?.groups.get(group)?.connectionLimit ?? 0;
     const version = `${this.memberVersion} ${directory.zoneVersion}`;
-    const cacheKey = `${version} ${limit} ${zones.join(' ')}`;
+    const cacheKey = `${version} ${limit} ${JSON.stringify(zones)}`;
     const cached = this.plans.get(group);
     if (cached?.cacheKey === cacheKey) return cached.owners;
     const owners = planOwners({
