Keep the share of an owner that stops until it has ended

The owner that was being stopped had two connections in place of three.

Cause: gives a new owner no part of the remainder, and took an owner for new as soon as it was no longer listed, as a process that stops is.

--- a/packages/decisions/src/core/connection-plan/connection-holder-tracker.ts
+++ b/packages/decisions/src/core/connection-plan/connection-holder-tracker.ts
@@ -47,15 +47,14 @@
     earlier: readonly string[] = [],
   ): string[] {
     this.firstUpdateAtMs ??= nowMs;
-    for (const name of this.listedSinceMs.keys()) {
-      if (!listed.includes(name)) this.listedSinceMs.delete(name);
-    }
     for (const name of listed) {
       this.lastListedAtMs.set(name, nowMs);
       if (!this.listedSinceMs.has(name)) this.listedSinceMs.set(name, nowMs);
     }
     for (const [name, atMs] of this.lastListedAtMs) {
-      if (nowMs - atMs > HOLDER_RETENTION_MS) this.lastListedAtMs.delete(name);
+      if (nowMs - atMs <= HOLDER_RETENTION_MS) continue;
+      this.lastListedAtMs.delete(name);
+      this.listedSinceMs.delete(name);
     }
     const names = [...this.lastListedAtMs.keys()].sort();
     const isSettled = nowMs - this.firstUpdateAtMs > HOLDER_RETENTION_MS;
@@ -71,7 +70,8 @@
 
   /**
    * Returns whether a proxy has been listed for so short a time that holders of
-   * before may still have connections beyond their present shares.
+   * before may still have connections beyond their present shares. One that is
+   * no longer listed keeps its standing for as long as it has a share.
    *
    * @param name - Name of the proxy.
    * @param nowMs - The time, in milliseconds of the process clock.
--- a/packages/decisions/test/connection-plan/owner-changes.test.ts
+++ b/packages/decisions/test/connection-plan/owner-changes.test.ts
@@ -137,3 +137,23 @@
     }
   });
 });
+
+describe('ConnectionHolderTracker', () => {
+  // Guards against a stopping owner that loses a part of its share at once.
+  it('does not take an owner that is no longer listed for a new one', () => {
+    const tracker = new ConnectionHolderTracker();
+    tracker.update(['a0', 'b0'], 0);
+    tracker.update(['a0', 'b0'], SETTLED_MS);
+    expect(tracker.isNew('a0', SETTLED_MS)).toEqual(false);
+    tracker.update(['b0'], SETTLED_MS + 1_000);
+    expect(tracker.isNew('a0', SETTLED_MS + 1_000)).toEqual(false);
+  });
+
+  it('takes an owner for a new one that comes back after its share has ended', () => {
+    const tracker = new ConnectionHolderTracker();
+    tracker.update(['a0', 'b0'], 0);
+    tracker.update(['b0'], SETTLED_MS);
+    tracker.update(['a0', 'b0'], 2 * SETTLED_MS);
+    expect(tracker.isNew('a0', 2 * SETTLED_MS)).toEqual(true);
+  });
+});
