Keep a column named __proto__ in rows that cross a link

What callers saw: in the other program, a row of an owner whose column is named "__proto__" arrived with a column "__proto_", or without it.

Cause: the decoder of links renames that key in objects, and a record schema of rows drops it.

Change: a payload that holds these bytes is decoded into maps, and they become objects with own properties; rows have a schema that keeps the object. Other payloads are decoded as before.

The test never reached the schema, since its response had no valid position; it has one now, so it is stricter, and it reads the row inside an array too.

--- a/packages/protocol/src/core/frames/frame-codec.ts
+++ b/packages/protocol/src/core/frames/frame-codec.ts
@@ -28,6 +28,9 @@
 
 const encoder = new Encoder(CODEC_OPTIONS) as BufferedEncoder;
 const decoder = new Decoder(CODEC_OPTIONS);
+const mapDecoder = new Decoder({...CODEC_OPTIONS, mapsAsObjects: false});
+/** Key that the decoder of objects renames. */
+const RENAMED_KEY = Buffer.from('__proto__');
 const KNOWN_KINDS: ReadonlySet<unknown> = new Set(Object.values(FrameKind));
 
 /**
@@ -157,8 +160,20 @@
 /** Decodes CBOR; a payload that cannot be decoded is a malformed frame. */
 function decodeCbor(payload: Buffer): unknown {
   try {
-    return decoder.decode(payload);
+    return payload.includes(RENAMED_KEY)
+      ? toObjects(mapDecoder.decode(payload))
+      : decoder.decode(payload);
   } catch (cause) {
     throw createMalformedFrameError(cause);
   }
 }
+
+/** Turns decoded maps into objects that have each key as an own property. */
+function toObjects(decoded: unknown): unknown {
+  if (Array.isArray(decoded)) return decoded.map(toObjects);
+  if (!(decoded instanceof Map)) return decoded;
+  const entries: Array<[PropertyKey, unknown]> = [...decoded];
+  return Object.fromEntries(
+    entries.map(([key, value]) => [key, toObjects(value)]),
+  );
+}
--- a/packages/protocol/src/core/messages/execution-messages.ts
+++ b/packages/protocol/src/core/messages/execution-messages.ts
@@ -1,5 +1,9 @@
 import * as z from 'zod';
-import {sqlValueSchema, instanceStatusSchema} from '../upstream/index.js';
+import {
+  instanceStatusSchema,
+  rowSchema,
+  sqlValueSchema,
+} from '../upstream/index.js';
 import {
   groupViewSchema,
   logPositionSchema,
@@ -82,7 +86,7 @@
   /** Omitted if the statement was refused or failed. */
   result: z
     .object({
-      rows: z.array(z.record(z.string(), sqlValueSchema)),
+      rows: z.array(rowSchema),
       rowCount: z.int(),
       instance: z.string(),
       role: z.enum(['primary', 'replica']),
--- a/packages/protocol/src/core/upstream/schemas.ts
+++ b/packages/protocol/src/core/upstream/schemas.ts
@@ -47,6 +47,9 @@
 /** A value of a parameter or of a column. */
 export const sqlValueSchema = z.union([z.string(), z.number(), z.null()]);
 
+/** A row, by column. Unlike a record, it keeps a column of any name. */
+export const rowSchema = z.custom<Row>(isRow);
+
 const logPositionSchema = z.object({term: z.int(), position: z.int()});
 const termStartSchema = z.object({term: z.int(), position: z.int()});
 
@@ -95,7 +98,7 @@
 /** Response to a statement, `POST /begin`, `/commit` or `/rollback`. */
 export const statementResponseSchema = z.object({
   /** Rows of a read, as objects by column. */
-  rows: z.array(z.record(z.string(), sqlValueSchema)),
+  rows: z.array(rowSchema),
   /** Number of rows read or changed. */
   rowCount: z.int(),
   /** Position of the write, or the instance's position for a read. */
@@ -232,3 +235,11 @@
 export type FollowRequest = z.infer<typeof followRequestSchema>;
 /** Response to `POST /follow`. */
 export type FollowResponse = z.infer<typeof followResponseSchema>;
+
+function isRow(value: unknown): value is Row {
+  if (typeof value !== 'object' || value === null) return false;
+  if (Array.isArray(value)) return false;
+  return Object.values(value).every(
+    column => sqlValueSchema.safeParse(column).success,
+  );
+}
--- a/packages/protocol/test/carried-values.test.ts
+++ b/packages/protocol/test/carried-values.test.ts
@@ -90,11 +90,14 @@
     it(`keep a column named ${column}`, () => {
       const rows = `[{${JSON.stringify(column)}:"value"}]`;
       const response = statementResponseSchema.safeParse(
-        JSON.parse(`{"rows":${rows},"rowCount":1,"position":null}`),
+        JSON.parse(
+          `{"rows":${rows},"rowCount":1,"position":{"term":1,"position":1},"waitedMs":0}`,
+        ),
       );
       const row = (JSON.parse(rows) as Row[])[0]!;
-      if (response.success) expect(response.data.rows).toEqual([row]);
+      expect(response.data?.rows).toEqual([row]);
       expect(Object.keys(carry(row) as object)).toEqual([column]);
+      expect(Object.entries(carry([row]) as Row[])).toEqual([['0', row]]);
     });
   }
 });
--- a/packages/stand-ins/src/core/instance/replicated-log.ts
+++ b/packages/stand-ins/src/core/instance/replicated-log.ts
@@ -1,6 +1,6 @@
 import type {LogPosition, TermStart} from '@sapphireglade/decisions';
 import {EMPTY_POSITION} from '@sapphireglade/decisions';
-import {sqlValueSchema} from '@sapphireglade/protocol';
+import {rowSchema, sqlValueSchema} from '@sapphireglade/protocol';
 import {z} from 'zod';
 
 /** Number of term starts included in a status. */
@@ -17,7 +17,7 @@
       table: z.string(),
       keyColumn: z.string(),
       key: sqlValueSchema,
-      row: z.record(z.string(), sqlValueSchema).nullable(),
+      row: rowSchema.nullable(),
     }),
   ),
 });
