Refuse a shape that cannot be prepared when it is prepared

Cause: the session took any shape that its own message could carry. The message that prepares it at an instance has a name of 22 characters in place of the caller's, and only the runner of a statement asked whether it can be sent.

Change: the session asks the connector of instances whether the command that will repeat a PREPARE or a SET can be sent, and refuses with the error that the EXECUTE got. What was prepared under the name before is kept, as for a session that is full; an open transaction fails. The runner still asks, since the command of an EXECUTE may be too long by itself.

Why it works: the question is answered by the encoder that builds the command, and a PREPARE depends on nothing but its kind and shape.

Contexts of other tests name the new dependency.

--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -318,6 +318,7 @@
     const context: SessionContext = {
       configuration: this.configuration,
       runnerFor: group => this.forwarding.runnerFor(group),
+      canSend: command => this.adapters.connector.canSend(command),
       answersByMs: () => this.answersByMs,
       metrics: this.metrics,
       log: this.logFor(LogPart.Routing),
--- a/packages/gateway/src/core/sessions/caller-session.ts
+++ b/packages/gateway/src/core/sessions/caller-session.ts
@@ -279,7 +279,8 @@
   }
 
   private change(statement: SessionStateChange): SessionReply {
-    if (!changeSessionState(this.values, statement)) {
+    const {canSend} = this.context;
+    if (!changeSessionState(this.values, statement, canSend)) {
       throw invalidInputError(
         'The session holds too many values, or the name is unknown.',
       );
--- a/packages/gateway/src/core/sessions/change-session-state.ts
+++ b/packages/gateway/src/core/sessions/change-session-state.ts
@@ -1,4 +1,8 @@
-import type {SessionValues} from '@sapphireglade/decisions';
+import type {PreparedStatement, SessionValues} from '@sapphireglade/decisions';
+import type {InstanceCommand} from '../upstream/index.js';
+import {CommandKind} from '../upstream/index.js';
+import {unsendableError} from './session-errors.js';
+import {toPrepareCommand} from './to-prepare-command.js';
 import type {Statement} from './types.js';
 import {StatementKind} from './types.js';
 
@@ -13,17 +17,42 @@
  *
  * @param values - The values and prepared statements of the session.
  * @param statement - The statement.
+ * @param canSend - Returns whether a command can be sent to an instance.
  * @returns Whether the state has changed; false if the session holds too much or
  *   the name is unknown.
+ * @throws SapphiregladeError of kind `body-too-large` if the state could never be
+ *   replayed to an instance.
  */
 export function changeSessionState(
   values: SessionValues,
   statement: SessionStateChange,
+  canSend: (command: InstanceCommand) => boolean,
 ): boolean {
-  if (statement.kind === StatementKind.SetValue)
-    return values.set(statement.name, statement.value);
   if (statement.kind === StatementKind.Deallocate)
     return values.deallocate(statement.name);
-  const {name, preparedKind, shape} = statement;
-  return values.prepare(name, {kind: preparedKind, shape});
+  if (!canSend(toReplayCommand(statement))) throw unsendableError();
+  const {name} = statement;
+  return statement.kind === StatementKind.SetValue
+    ? values.set(name, statement.value)
+    : values.prepare(name, toPrepared(statement));
+}
+
+type SetStatement = Extract<SessionStateChange, {kind: 'set-value'}>;
+type PrepareStatement = Extract<SessionStateChange, {kind: 'prepare'}>;
+
+/** Returns the command that later repeats a statement on a connection. */
+function toReplayCommand(
+  statement: SetStatement | PrepareStatement,
+): InstanceCommand {
+  if (statement.kind === StatementKind.Prepare)
+    return toPrepareCommand(toPrepared(statement));
+  const {name, value} = statement;
+  return {kind: CommandKind.SetValue, name, value};
+}
+
+function toPrepared({
+  preparedKind,
+  shape,
+}: PrepareStatement): PreparedStatement {
+  return {kind: preparedKind, shape};
 }
--- a/packages/gateway/src/core/sessions/command-result.ts
+++ b/packages/gateway/src/core/sessions/command-result.ts
@@ -1,22 +1,18 @@
-import type {PreparedStatement} from '@sapphireglade/decisions';
+import type {SapphiregladeError} from '@sapphireglade/decisions';
 import {
-  ErrorKind,
   planSynchronization,
-  SapphiregladeError,
   upstreamStatementName,
 } from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
 import type {PooledConnection} from '../pool/index.js';
 import {steadyNowMs, TIMED_OUT, withTimeout} from '../time/index.js';
-import type {
-  InstanceCommand,
-  InstanceReply,
-  PrepareCommand,
-} from '../upstream/index.js';
-import {CommandKind, ConnectionLostError} from '../upstream/index.js';
+import type {InstanceCommand, InstanceReply} from '../upstream/index.js';
+import {ConnectionLostError} from '../upstream/index.js';
 import type {BoundConnection} from './bound-connection.js';
 import {logPreparation} from './log-preparation.js';
 import type {ExecutionRequest} from './runnable-statement.js';
+import {unsendableError} from './session-errors.js';
+import {toPrepareCommand} from './to-prepare-command.js';
 
 /** The result of a command that was not answered. */
 export type UnansweredCommand =
@@ -96,15 +92,7 @@
   const canPrepare =
     prepared === undefined || connection.canSend(toPrepareCommand(prepared));
   if (canPrepare && connection.canSend(command)) return undefined;
-  return new SapphiregladeError(
-    ErrorKind.BodyTooLarge,
-    'The statement does not fit in one message to the instance.',
-  );
-}
-
-function toPrepareCommand(statement: PreparedStatement): PrepareCommand {
-  const name = upstreamStatementName(statement);
-  return {kind: CommandKind.Prepare, name, statement};
+  return unsendableError();
 }
 
 /**
--- a/packages/gateway/src/core/sessions/session-context.ts
+++ b/packages/gateway/src/core/sessions/session-context.ts
@@ -2,6 +2,7 @@
 import type {LatestConfiguration} from '../configuration/index.js';
 import type {CommitBoundProbe, GroupRegistry} from '../groups/index.js';
 import type {GatewayMetrics} from '../metrics/index.js';
+import type {InstanceCommand} from '../upstream/index.js';
 import type {LateUseLog} from './late-use-log.js';
 import type {StatementRunner} from './statement-runner.js';
 
@@ -23,6 +24,8 @@
   readonly configuration: LatestConfiguration;
   /** Returns the runner for the statements of a group. */
   readonly runnerFor: (group: string) => StatementRunner;
+  /** Returns whether the protocol of the instances can express a command. */
+  readonly canSend: (command: InstanceCommand) => boolean;
   /**
    * Returns the time by which a stopping process answers every statement, in
    * milliseconds of the steady clock; Infinity while it is not stopping.
--- a/packages/gateway/src/core/sessions/session-errors.ts
+++ b/packages/gateway/src/core/sessions/session-errors.ts
@@ -8,6 +8,17 @@
   return new SapphiregladeError(ErrorKind.InvalidInput, detail);
 }
 
+/**
+ * Creates the error for a statement that the protocol of the instances cannot
+ * express, for example because its message would be too long.
+ */
+export function unsendableError(): SapphiregladeError {
+  return new SapphiregladeError(
+    ErrorKind.BodyTooLarge,
+    'The statement does not fit in one message to the instance.',
+  );
+}
+
 /**
  * Creates the error for a statement that a stopping process refuses.
  *
--- a/packages/gateway/src/core/upstream/instance-connection.ts
+++ b/packages/gateway/src/core/upstream/instance-connection.ts
@@ -43,6 +43,16 @@
 
 /** Opens connections to instances. */
 export abstract class InstanceConnector {
+  /**
+   * Returns whether the protocol of the instances can express a command; every
+   * command unless a protocol has limits.
+   *
+   * @param _command - The command.
+   */
+  canSend(_command: InstanceCommand): boolean {
+    return true;
+  }
+
   /**
    * Opens a connection.
    *
--- a/packages/gateway/test/sessions/shared-connections.test.ts
+++ b/packages/gateway/test/sessions/shared-connections.test.ts
@@ -313,6 +313,8 @@
         current: {version: 1, routes: new Map([['books', this.route]])},
       },
       runnerFor: () => this.executor,
+      // The executor is the one that refuses in these plays.
+      canSend: () => true,
       answersByMs: () => Infinity,
       metrics: new GatewayMetrics(),
       log,
