Keep the keys of long names within the store's limit

What callers saw: statements for a group whose name has more than 178 bytes were refused for good. Its record was never written, and the coordinator asked its instances and tried again every 100 ms, which takes from the write calls that all share. With shorter names, from 177 bytes with the name of a proxy (whose slashes take three each), the proxies could not publish that they had released a primary; by reading, each change of that primary then revoked the leases of all other proxies, on which their views of every other group depend.

Cause: the store takes keys of at most 200 bytes. Names of groups come from the operator's configuration, which sets no limit; limits only the names of proxies and zones.

Change: where a key would be longer, a digest stands for the name. The value of a record then has the name, which must fit its key; the log line "A primary was recorded" shows the key. All shorter keys and values stay as they were. Which texts become keys: groups (records, releases), proxies (members, known proxies, releases; 122 bytes at most without a group); zones and kinds are in no key of the gateway.

Why it works: the digest begins with a mark that has a blank, and a group with a blank in its name has no instances; a release's plain key always has a slash. A program of before takes such a record for that of a group that nobody declared, and ignores it.

Evidence: the stand-ins of the store refuse keys above 200 bytes now, as the store does.

--- a/packages/gateway/src/core/coordinator/write-primary-record.ts
+++ b/packages/gateway/src/core/coordinator/write-primary-record.ts
@@ -1,6 +1,6 @@
 import type {PrimaryRecord} from '@sapphireglade/decisions';
 import type {DatabaseGroup, VersionedPrimaryRecord} from '../groups/index.js';
-import {primaryRecordKey} from '../groups/index.js';
+import {encodePrimaryRecord, primaryRecordKey} from '../groups/index.js';
 import type {PrimaryChangeContext} from './primary-change-context.js';
 import {coordinatorKey} from './coordinator-key.js';
 
@@ -48,7 +48,7 @@
     puts: [
       {
         key: primaryRecordKey(group.name),
-        value: JSON.stringify(written),
+        value: encodePrimaryRecord(group.name, written),
         leaseId: 0,
       },
     ],
--- a/packages/gateway/src/core/groups/primary-records.ts
+++ b/packages/gateway/src/core/groups/primary-records.ts
@@ -2,7 +2,7 @@
 import {formatPosition, PrimaryPhase} from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
 import type {StoredItem} from '../store/index.js';
-import {StorePrefixListener} from '../store/index.js';
+import {limitedKey, StorePrefixListener} from '../store/index.js';
 import {readClocks} from '../time/index.js';
 import type {GroupRegistry} from './group-registry.js';
 
@@ -11,7 +11,23 @@
 
 /** Returns the key of a group's primary record. */
 export function primaryRecordKey(group: string): string {
-  return `${PRIMARY_RECORD_PREFIX}${group}`;
+  return limitedKey(PRIMARY_RECORD_PREFIX, group);
+}
+
+/** A record as it is stored. */
+type StoredRecord = PrimaryRecord & {
+  /** Name of the group, if the key does not contain it. */
+  readonly group?: string | undefined;
+};
+
+/** Returns the value that is stored under the key of a group's primary record. */
+export function encodePrimaryRecord(
+  group: string,
+  record: PrimaryRecord,
+): string {
+  const hasPlainKey = primaryRecordKey(group) === PRIMARY_RECORD_PREFIX + group;
+  const stored: StoredRecord = hasPlainKey ? record : {...record, group};
+  return JSON.stringify(stored);
 }
 
 /** Applies the primary records of the store to the groups. */
@@ -34,14 +50,17 @@
   }
 
   override onPut(item: StoredItem): void {
-    const record = parseRecord(item.value);
-    const name = item.key.slice(PRIMARY_RECORD_PREFIX.length);
-    if (record === undefined) {
+    const stored = parseRecord(item);
+    if (stored === undefined) {
       this.log.error('A primary record is invalid and was ignored.', {
         key: item.key,
       });
       return;
     }
+    const {
+      group: name = item.key.slice(PRIMARY_RECORD_PREFIX.length),
+      ...record
+    } = stored;
     const group = this.groups.getOrCreate(name);
     const viewAgeMs = group.viewFreshness.ageMs(readClocks());
     const {target, lastPosition, confirmers} = record;
@@ -50,6 +69,7 @@
     group.applyRecord({record, revision: item.revision, generation});
     this.log.info('A primary was recorded.', {
       group: name,
+      key: stored.group === undefined ? undefined : item.key,
       primary: record.primary,
       term: record.term,
       phase: record.phase,
@@ -74,8 +94,8 @@
   }
 }
 
-/** Parses a record. Returns undefined if it is invalid. */
-function parseRecord(value: Buffer): PrimaryRecord | undefined {
+/** Parses a record. Returns undefined if it is invalid or of another key. */
+function parseRecord({key, value}: StoredItem): StoredRecord | undefined {
   let content: unknown;
   try {
     content = JSON.parse(value.toString('utf8'));
@@ -83,11 +103,16 @@
     // The caller logs the invalid record.
     return undefined;
   }
-  const record = content as Partial<PrimaryRecord> | null;
+  const record = content as Partial<StoredRecord> | null;
   const isRecord =
     typeof record?.term === 'number' &&
     typeof record.primary === 'string' &&
     (record.phase === PrimaryPhase.Steady ||
       record.phase === PrimaryPhase.Changing);
-  return isRecord ? (record as PrimaryRecord) : undefined;
+  if (!isRecord) return undefined;
+  const {group} = record;
+  const isOfKey =
+    group === undefined ||
+    (typeof group === 'string' && primaryRecordKey(group) === key);
+  return isOfKey ? (record as StoredRecord) : undefined;
 }
--- a/packages/gateway/src/core/primary-health/primary-releases.ts
+++ b/packages/gateway/src/core/primary-health/primary-releases.ts
@@ -6,7 +6,7 @@
   VersionedPrimaryRecord,
 } from '../groups/index.js';
 import type {CoordinationStore, StoredItem} from '../store/index.js';
-import {StorePrefixListener} from '../store/index.js';
+import {limitedKey, StorePrefixListener} from '../store/index.js';
 import {steadyNowMs} from '../time/index.js';
 import {setTimeout as sleep} from 'node:timers/promises';
 
@@ -32,7 +32,7 @@
  * tracks the releases of the other proxies.
  */
 export class PrimaryReleases extends StorePrefixListener {
-  /** The last record that each proxy has applied, by group and name of the proxy. */
+  /** The last record that each proxy has applied, by key. */
   private readonly released = new Map<string, ReleasedRecord>();
 
   constructor(
@@ -72,7 +72,7 @@
     member: string,
     {revision, generation = 0}: ReleasedRecord,
   ): boolean {
-    const released = this.released.get(releaseName(group, member));
+    const released = this.released.get(releaseKey(group, member));
     return (
       released !== undefined &&
       released.generation === generation &&
@@ -89,15 +89,14 @@
   }
 
   override onPut(item: StoredItem): void {
-    const name = item.key.slice(RELEASE_PREFIX.length);
     const record = parseRelease(item.value.toString('utf8'));
-    if (record !== undefined) this.released.set(name, record);
+    if (record !== undefined) this.released.set(item.key, record);
     else
       this.log.error('A release is invalid and was ignored.', {key: item.key});
   }
 
   override onDelete(key: string): void {
-    this.released.delete(key.slice(RELEASE_PREFIX.length));
+    this.released.delete(key);
   }
 
   /**
@@ -116,7 +115,7 @@
         conditions: [],
         puts: [
           {
-            key: RELEASE_PREFIX + releaseName(group, this.self),
+            key: releaseKey(group, this.self),
             value: releaseValue(known),
             leaseId,
           },
@@ -134,11 +133,12 @@
 }
 
 /**
- * Returns the part of a release's key that names the group and the proxy. A slash in a
- * name is encoded, so that the key of no other group and proxy is the same.
+ * Returns the key of a release. A slash in a name is encoded, so that the key of no
+ * other group and proxy is the same; without a slash, the key has a digest of both.
  */
-function releaseName(group: string, proxy: string): string {
-  return [group, proxy].map(encodeNamePart).join('/');
+function releaseKey(group: string, proxy: string): string {
+  const name = [group, proxy].map(encodeNamePart).join('/');
+  return limitedKey(RELEASE_PREFIX, name);
 }
 
 function encodeNamePart(name: string): string {
--- a/packages/gateway/src/core/store/index.ts
+++ b/packages/gateway/src/core/store/index.ts
@@ -3,6 +3,7 @@
  * content.
  */
 export * from './coordination-store.js';
+export * from './limited-key.js';
 export * from './store-client.js';
 export * from './store-types.js';
 export * from './store-watcher.js';
--- a/packages/gateway/test/support/memory-fleet.ts
+++ b/packages/gateway/test/support/memory-fleet.ts
@@ -1,5 +1,6 @@
 import type {
   GatewayAdapters,
+  GatewayConfiguration,
   GatewaySettings,
   SessionFactory,
 } from '../../src/index.js';
@@ -132,6 +133,8 @@
 
 /** How a fleet differs from the default one. */
 export interface MemoryFleetOptions {
+  /** Name of the group that the fleet serves. */
+  readonly group?: string;
   /** Whether the proxies read the directory from the store, instead of being told. */
   readonly hasStoredDirectory?: boolean;
   /** Settings of all proxies that differ from the default ones. */
@@ -141,12 +144,13 @@
 /** Several gateways in one process in front of one in-memory group. */
 export class MemoryFleet {
   readonly store = new MemoryStoreState();
-  readonly group = new MemoryGroup(GROUP, 3);
+  readonly group: MemoryGroup;
   readonly proxies: FleetProxy[] = [];
   private readonly directories: InstanceDirectory[] = [];
   private readonly leaving = new Set<string>();
 
   constructor(private readonly options: MemoryFleetOptions = {}) {
+    this.group = new MemoryGroup(options.group ?? GROUP, 3);
     if (options.hasStoredDirectory) this.storeRegistrations();
   }
 
@@ -177,7 +181,7 @@
 
   /** Starts a proxy. */
   async startProxy(name: string): Promise<void> {
-    const groups = new Map([[GROUP, this.group]]);
+    const groups = new Map([[this.group.name, this.group]]);
     const callerServer = new MemoryCallerServer();
     const readiness = new MemoryReadinessServer();
     const store = new MemoryStore(this.store);
@@ -191,7 +195,7 @@
       metricsServer: undefined,
       createStoreListeners: (configuration, directory) => ({
         configuration: new FixedStateListener(CONFIGURATION_PREFIX, () =>
-          configuration.applyIfNewer(CONFIGURATION),
+          configuration.applyIfNewer(configurationOf(this.group.name)),
         ),
         directory: this.options.hasStoredDirectory
           ? new StoredDirectoryListener(directory)
@@ -244,7 +248,7 @@
   private registrations(): RegisteredInstance[] {
     return this.group.instances.map(({id}, index) => ({
       id,
-      group: GROUP,
+      group: this.group.name,
       host: 'memory',
       port: 1,
       availabilityZone: `zone-${index}`,
@@ -256,33 +260,32 @@
   }
 }
 
-const ROUTE = {
-  group: GROUP,
-  statementTimeoutMs: 1_000,
-  targetLatencyMs: 800,
-  priority: 1,
-};
-
-const CONFIGURATION = {
-  version: 1,
-  routes: new Map(
-    [
-      {consistency: ReadConsistency.Primary, maximumStalenessMs: 0},
-      {consistency: ReadConsistency.BoundedStaleness, maximumStalenessMs: 700},
-      {consistency: ReadConsistency.ReadYourWrites, maximumStalenessMs: 900},
-    ].map(row => [
-      row.consistency,
-      {...ROUTE, ...row, database: row.consistency},
-    ]),
-  ),
-  groups: new Map([
-    [
-      GROUP,
-      {name: GROUP, connectionLimit: 60, hasSynchronousReplication: true},
-    ],
-  ]),
-  transactionIdleTimeoutMs: 3_000,
-};
+/** Returns a configuration with one database for each read consistency. */
+function configurationOf(group: string): GatewayConfiguration {
+  const routes = [
+    {consistency: ReadConsistency.Primary, maximumStalenessMs: 0},
+    {consistency: ReadConsistency.BoundedStaleness, maximumStalenessMs: 700},
+    {consistency: ReadConsistency.ReadYourWrites, maximumStalenessMs: 900},
+  ].map(row => ({
+    ...row,
+    group,
+    database: row.consistency,
+    statementTimeoutMs: 1_000,
+    targetLatencyMs: 800,
+    priority: 1,
+  }));
+  const settings = {
+    name: group,
+    connectionLimit: 60,
+    hasSynchronousReplication: true,
+  };
+  return {
+    version: 1,
+    routes: new Map(routes.map(route => [route.database, route])),
+    groups: new Map([[group, settings]]),
+    transactionIdleTimeoutMs: 3_000,
+  };
+}
 
 /** Returns the settings of a proxy of the fleet. */
 export function settingsOf(name: string): GatewaySettings {
--- a/packages/gateway/test/support/memory-store.ts
+++ b/packages/gateway/test/support/memory-store.ts
@@ -11,7 +11,11 @@
   TransactionResult,
   WatchResult,
 } from '../../src/index.js';
-import {CoordinationStore, StoreClient} from '../../src/index.js';
+import {
+  CoordinationStore,
+  StoreClient,
+  StoreRefusedError,
+} from '../../src/index.js';
 
 /** One-way latency to the store, in milliseconds. */
 const ONE_WAY_LATENCY_MS = 1;
@@ -19,6 +23,9 @@
 /** Interval at which waiting watches and leases are checked, in milliseconds. */
 const POLL_INTERVAL_MS = 5;
 
+/** Longest key, in bytes. */
+const MAXIMUM_KEY_BYTES = 200;
+
 /** A copy of the store, from which it can be restored. */
 export interface StoreBackup {
   readonly items: ReadonlyMap<string, StoredItem>;
@@ -46,6 +53,14 @@
   private nextLease = 1;
   private readonly timer = setInterval(() => this.expire(), POLL_INTERVAL_MS);
 
+  /** Returns whether the store takes all keys of a transaction. */
+  takesKeys({conditions, puts, removals = []}: StoreTransaction): boolean {
+    const keys = [...conditions, ...puts].map(({key}) => key);
+    return [...keys, ...removals].every(
+      key => Buffer.byteLength(key) <= MAXIMUM_KEY_BYTES,
+    );
+  }
+
   /** Writes a key. */
   put(key: string, value: string, leaseId = 0): void {
     this.apply([{key, value, leaseId}], []);
@@ -211,13 +226,19 @@
     }
   }
 
-  override async transact({
-    conditions,
-    puts,
-    removals = [],
-  }: StoreTransaction): Promise<StoreResponse<TransactionResult>> {
+  override async transact(
+    transaction: StoreTransaction,
+  ): Promise<StoreResponse<TransactionResult>> {
     await this.simulateLatency();
     const {state} = this;
+    const {conditions, puts, removals = []} = transaction;
+    if (!state.takesKeys(transaction)) {
+      throw new StoreRefusedError(
+        state.generation,
+        'A key of the transaction is too long.',
+        false,
+      );
+    }
     const areConditionsMet = conditions.every(
       ({key, revision}) => (state.items.get(key)?.revision ?? 0) === revision,
     );
