Bound what all sessions of a process hold together

What callers saw: nothing yet, by reading.

Cause: each session counted its own bytes only.

Change: the sessions of callers share a budget, an eighth of the settings' memoryMb and one full session at least; it follows the settings while they change. A value or name beyond it is refused as one beyond the session's own limit is. Each entry counts 160 bytes beyond its text, since a session may hold 1,000 of two bytes: measured with 200,000 entries, 138 bytes for a prepared statement that has been used. A session gives back what it held when it ends, or when its last statement does, which still uses it.

Why it works: an entry is counted where it is stored and nowhere else, and the end of a session removes all entries and gives back exactly what they counted, however often it is called. Requests of other proxies have no budget: their values live as long as the request.

The limits of one session are as they were (session-values, retained-lines).

Left: the bound over all links.

Contexts of other tests name the new dependency; none of their checks changed.

--- a/packages/decisions/src/core/connected-session/session-values.ts
+++ b/packages/decisions/src/core/connected-session/session-values.ts
@@ -1,3 +1,4 @@
+import type {SessionBudget} from './session-budget.js';
 import type {PreparedStatement} from './types.js';
 
 /** Maximum number of values and prepared names in one session. */
@@ -11,6 +12,12 @@
  */
 export const MAXIMUM_SESSION_BYTES = 4_194_304;
 
+/**
+ * What an entry costs beyond its text, in bytes, as counted over all sessions. It was
+ * measured as 138 for a prepared statement that has been used.
+ */
+const ENTRY_BYTES = 160;
+
 /**
  * Values and prepared names that were acknowledged to one caller.
  *
@@ -22,6 +29,12 @@
   private readonly statements = new Map<string, PreparedStatement>();
   private heldBytes = 0;
 
+  /**
+   * @param budget - Counts what all sessions of the process hold; undefined for values
+   *   that are not kept, as those of a request from another proxy.
+   */
+  constructor(private readonly budget?: SessionBudget) {}
+
   /** Values by name. */
   get values(): ReadonlyMap<string, string> {
     return this.settings;
@@ -30,7 +43,8 @@
   /**
    * Sets a value.
    *
-   * @returns Whether it was stored; the number of values and their size are bounded.
+   * @returns Whether it was stored; the number of values and their size are bounded,
+   *   and so is the size of what all sessions hold.
    */
   set(name: string, value: string): boolean {
     const previous = this.settings.get(name);
@@ -42,8 +56,7 @@
   /**
    * Stores a prepared statement under the caller's name for it.
    *
-   * @returns Whether it was stored; the number of names and the size of the shapes are
-   *   bounded.
+   * @returns Whether it was stored; see {@link set}.
    */
   prepare(name: string, statement: PreparedStatement): boolean {
     const previous = this.statements.get(name)?.shape;
@@ -62,17 +75,29 @@
   deallocate(name: string): boolean {
     const statement = this.statements.get(name);
     if (statement === undefined) return false;
-    this.heldBytes -= name.length + statement.shape.length;
+    const bytes = name.length + statement.shape.length;
+    this.heldBytes -= bytes;
+    this.budget?.release(bytes + ENTRY_BYTES);
     return this.statements.delete(name);
   }
 
+  /** Removes everything, because the session has ended. */
+  clear(): void {
+    const entries = this.settings.size + this.statements.size;
+    this.budget?.release(this.heldBytes + entries * ENTRY_BYTES);
+    this.settings.clear();
+    this.statements.clear();
+    this.heldBytes = 0;
+  }
+
   /** Returns the statement of a prepared name, if any. */
   prepared(name: string): PreparedStatement | undefined {
     return this.statements.get(name);
   }
 
   /**
-   * Counts an entry that is added or replaced, if the session can hold it.
+   * Counts an entry that is added or replaced, if the session and the process can
+   * hold it.
    *
    * @param name - Name of the entry.
    * @param previous - Text stored under the name so far, if any.
@@ -88,6 +113,8 @@
     if (isNew && entries >= MAXIMUM_ENTRIES) return false;
     const addedBytes = text.length + (isNew ? name.length : -previous.length);
     if (this.heldBytes + addedBytes > MAXIMUM_SESSION_BYTES) return false;
+    const costBytes = addedBytes + (isNew ? ENTRY_BYTES : 0);
+    if (this.budget?.reserve(costBytes) === false) return false;
     this.heldBytes += addedBytes;
     return true;
   }
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -30,13 +30,13 @@
 } from '../primary-health/index.js';
 import {StoreRelayClient} from '../store-relay/index.js';
 import {GroupOwnership} from '../ownership/index.js';
-import type {SessionContext} from '../sessions/index.js';
-import {CallerSession} from '../sessions/index.js';
+import {CallerSession, type SessionContext} from '../sessions/index.js';
 import type {RunningSettings} from '../settings/index.js';
 import {findRegion} from '../settings/index.js';
 import {StoreWatchers} from './store-watchers.js';
 import {readClocks, withTimeout} from '../time/index.js';
 import {createExecutor} from './create-executor.js';
+import {createSessionBudget} from './create-session-budget.js';
 import {DirectoryUpkeep} from './directory-upkeep.js';
 import {DEREGISTRATION_TIMEOUT_MS, drainCallers} from './drain-callers.js';
 import type {GatewayAdapters} from './gateway-adapters.js';
@@ -318,6 +318,7 @@
     const context: SessionContext = {
       configuration: this.configuration,
       runnerFor: group => this.forwarding.runnerFor(group),
+      sessionBudget: createSessionBudget(this.settings),
       canSend: command => this.adapters.connector.canSend(command),
       answersByMs: () => this.answersByMs,
       metrics: this.metrics,
--- a/packages/gateway/src/core/sessions/caller-session.ts
+++ b/packages/gateway/src/core/sessions/caller-session.ts
@@ -40,7 +40,7 @@
  * upstream connections, so each transaction may use a different connection.
  */
 export class CallerSession {
-  private readonly values = new SessionValues();
+  private readonly values: SessionValues;
   private state: TransactionState = TransactionState.Idle;
   private transaction: SessionTransaction | undefined;
   private ownCommit: LogPosition | undefined;
@@ -57,7 +57,9 @@
   constructor(
     private readonly context: SessionContext,
     private readonly database: string,
-  ) {}
+  ) {
+    this.values = new SessionValues(context.sessionBudget);
+  }
 
   /** Whether no transaction is open. */
   get isIdle(): boolean {
@@ -97,7 +99,7 @@
         outcome,
         steadyNowMs() - receivedAtMs,
       );
-      if (this.isEnded) this.endTransaction(TransactionState.Idle);
+      if (this.isEnded) this.discardState();
       if (this.refusesStatements) this.transaction?.rollBack();
       this.startIdleTimer();
     }
@@ -108,7 +110,13 @@
     this.isEnded = true;
     clearTimeout(this.idleTimer);
     // A running statement may still bind a connection; handle() cleans up after it.
-    if (this.running === undefined) this.endTransaction(TransactionState.Idle);
+    if (this.running === undefined) this.discardState();
+  }
+
+  /** Rolls back an open transaction, and gives back what the session holds. */
+  private discardState(): void {
+    this.endTransaction(TransactionState.Idle);
+    this.values.clear();
   }
 
   /**
@@ -279,12 +287,7 @@
   }
 
   private change(statement: SessionStateChange): SessionReply {
-    const {canSend} = this.context;
-    if (!changeSessionState(this.values, statement, canSend)) {
-      throw invalidInputError(
-        'The session holds too many values, or the name is unknown.',
-      );
-    }
+    changeSessionState(this.values, statement, this.context.canSend);
     return this.answer();
   }
 
--- a/packages/gateway/src/core/sessions/change-session-state.ts
+++ b/packages/gateway/src/core/sessions/change-session-state.ts
@@ -1,7 +1,7 @@
 import type {PreparedStatement, SessionValues} from '@sapphireglade/decisions';
 import type {InstanceCommand} from '../upstream/index.js';
 import {CommandKind} from '../upstream/index.js';
-import {unsendableError} from './session-errors.js';
+import {invalidInputError, unsendableError} from './session-errors.js';
 import {toPrepareCommand} from './to-prepare-command.js';
 import type {Statement} from './types.js';
 import {StatementKind} from './types.js';
@@ -18,15 +18,26 @@
  * @param values - The values and prepared statements of the session.
  * @param statement - The statement.
  * @param canSend - Returns whether a command can be sent to an instance.
- * @returns Whether the state has changed; false if the session holds too much or
- *   the name is unknown.
  * @throws SapphiregladeError of kind `body-too-large` if the state could never be
- *   replayed to an instance.
+ *   replayed to an instance, or of kind `invalid-input` if the session or the process
+ *   holds too much or the name is unknown; the state is unchanged then.
  */
 export function changeSessionState(
   values: SessionValues,
   statement: SessionStateChange,
   canSend: (command: InstanceCommand) => boolean,
+): void {
+  if (applyChange(values, statement, canSend)) return;
+  throw invalidInputError(
+    'The session or the process holds too many values, or the name is unknown.',
+  );
+}
+
+/** Applies a statement; returns whether the state has changed. */
+function applyChange(
+  values: SessionValues,
+  statement: SessionStateChange,
+  canSend: (command: InstanceCommand) => boolean,
 ): boolean {
   if (statement.kind === StatementKind.Deallocate)
     return values.deallocate(statement.name);
--- a/packages/gateway/src/core/sessions/session-context.ts
+++ b/packages/gateway/src/core/sessions/session-context.ts
@@ -1,3 +1,4 @@
+import type {SessionBudget} from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
 import type {LatestConfiguration} from '../configuration/index.js';
 import type {CommitBoundProbe, GroupRegistry} from '../groups/index.js';
@@ -24,6 +25,8 @@
   readonly configuration: LatestConfiguration;
   /** Returns the runner for the statements of a group. */
   readonly runnerFor: (group: string) => StatementRunner;
+  /** Counts what all sessions hold. */
+  readonly sessionBudget: SessionBudget;
   /** Returns whether the protocol of the instances can express a command. */
   readonly canSend: (command: InstanceCommand) => boolean;
   /**
--- a/packages/gateway/test/sessions/shared-connections.test.ts
+++ b/packages/gateway/test/sessions/shared-connections.test.ts
@@ -8,6 +8,7 @@
   PrimaryPhase,
   ReadConsistency,
   SessionValues,
+  SessionBudget,
 } from '@sapphireglade/decisions';
 import {createSilentLogger} from '@sapphireglade/runtime';
 import {expect} from 'earl';
@@ -314,6 +315,7 @@
       },
       runnerFor: () => this.executor,
       // The executor is the one that refuses in these plays.
+      sessionBudget: new SessionBudget(() => Infinity),
       canSend: () => true,
       answersByMs: () => Infinity,
       metrics: new GatewayMetrics(),
--- a/packages/gateway/test/sessions/unsendable-session-state.test.ts
+++ b/packages/gateway/test/sessions/unsendable-session-state.test.ts
@@ -2,6 +2,7 @@
   ErrorKind,
   ReadConsistency,
   TransactionState,
+  SessionBudget,
 } from '@sapphireglade/decisions';
 import {createSilentLogger} from '@sapphireglade/runtime';
 import {expect} from 'earl';
@@ -75,6 +76,7 @@
         current: {version: 1, routes: new Map([['books', ROUTE]])},
       },
       runnerFor: () => undefined,
+      sessionBudget: new SessionBudget(() => Infinity),
       canSend,
       answersByMs: () => Infinity,
       metrics: new GatewayMetrics(),
