Let a primary that is back after a restore lead again

What callers saw: the store is restored while the primary is down, and its record lists an instance that has gone since. Writes of the group are refused for two hours, although the primary and all other instances are back.

Cause: nobody leads, so the recovery begins a change and assumes an order. All that the record lists have to report then, and the one that is gone cannot. All but one is a proof only if the primary is the same start as before, since a start keeps or loses the log and does not say which, and no record said which start it was. An entry of the directory may be of an earlier start too: a report names none.

Change: a record names the start of the primary; further records of the term repeat it, and one without it gets it with the next list of confirmers. The recovery says in its record if nothing but the loss of records speaks for an order. The change asks the old primary before it steps it down. If that start leads, writes its entry again and is still listed 2 s later, all others report nothing newer, and one instance at most is missing, its log is the proof. Old records, other starts and lost logs wait as before.

Waiting for the primary before the change begins: it delays each change after a restore.

What remains: a crash of the primary, also with its log, makes the change wait; so does a coordinator that ends after it has stepped the primary down.

--- a/packages/decisions/src/core/primary-change/choose-target.ts
+++ b/packages/decisions/src/core/primary-change/choose-target.ts
@@ -41,6 +41,11 @@
    * order may still take effect.
    */
   readonly orderedTarget?: string | undefined;
+  /**
+   * The old primary, if it has led its term without interruption although
+   * {@link wasPromotionOrdered} had to be assumed. It is one of the replicas.
+   */
+  readonly uninterruptedPrimary?: string | undefined;
   /**
    * Highest position at which a commit is known that may have been acknowledged:
    * the start of the term, or the log of an instance that has lost it since.
@@ -76,6 +81,11 @@
  * then report, because a promotion that takes effect late ends the term hold of
  * the others.
  *
+ * If such an order was only assumed, and the old primary shows that it has led
+ * without interruption, its log is a proof again. One instance may then be
+ * missing: every commit is on two, so all others would show what another leader
+ * acknowledged.
+ *
  * Of several instances with the highest position, the one is chosen whose
  * promotion was ordered before: if that order takes effect late, it promotes an
  * instance that leads already, and changes nothing.
@@ -98,7 +108,7 @@
   if (best !== undefined && haveAllConfirmersReported(inputs, best)) {
     return promoteChoice(best);
   }
-  const oldPrimary = intactOldPrimary(inputs);
+  const oldPrimary = intactOldPrimary(inputs) ?? uninterruptedPrimary(inputs);
   if (oldPrimary !== undefined) {
     return promoteChoice(
       best !== undefined && isAtLeast(best, oldPrimary.report.received)
@@ -146,6 +156,33 @@
   return isAtLeast(oldPrimary, minimumPosition) ? oldPrimary : undefined;
 }
 
+/** Returns the old primary if no order was given, and at most one instance is missing. */
+function uninterruptedPrimary({
+  replicas,
+  uninterruptedPrimary: id,
+  minimumPosition,
+  unverifiedDepartures,
+  mayReturn,
+}: TargetInputs): ReportedCandidate | undefined {
+  const reported = replicas.filter(hasReport);
+  const primary = reported.find(each => each.id === id);
+  const absent = mayReturn.map(({id}) => id);
+  const areAllButOneKnown =
+    reported.length === replicas.length &&
+    unverifiedDepartures.length <= 1 &&
+    new Set([...unverifiedDepartures, ...absent]).size <= 1;
+  if (primary === undefined || !areAllButOneKnown) return undefined;
+  // A log that was lost is empty.
+  if (primary.report.received.position === 0) return undefined;
+  const isNewest = reported.every(
+    ({report}) =>
+      !report.isPrimary &&
+      report.term <= primary.report.term &&
+      isAtLeast(primary, report.received),
+  );
+  return isNewest && isAtLeast(primary, minimumPosition) ? primary : undefined;
+}
+
 /** Returns the reason to wait for a further report, or undefined if none is expected. */
 function reasonToWait(inputs: TargetInputs): string | undefined {
   const missing = inputs.replicas.filter(each => !hasReport(each));
--- a/packages/decisions/src/core/primary-change/index.ts
+++ b/packages/decisions/src/core/primary-change/index.ts
@@ -1,5 +1,6 @@
 /** Decides when the primary of a group is replaced, and by which instance. */
 export * from './absent-instances.js';
+export * from './assumed-order.js';
 export * from './change-expectation.js';
 export * from './choose-target.js';
 export * from './departed-instances.js';
--- a/packages/decisions/src/core/primary-change/record-of-term.ts
+++ b/packages/decisions/src/core/primary-change/record-of-term.ts
@@ -4,7 +4,7 @@
 /** The fields of a record that every further record of the same term repeats. */
 export type TermFields = Pick<
   PrimaryRecord,
-  'term' | 'primary' | 'initialPosition' | 'confirmers'
+  'term' | 'primary' | 'initialPosition' | 'primaryBornAtMs' | 'confirmers'
 >;
 
 /** Returns the fields that every further record of the same term repeats. */
@@ -12,9 +12,10 @@
   term,
   primary,
   initialPosition,
+  primaryBornAtMs,
   confirmers,
 }: PrimaryRecord): TermFields {
-  return {term, primary, initialPosition, confirmers};
+  return {term, primary, initialPosition, primaryBornAtMs, confirmers};
 }
 
 /** Returns whether a record only says more about a primary that stays in use. */
--- a/packages/decisions/src/core/primary-change/types.ts
+++ b/packages/decisions/src/core/primary-change/types.ts
@@ -49,6 +49,17 @@
    * further record of the term repeats it.
    */
   readonly initialPosition?: LogPosition | undefined;
+  /**
+   * Incarnation of the primary. Every further record of the term repeats it, so
+   * that another incarnation is recognized. Undefined if it is not known.
+   */
+  readonly primaryBornAtMs?: Incarnation;
+  /**
+   * Whether {@link orders} counts an order only because records may have been
+   * lost, although a replica was not held for it. An observation of the primary
+   * may disprove such an order. A record of an order does not have it.
+   */
+  readonly isOrderAssumed?: boolean | undefined;
   /**
    * Instances that may have confirmed commits of the term. Undefined if no
    * coordinator has recorded them.
--- a/packages/decisions/src/core/restored-store/record-recovery.ts
+++ b/packages/decisions/src/core/restored-store/record-recovery.ts
@@ -1,6 +1,7 @@
 import type {LogPosition} from '../groups/index.js';
 import {comparePositions} from '../groups/index.js';
 import type {
+  Incarnation,
   PrimaryRecord,
   PromotionCandidate,
   ReplicationReport,
@@ -22,6 +23,8 @@
 
 /** A listed instance of a group whose record is to be recovered. */
 export interface RecoveryCandidate extends PromotionCandidate {
+  /** Its incarnation, if it is known. */
+  readonly bornAtMs?: Incarnation;
   /**
    * Whether the instance has started so recently that it may have been held, for
    * an order that can still take effect, before it started. A start ends a hold.
@@ -128,7 +131,11 @@
   if (primary === undefined && isTimeLeft) {
     return waitRecovery('there is no record, and no instance leads');
   }
-  return changeRecovery(evidence, primary ?? mostAdvanced(reports));
+  return changeRecovery(
+    evidence,
+    primary ?? mostAdvanced(reports),
+    isOrderUnlikely(evidence, instances),
+  );
 }
 
 /** What the records and reports say together. */
@@ -311,10 +318,39 @@
   )[0]!.id;
 }
 
+/**
+ * Returns whether nothing but the loss of records speaks for an order, and a
+ * replica that had to be held for it was not.
+ */
+function isOrderUnlikely(
+  {records, term, heldTerm}: Evidence,
+  instances: readonly RecoveryCandidate[],
+): boolean {
+  const [newest] = records;
+  const isSteady = records.every(({phase}) => phase === PrimaryPhase.Steady);
+  if (newest?.term !== term || !isSteady || heldTerm > term) return false;
+  // One that joined or started since may not have been there to be held.
+  const isRecorded = ({id, bornAtMs}: RecoveryCandidate): boolean =>
+    bornAtMs !== undefined &&
+    newest.confirmers?.instances.some(
+      each => each.id === id && each.bornAtMs === bornAtMs,
+    ) === true;
+  return instances.some(
+    each =>
+      each.report !== undefined &&
+      isFollower(each.report, term) &&
+      each.mayHaveLostHold !== true &&
+      !each.isLeaving &&
+      isRecorded(each),
+  );
+}
+
 function changeRecovery(
   {records, term, heldTerm}: Evidence,
   primary: string,
+  isOrderAssumed: boolean,
 ): RecordRecovery {
+  const [newest] = records;
   const orders = 1 + Math.max(0, ...records.map(ordersOf));
   return {
     kind: 'change',
@@ -328,6 +364,10 @@
       initialPosition: records
         .map(({initialPosition}) => initialPosition)
         .reduce(higherPosition, undefined),
+      ...(isOrderAssumed && {
+        isOrderAssumed,
+        primaryBornAtMs: newest?.primaryBornAtMs,
+      }),
     },
   };
 }
--- a/packages/gateway/src/core/coordinator/earlier-order.ts
+++ b/packages/gateway/src/core/coordinator/earlier-order.ts
@@ -7,6 +7,7 @@
 } from '@sapphireglade/decisions';
 import {
   chooseTarget,
+  hasOnlyAssumedOrder,
   OrderState,
   outstandingOrderState,
 } from '@sapphireglade/decisions';
@@ -30,6 +31,7 @@
 export class EarlierOrder {
   private order: OutstandingOrder | undefined;
   private record: PrimaryRecord | undefined;
+  private isAssumed: true | undefined;
 
   /**
    * @param context - Dependencies of the change.
@@ -53,17 +55,20 @@
     const {record} = known;
     this.record = record;
     this.order = this.context.outstandingOrders.find(this.group, known);
+    this.isAssumed =
+      hasOnlyAssumedOrder(record, record.orders ?? 0) || undefined;
     return record.target ?? record.outstandingOrder?.target;
   }
 
   /** Handles a record of an order by this change, which names the order no more. */
   onSuperseded(): void {
     this.order = undefined;
+    this.isAssumed = undefined;
   }
 
   /** What a further record of the change carries. */
-  get fields(): Pick<PrimaryRecord, 'outstandingOrder'> {
-    return {outstandingOrder: this.order};
+  get fields(): Pick<PrimaryRecord, 'outstandingOrder' | 'isOrderAssumed'> {
+    return {outstandingOrder: this.order, isOrderAssumed: this.isAssumed};
   }
 
   /**
--- a/packages/gateway/src/core/coordinator/held-instances.ts
+++ b/packages/gateway/src/core/coordinator/held-instances.ts
@@ -1,10 +1,13 @@
 import type {
+  PrimarySighting,
   PromotionCandidate,
   ReplicationReport,
   TargetInputs,
 } from '@sapphireglade/decisions';
 import {
   formatPosition,
+  hasLedThroughout,
+  hasOnlyAssumedOrder,
   HeldReports,
   higherPosition,
   isOldPrimaryByAnotherName,
@@ -25,6 +28,9 @@
   private leadingReport: ReplicationReport | undefined;
   /** Name by which the old primary has returned, if it is another one than before. */
   private otherName: string | undefined;
+  /** The old primary as it was before this change stepped it down. */
+  private sighting: PrimarySighting | undefined;
+  private sightedAtMs = 0;
 
   /**
    * @param context - Dependencies of the change.
@@ -75,8 +81,11 @@
 
   /** Stops replication on the replicas that are not held and stores their positions. */
   async holdReplicas(known: VersionedPrimaryRecord): Promise<void> {
+    const canHoldOldPrimary = await this.observeOldPrimary(known);
     const missing = this.replicas(known).filter(
-      ({id, bornAtMs}) => !this.replicaReports.isHeld(id, bornAtMs),
+      ({id, bornAtMs}) =>
+        (canHoldOldPrimary || id !== known.record.primary) &&
+        !this.replicaReports.isHeld(id, bornAtMs),
     );
     const term = this.nextTerm(known);
     // An instance that was ordered to lead is not stopped by a hold.
@@ -96,6 +105,51 @@
     }
   }
 
+  /**
+   * Asks the old primary whether it leads, as long as that can disprove an order.
+   *
+   * @returns Whether it may be held; a step-down ends what it could show.
+   */
+  private async observeOldPrimary({
+    record,
+  }: VersionedPrimaryRecord): Promise<boolean> {
+    const old = this.context.directory.find(record.primary);
+    const isObserved = this.sighting?.entry.incarnation === old?.bornAtMs;
+    const isAssumed = hasOnlyAssumedOrder(record, this.orders());
+    if (old === undefined || isObserved || !isAssumed) return true;
+    const [report] = await this.sendToAll([old], {kind: CommandKind.Status});
+    if (report === undefined) return false;
+    const entry = {incarnation: old.bornAtMs, sequence: old.sequence};
+    this.sighting = {report, entry};
+    this.sightedAtMs = steadyNowMs();
+    return true;
+  }
+
+  /** Returns the old primary if it has led without interruption until it was held. */
+  private uninterruptedPrimary({
+    record,
+  }: VersionedPrimaryRecord): string | undefined {
+    const {directory} = this.context;
+    const {sighting} = this;
+    const {primary} = record;
+    const old = directory.find(primary);
+    const isRegistered = old !== undefined && directory.isRegistered(primary);
+    const hasLed = hasLedThroughout({
+      record,
+      orders: this.orders(),
+      sighting,
+      entry: isRegistered
+        ? {incarnation: old.bornAtMs, sequence: old.sequence}
+        : undefined,
+      observedForMs: steadyNowMs() - directory.ageMs - this.sightedAtMs,
+    });
+    const isHeld = this.replicaReports.isHeld(
+      primary,
+      sighting?.entry.incarnation,
+    );
+    return hasLed && isHeld ? primary : undefined;
+  }
+
   /** Recognizes the old primary if it has returned by another name. */
   private recordOtherName(
     {record}: VersionedPrimaryRecord,
@@ -219,6 +273,7 @@
   clear(): void {
     this.replicaReports.clear();
     this.oldPrimaryReport.clear();
+    this.sighting = undefined;
   }
 
   /** Returns what the choice of a target depends on. */
@@ -249,6 +304,7 @@
           ?.hasSynchronousReplication ?? true,
       wasPromotionOrdered: this.wasPromotionOrdered,
       orderedTarget: this.orderedTarget(),
+      uninterruptedPrimary: this.uninterruptedPrimary(known),
       minimumPosition: [
         departed.bound,
         this.replicaReports.highestPosition,
--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -154,7 +154,7 @@
     const leader = await this.earlierOrder.findPromoted(known);
     if (leader === undefined) return false;
     // It may have led for a while, and who confirmed its commits may have left.
-    await this.completeChange(leader, undefined);
+    await this.completeChange(leader);
     return true;
   }
 
@@ -252,7 +252,7 @@
       position: formatPosition(leader.received),
     });
     await this.awaitViewRevocation();
-    await this.completeChange(leader, undefined);
+    await this.completeChange(leader);
   }
 
   /** Orders the promotion with a fencing token written for it. Returns whether the target leads. */
@@ -313,7 +313,8 @@
         kind: CommandKind.Status,
       });
       if (report?.isPrimary && report.term > oldTerm) {
-        await this.completeChange(report, initialPosition);
+        const {bornAtMs: primaryBornAtMs} = endpoint;
+        await this.completeChange(report, {initialPosition, primaryBornAtMs});
         return true;
       }
       await sleep(POLL_INTERVAL_MS);
@@ -325,19 +326,20 @@
    * Records the new primary and lets the replicas replicate from it.
    *
    * @param leader - Report of the instance that leads.
-   * @param initialPosition - Where its term began. If that is unknown, its
-   *   position of now counts, which includes the commits of earlier terms.
+   * @param began - How its term began. If the position is unknown, the one of
+   *   now counts, which includes the commits of earlier terms.
    */
   private async completeChange(
     leader: ReplicationReport,
-    initialPosition: LogPosition | undefined,
+    began: Pick<PrimaryRecord, 'initialPosition' | 'primaryBornAtMs'> = {},
   ): Promise<void> {
     const instances = this.context.directory.findByGroup(this.group.name);
     await this.write({
       term: leader.term,
       primary: leader.id,
       phase: PrimaryPhase.Steady,
-      initialPosition: initialPosition ?? leader.received,
+      ...began,
+      initialPosition: began.initialPosition ?? leader.received,
       confirmers: {instances: confirmersAmong(instances, leader.id)},
     });
     this.countStep('led');
--- a/packages/gateway/src/core/coordinator/record-confirmers.ts
+++ b/packages/gateway/src/core/coordinator/record-confirmers.ts
@@ -38,7 +38,14 @@
   const departed = context.departures.of(group.name);
   const confirmers = departed.confirmersFor(record);
   try {
-    await writePrimaryRecord(context, group, {...record, confirmers});
+    await writePrimaryRecord(context, group, {
+      ...record,
+      // An incarnation that began within the term is not the recorded one.
+      primaryBornAtMs:
+        record.primaryBornAtMs ??
+        context.directory.find(record.primary)?.bornAtMs,
+      confirmers,
+    });
   } catch (error) {
     // Another proxy has changed the record; the next check compares it again.
     if (!(error instanceof RecordConflictError)) throw error;
--- a/packages/gateway/src/core/coordinator/record-recovery.ts
+++ b/packages/gateway/src/core/coordinator/record-recovery.ts
@@ -1,4 +1,5 @@
 import type {
+  GroupInstance,
   PrimaryRecord,
   RecordedConfirmers,
   RecordRecovery as Recovery,
@@ -80,7 +81,7 @@
     );
     if (store.generation !== generation) return;
     if (this.isFirstRecord(group) && !reports.some(isHeld)) {
-      await this.recordFirstPrimary(group, reports);
+      await this.recordFirstPrimary(group, instances, reports);
       return;
     }
     const sinceMs = this.waitsSinceMs(group.name, generation);
@@ -91,6 +92,7 @@
         remembered: group.recordBeforeRestore?.record,
         instances: instances.map((instance, index) => ({
           id: instance.id,
+          bornAtMs: instance.bornAtMs,
           isLeaving: instance.isLeaving,
           report: reports[index],
           mayHaveLostHold: hasStartedRecently(instance.bornAtMs),
@@ -99,6 +101,7 @@
         waitedMs: steadyNowMs() - sinceMs,
         orderPendingMs: this.context.outstandingOrders.limitMs,
       }),
+      instances,
     );
   }
 
@@ -120,6 +123,7 @@
    */
   private async recordFirstPrimary(
     group: DatabaseGroup,
+    instances: readonly GroupInstance[],
     reports: readonly (ReplicationReport | undefined)[],
   ): Promise<void> {
     const [leader] = reports
@@ -128,26 +132,29 @@
       .sort((left, right) => right.term - left.term);
     const isComplete = reports.every(report => report !== undefined);
     if (leader === undefined || !isComplete) return;
-    await this.write(group, toSteadyRecord(leader));
+    await this.write(group, toSteadyRecord(leader, instances));
   }
 
-  private async apply(group: DatabaseGroup, recovery: Recovery): Promise<void> {
+  private async apply(
+    group: DatabaseGroup,
+    recovery: Recovery,
+    instances: readonly GroupInstance[],
+  ): Promise<void> {
     this.logRecovery(group, recovery);
     if (recovery.kind === 'wait') return;
     // After a change record, the next check finds an unfinished change of primary.
     if (recovery.kind === 'change') await this.write(group, recovery.record);
-    else await this.confirm(group, recovery.leader);
+    else await this.confirm(group, toSteadyRecord(recovery.leader, instances));
     this.waiting.delete(group.name);
   }
 
   /** Records a leader that stays in use, without the instances that are gone and that its log includes. */
   private async confirm(
     group: DatabaseGroup,
-    leader: ReplicationReport,
+    record: PrimaryRecord,
   ): Promise<void> {
     const {departures, store} = this.context;
     const {generation} = store;
-    const record = toSteadyRecord(leader);
     const known = this.knownRecord(group, record);
     if (known !== undefined) await departures.recover(group.name, known);
     // The reports say nothing about a later generation.
@@ -214,12 +221,17 @@
   }
 }
 
-/** Returns the record of a leader that stays in use. */
-function toSteadyRecord({
-  term,
-  id,
-  received,
-}: ReplicationReport): PrimaryRecord {
+/**
+ * Returns the record of a leader that stays in use.
+ *
+ * @param leader - What it reported.
+ * @param instances - The instances, as they were before they were asked.
+ */
+function toSteadyRecord(
+  {term, id, received}: ReplicationReport,
+  instances: readonly GroupInstance[],
+): PrimaryRecord {
+  const primaryBornAtMs = instances.find(each => each.id === id)?.bornAtMs;
   return {
     term,
     primary: id,
@@ -227,6 +239,7 @@
     // Includes every commit of earlier terms, and what departed instances may
     // have confirmed.
     initialPosition: received,
+    primaryBornAtMs,
   };
 }
 
--- a/packages/gateway/src/core/coordinator/target-choice-log.ts
+++ b/packages/gateway/src/core/coordinator/target-choice-log.ts
@@ -88,6 +88,7 @@
 
 function describeChoice(inputs: TargetInputs, choice: TargetChoice): LogFields {
   const {replicas, oldPrimary, minimumPosition, orderedTarget} = inputs;
+  const {uninterruptedPrimary} = inputs;
   const mayReturn = inputs.mayReturn.map(({id}) => id).join(' ');
   const silent = replicas.filter(({report}) => report === undefined);
   return {
@@ -102,6 +103,7 @@
     wasPromotionOrdered: inputs.wasPromotionOrdered,
     ...(mayReturn === '' ? {} : {mayReturn}),
     ...(orderedTarget === undefined ? {} : {orderedTarget}),
+    ...(uninterruptedPrimary === undefined ? {} : {uninterruptedPrimary}),
   };
 }
 
--- a/packages/gateway/test/support/restored-coordinator.ts
+++ b/packages/gateway/test/support/restored-coordinator.ts
@@ -1,4 +1,5 @@
 import type {PrimaryRecord} from '@sapphireglade/decisions';
+import {readClocks} from '../../src/core/time/index.js';
 import type {PrimaryChangeContext, PromotionService} from '../../src/index.js';
 import {
   CoordinatorTask,
@@ -11,6 +12,9 @@
 
 const SELF = 'proxy-1';
 
+/** Interval between two entries that a running instance writes, in milliseconds. */
+const HEARTBEAT_MS = 250;
+
 /** Options for a coordinator that starts after a restore of the store. */
 export interface RestoredCoordinatorOptions {
   readonly state: MemoryStoreState;
@@ -29,7 +33,10 @@
   /** The group as the process knows it. */
   readonly view: DatabaseGroup;
   readonly context: PrimaryChangeContext;
+  /** Whether a running instance reaches the store. */
+  writesEntry: (instance: MemoryInstance) => boolean = () => true;
   private readonly task: CoordinatorTask;
+  private readonly heartbeat: NodeJS.Timeout;
   private isCoordinating = true;
 
   /** @param options - The record that is restored, and the instances. */
@@ -62,6 +69,14 @@
     const restored = JSON.parse(value.toString()) as PrimaryRecord;
     const {generation} = state;
     this.view.applyRecord({record: restored, revision, generation});
+    // Instances that are down have written theirs before.
+    const {directory} = this.context;
+    for (const entry of directory.instances)
+      directory.register({...entry, sequence: 0});
+    this.heartbeat = setInterval(
+      () => this.writeEntries(group.instances),
+      HEARTBEAT_MS,
+    );
     this.task = new CoordinatorTask({
       context: {
         ...this.context,
@@ -91,10 +106,25 @@
   /** Ends everything that the process has under way. */
   close(): void {
     this.stopChecks();
+    clearInterval(this.heartbeat);
     this.isCoordinating = false;
     this.context.control.closeAll();
   }
 
+  /** Lets the listed instances that run write their entries again, and the directory read them. */
+  private writeEntries(instances: readonly MemoryInstance[]): void {
+    const {directory} = this.context;
+    const sentAt = readClocks();
+    for (const {id, isDown, bornAtMs} of instances) {
+      const entry = directory.find(id);
+      if (entry === undefined || isDown || !directory.isRegistered(id))
+        continue;
+      const sequence = (entry.sequence ?? 0) + 1;
+      directory.register({...entry, bornAtMs, sequence});
+    }
+    directory.confirm(sentAt);
+  }
+
   /** Returns the key of the role, which this process holds until it is closed. */
   private key(): {
     readonly holder: string | undefined;
