Drop a view lease whose renewals get no response

What callers saw: no primary for as long as the store lost its answers to one proxy, if that proxy was the coordinator or claimed the role just then.

Cause: the store executed the renewals, so the lease and the coordinator key attached to it lived on. Nobody saw a vacancy, and the holder, whose watches got no answers either, did nothing, or did not even know that it had the role.

Change: a lease without a response to its renewals for 2.4 s (two TTLs) is no longer renewed, and another one is requested. Requests for a lease do not wait for earlier ones that may never be answered, so the answers' return is noticed as early as by renewals. Pending renewals are counted for each lease.

Why it is safe: a dropped lease extends no view. A change that finds only the old one in the key wrote its record before the new one was published, and the records are read after that (docs/decisions/0003). Renewals that are answered late, up to the 1.5 s after which the platform gives them up, drop nothing.

With one request for a lease at a time, "before it gives up the calls without one" fails; with a limit of 1 s, the case of the slow store does.

Not changed: the lease of member records, which lives on in the same way. Its owner counts as one that does not suspect the primary. The same rule there would make members leave and return while a store answers in 1 to 2 s.

--- a/packages/gateway/src/core/membership/view-lease-task.ts
+++ b/packages/gateway/src/core/membership/view-lease-task.ts
@@ -25,10 +25,18 @@
 const INTERVAL_PER_PROXY_MS = 0.8;
 
 /**
- * Maximum number of renewals without a response; a slow store responds late,
- * but in order.
+ * Maximum number of renewals, or of requests for a lease, without a response; a
+ * slow store responds late, but in order.
  */
-const MAXIMUM_PENDING_RENEWALS = 4;
+const MAXIMUM_PENDING_CALLS = 4;
+
+/**
+ * How long renewals may be without a response before the lease is dropped, in
+ * milliseconds; longer than a call takes that the platform does not give up,
+ * and short enough that the lease has expired long before a dead primary must
+ * be replaced.
+ */
+const MAXIMUM_SILENCE_MS = 2 * LEASE_TTL_MS;
 
 /** Options of the view lease. */
 export interface ViewLeaseOptions {
@@ -57,6 +65,12 @@
   publishedAtMs: number | undefined;
   /** Whether the records were read after the lease was published. */
   isConfirmed: boolean;
+  /**
+   * When the last response arrived that showed the lease to be alive, in
+   * milliseconds of the steady clock.
+   */
+  answeredAtMs: number;
+  pendingRenewals: number;
 }
 
 /**
@@ -68,6 +82,11 @@
  * lease was not revoked, and a valid view may be extended. A new lease extends
  * no view before the records were read after its publication, because a change
  * may have begun between the two leases.
+ *
+ * A store may execute renewals without a response. The lease, and the
+ * coordinator key attached to it, would then live on although this proxy learns
+ * nothing from the store. It therefore drops a lease whose renewals get no
+ * response, which extends no view any more.
  */
 export class ViewLeaseTask extends SupervisedTask {
   private lease: ViewLease | undefined;
@@ -79,8 +98,8 @@
   private timer: NodeJS.Timeout | undefined;
   /** Revision at which this process last wrote its key. */
   private writtenRevision: number | undefined;
-  private isAcquiring = false;
-  private pendingRenewals = 0;
+  private pendingGrants = 0;
+  private isPublishing = false;
   private isStopped = false;
 
   constructor(private readonly options: ViewLeaseOptions) {
@@ -154,9 +173,10 @@
 
   private tick(): void {
     if (this.isStopped) return;
+    this.dropSilentLease();
     const {lease} = this;
     if (lease?.publishedAtMs === undefined) void this.acquire();
-    else if (this.pendingRenewals < MAXIMUM_PENDING_RENEWALS)
+    else if (lease.pendingRenewals < MAXIMUM_PENDING_CALLS)
       void this.renew(lease);
     const intervalMs = Math.max(
       MINIMUM_INTERVAL_MS,
@@ -165,17 +185,50 @@
     this.timer = setTimeout(() => this.tick(), intervalMs);
   }
 
-  /** Requests a lease and publishes it. */
+  /** Drops a lease whose renewals get no response, so that it expires. */
+  private dropSilentLease(): void {
+    const {lease} = this;
+    if (lease?.publishedAtMs === undefined) return;
+    const silenceMs = steadyNowMs() - lease.answeredAtMs;
+    if (silenceMs <= MAXIMUM_SILENCE_MS) return;
+    this.options.log.warn(
+      'The renewals of the view lease get no response; requesting another.',
+      {lease: lease.id, silenceMs: Math.round(silenceMs)},
+    );
+    this.lease = undefined;
+  }
+
+  /**
+   * Requests a lease and publishes it. Does not wait for earlier requests,
+   * because the store may never respond to them.
+   */
   private async acquire(): Promise<void> {
-    if (this.isAcquiring) return;
-    this.isAcquiring = true;
+    if (this.isPublishing || this.pendingGrants >= MAXIMUM_PENDING_CALLS)
+      return;
+    this.pendingGrants += 1;
+    try {
+      const {leaseId} = await this.options.store.grantLease(LEASE_TTL_MS);
+      // If an earlier request was granted meanwhile, this lease is left to expire.
+      if (this.isPublishing || this.isPublished || this.isStopped) return;
+      await this.publish(leaseId);
+    } catch (error) {
+      this.failed('The view lease could not be obtained.', error);
+    } finally {
+      this.pendingGrants -= 1;
+    }
+  }
+
+  /** Names a lease in the key of this proxy, and uses it from then on. */
+  private async publish(leaseId: number): Promise<void> {
     const {name, store} = this.options;
+    this.isPublishing = true;
     try {
-      const {leaseId} = await store.grantLease(LEASE_TTL_MS);
       const lease: ViewLease = {
         id: leaseId,
         publishedAtMs: undefined,
         isConfirmed: false,
+        answeredAtMs: steadyNowMs(),
+        pendingRenewals: 0,
       };
       this.lease = lease;
       const result = await store.transact({
@@ -195,31 +248,31 @@
       }
       this.writtenRevision = result.revision;
       lease.publishedAtMs = steadyNowMs();
+      lease.answeredAtMs = lease.publishedAtMs;
       this.firstPublishedAtMs = Math.min(
         this.firstPublishedAtMs,
         lease.publishedAtMs,
       );
       this.options.onRecordsNeeded();
-    } catch (error) {
-      this.failed('The view lease could not be obtained.', error);
     } finally {
-      this.isAcquiring = false;
+      this.isPublishing = false;
     }
   }
 
   private async renew(lease: ViewLease): Promise<void> {
     const sentAt = readClocks();
-    this.pendingRenewals += 1;
+    lease.pendingRenewals += 1;
     try {
       const isAlive = await this.options.store.renewLease(lease.id);
       if (lease !== this.lease) return;
+      lease.answeredAtMs = steadyNowMs();
       if (!isAlive) this.handleLeaseLost();
       else if (lease.isConfirmed) this.options.onRenewed(sentAt);
       else this.options.onRecordsNeeded();
     } catch (error) {
       this.failed('The view lease could not be renewed.', error);
     } finally {
-      this.pendingRenewals -= 1;
+      lease.pendingRenewals -= 1;
     }
   }
 
--- a/packages/gateway/test/support/memory-store.ts
+++ b/packages/gateway/test/support/memory-store.ts
@@ -26,6 +26,9 @@
 /** Longest key, in bytes. */
 const MAXIMUM_KEY_BYTES = 200;
 
+/** Time after which a call without an answer fails, in milliseconds. */
+const ANSWER_TIMEOUT_MS = 1_500;
+
 /** A copy of the store, from which it can be restored. */
 export interface StoreBackup {
   readonly items: ReadonlyMap<string, StoredItem>;
@@ -182,6 +185,10 @@
 export class MemoryStoreClient extends StoreClient {
   /** Whether calls of this client fail. */
   isPartitioned = false;
+  /** Whether calls of this client are executed, but not answered. */
+  losesAnswers = false;
+  /** Time until a call of this client arrives and until its answer does, in milliseconds. */
+  oneWayLatencyMs = ONE_WAY_LATENCY_MS;
   /** Wait time of the last watch of each prefix, in milliseconds. */
   readonly watchWaitMsByPrefix = new Map<string, number>();
 
@@ -269,13 +276,24 @@
   }
 
   private async simulateLatency(): Promise<void> {
-    await sleep(ONE_WAY_LATENCY_MS);
+    await sleep(this.oneWayLatencyMs);
     this.failIfPartitioned();
   }
 
-  private answer<Result>(result: Result): StoreResponse<Result> {
+  private async answer<Result>(result: Result): Promise<StoreResponse<Result>> {
     this.failIfPartitioned();
-    return {generation: this.state.generation, result};
+    const {generation} = this.state;
+    if (this.losesAnswers) {
+      await sleep(ANSWER_TIMEOUT_MS);
+      throw new SapphiregladeError(
+        ErrorKind.StoreUnavailable,
+        'The store did not answer.',
+      );
+    }
+    if (this.oneWayLatencyMs > ONE_WAY_LATENCY_MS) {
+      await sleep(this.oneWayLatencyMs);
+    }
+    return {generation, result};
   }
 
   private failIfPartitioned(): void {
@@ -306,6 +324,20 @@
     this.calls.isPartitioned = isPartitioned;
   }
 
+  /** Whether calls of this proxy are executed, but not answered. */
+  get losesAnswers(): boolean {
+    return this.calls.losesAnswers;
+  }
+
+  set losesAnswers(losesAnswers: boolean) {
+    this.calls.losesAnswers = losesAnswers;
+  }
+
+  /** Sets the time until a call arrives and until its answer does, in milliseconds. */
+  set oneWayLatencyMs(oneWayLatencyMs: number) {
+    this.calls.oneWayLatencyMs = oneWayLatencyMs;
+  }
+
   /** Wait time of the last watch of each prefix, in milliseconds. */
   get watchWaitMsByPrefix(): ReadonlyMap<string, number> {
     return this.calls.watchWaitMsByPrefix;
