Collect twice before the buffers of the encoder are counted

Cause: V8 frees buffers in another thread after a collection, and memoryUsage counts them until then. Under load that thread comes late. The next collection waits for it.

Change: two collections before each count. The bound stays. With the line that releases the buffer left out, the test fails.

--- a/packages/protocol/test/encoder-memory.test.ts
+++ b/packages/protocol/test/encoder-memory.test.ts
@@ -9,11 +9,17 @@
 /** Sizes of a session of the largest size, and of a large result, in bytes. */
 const MESSAGE_BYTES = [4_194_304, 30_000_000];
 
-/** Returns the bytes of buffers that are in use. */
+/**
+ * Returns the bytes of buffers that are in use.
+ *
+ * V8 frees the buffers that a collection found in another thread; the next collection
+ * waits for it.
+ */
 function usedBytes(): number {
   setFlagsFromString('--expose-gc');
   const collect = runInNewContext('gc') as () => void;
   collect();
+  collect();
   return process.memoryUsage().arrayBuffers;
 }
 
