--- a/packages/gateway/test/sessions/shared-connections.test.ts
+++ b/packages/gateway/test/sessions/shared-connections.test.ts
@@ -32,6 +32,7 @@
 import {
   describeValues,
   FaultyInstance,
+  PROMISES,
   seededRandom,
   TOO_LONG,
 } from '../support/faulty-instance.js';
@@ -51,18 +52,6 @@
 /** Shapes beyond the number that one connection holds. */
 const MANY_SHAPES = 520;
 
-/** Kinds of error that promise that nothing of an attempt is kept. */
-const PROMISES: ReadonlySet<string> = new Set([
-  'overloaded',
-  'deadline-unreachable',
-  'no-primary',
-  'no-connection',
-  'no-fresh-replica',
-  'not-primary',
-  'transaction-lost',
-  'body-too-large',
-]);
-
 /** What a caller may expect of one of its requests. */
 interface Expectation {
   readonly run: Pick<ObservedRun, 'prepared' | 'parameters' | 'values'>;
--- a/packages/gateway/test/support/faulty-instance.ts
+++ b/packages/gateway/test/support/faulty-instance.ts
@@ -9,6 +9,18 @@
   InstanceConnector,
 } from '../../src/index.js';
 
+/** Kinds of error that promise that nothing of an attempt is kept. */
+export const PROMISES: ReadonlySet<string> = new Set([
+  'overloaded',
+  'deadline-unreachable',
+  'no-primary',
+  'no-connection',
+  'no-fresh-replica',
+  'not-primary',
+  'transaction-lost',
+  'body-too-large',
+]);
+
 /** Part of a shape that makes it too long for a message. */
 export const TOO_LONG = 'too-long';
 
