--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -30,7 +30,8 @@
 } from '../primary-health/index.js';
 import {StoreRelayClient} from '../store-relay/index.js';
 import {GroupOwnership} from '../ownership/index.js';
-import {CallerSession, type SessionContext} from '../sessions/index.js';
+import type {SessionContext} from '../sessions/index.js';
+import {CallerSession} from '../sessions/index.js';
 import type {RunningSettings} from '../settings/index.js';
 import {findRegion} from '../settings/index.js';
 import {StoreWatchers} from './store-watchers.js';
@@ -364,9 +365,8 @@
     this.isStopping = true;
     const beganAtMs = performance.now();
     const log = this.logFor(LogPart.Process);
-    log.info('The process is stopping.', {
-      connections: this.adapters.callerServer.openConnections,
-    });
+    const connections = this.adapters.callerServer.openConnections;
+    log.info('The process is stopping.', {connections});
     const schedule = scheduleDrain(this.settings.current.stopGraceS * 1_000);
     this.answersByMs = beganAtMs + schedule.answersByMs;
     this.ownership.freeze();
