--- a/packages/decisions/src/core/confirmation/types.ts
+++ b/packages/decisions/src/core/confirmation/types.ts
@@ -9,7 +9,7 @@
   readonly position: LogPosition;
   /** Instance that ran the write. */
   readonly primary: string;
-  /** Names of the group's instances. */
+  /** Names of the voters of its term. */
   readonly instances: readonly string[];
   /** When the write was sent to the primary, monotonic, in milliseconds. */
   readonly sentAtMs: number;
--- a/packages/decisions/src/core/confirmation/waiting-write.ts
+++ b/packages/decisions/src/core/confirmation/waiting-write.ts
@@ -8,7 +8,7 @@
   readonly position: LogPosition;
   /** Instance that ran the write. */
   readonly primary: string;
-  /** Names of the group's instances. */
+  /** Names of the voters of the term. */
   readonly instances: readonly string[];
   /** When the write was sent to the primary, monotonic, in milliseconds. */
   readonly sentAtMs: number;
@@ -16,13 +16,17 @@
   readonly deadlineAtMs: number;
 }
 
-/** Creates the state of a waiting write; its primary already has it. */
+/**
+ * Creates the state of a waiting write. Its primary already has it, and counts
+ * if it is one of the voters.
+ */
 export function createWaitingWrite(options: WaitingWriteOptions): WaitingWrite {
-  const {primary, sentAtMs} = options;
+  const {primary, instances, sentAtMs} = options;
+  const voters = instances.filter(name => name === primary);
   return {
     ...options,
-    holders: new Set([primary]),
-    termObservedAtMs: new Map([[primary, sentAtMs]]),
+    holders: new Set(voters),
+    termObservedAtMs: new Map(voters.map(name => [name, sentAtMs])),
     supersededInstances: new Set(),
   };
 }
@@ -39,9 +43,12 @@
   write: WaitingWrite,
   observation: TermObservation,
 ): WaitingWrite {
-  if (!write.instances.includes(observation.instance)) return write;
   const {term} = write.position;
-  if (observation.grantedTerm > term) {
+  const isSuperseded = observation.grantedTerm > term;
+  if (!write.instances.includes(observation.instance)) {
+    return isSuperseded ? write : addConfirmedReplicas(write, observation);
+  }
+  if (isSuperseded) {
     const superseded = new Set(write.supersededInstances).add(
       observation.instance,
     );
--- a/packages/decisions/src/core/failover/adopt-view.ts
+++ b/packages/decisions/src/core/failover/adopt-view.ts
@@ -1,6 +1,7 @@
 import type {GroupView} from '../groups/index.js';
 import {newerView} from '../groups/index.js';
 import type {FailoverState} from './types.js';
+import {selectLaterVoterSets} from './voter-sets.js';
 
 /**
  * Adopts a view if its term is higher, and clears the state that it supersedes:
@@ -23,6 +24,9 @@
     ...state,
     instances,
     view,
+    laterVoterSets: selectLaterVoterSets(state.laterVoterSets, view),
+    knowsLedTerm: true,
+    termFloor: undefined,
     viewAdoptedAtMs: nowMs,
     highestTerm: Math.max(state.highestTerm, view.term),
     assessment: undefined,
--- a/packages/decisions/src/core/failover/advance-failover.ts
+++ b/packages/decisions/src/core/failover/advance-failover.ts
@@ -1,4 +1,3 @@
-import {majorityOf} from '../groups/index.js';
 import {AttemptPhase} from './election-attempt-types.js';
 import {advanceAttempt, grantedInstances} from './election-attempt.js';
 import {electionDelayMs} from './coordinator-rank.js';
@@ -21,6 +20,7 @@
   FailoverResult,
   FailoverState,
 } from './types.js';
+import {hasReachableQuorum, updateEstablishedTerm} from './voter-sets.js';
 
 /** One stage: maps a state and a time to a new state and effects. */
 type FailoverStage = (
@@ -31,6 +31,7 @@
 
 /** The stages, in the order in which they run. */
 const FAILOVER_STAGES: readonly FailoverStage[] = [
+  establishTerm,
   publishView,
   endSupersededChanges,
   assessAndReportPrimary,
@@ -61,6 +62,11 @@
   return {state: latest, effects};
 }
 
+/** Notes that the voters of the term hold all that earlier ones confirmed. */
+function establishTerm(state: FailoverState): FailoverResult {
+  return {state: updateEstablishedTerm(state), effects: []};
+}
+
 /** Publishes a view that an instance reported or that was elected here. */
 function publishView(state: FailoverState): FailoverResult {
   const {view} = state;
@@ -191,7 +197,7 @@
   if (!isChosen || advanced.candidate === undefined) {
     return {state: updated, effects: []};
   }
-  const {term, candidate} = advanced;
+  const {term, candidate, voterSets = []} = advanced;
   const step = {
     kind: 'term-granted',
     term,
@@ -202,7 +208,7 @@
     state: updated,
     effects: [
       {type: 'record', step},
-      {type: 'promote', instance: candidate, term},
+      {type: 'promote', instance: candidate, term, voterSets},
     ],
   };
 }
@@ -246,7 +252,7 @@
   if (state.attempt !== undefined || nowMs < state.retryAtMs) {
     return {state, effects: []};
   }
-  if (!hasReachableMajority(state)) return {state, effects: []};
+  if (!hasReachableQuorum(state)) return {state, effects: []};
   const rankDelayMs = electionDelayMs(state, nowMs, policy);
   if (nowMs < suspectedSinceMs + rankDelayMs) return {state, effects: []};
   const otherAttemptUntilMs =
@@ -271,7 +277,7 @@
   if (names.length === 0) return {state, effects: []};
   const requestedAtMs = new Map(state.followRequestedAtMs);
   for (const name of names) requestedAtMs.set(name, nowMs);
-  const {term, primary} = view;
+  const {term, primary, voterSets} = view;
   return {
     state: {...state, followRequestedAtMs: requestedAtMs},
     effects: names.map(instance => ({
@@ -279,18 +285,11 @@
       instance,
       term,
       primary,
+      voterSets,
     })),
   };
 }
 
-/** Whether this process reaches enough instances for an attempt to succeed. */
-function hasReachableMajority(state: FailoverState): boolean {
-  const reachable = [...state.instances.values()].filter(
-    known => known.isReachable === true,
-  );
-  return reachable.length >= majorityOf(state.group.instances.length);
-}
-
 function primaryFields(state: FailoverState): {primary: string; term: number} {
   const {view} = state;
   return {primary: view?.primary ?? '', term: view?.term ?? 0};
--- a/packages/decisions/src/core/failover/election-attempt-types.ts
+++ b/packages/decisions/src/core/failover/election-attempt-types.ts
@@ -1,4 +1,4 @@
-import type {LogPosition, TermStart} from '../groups/index.js';
+import type {LogPosition, TermStart, VoterSet} from '../groups/index.js';
 
 /** Answer of an instance to a grant request. */
 export interface GrantAnswer {
@@ -6,6 +6,10 @@
   readonly grantedTerm: number;
   readonly position: LogPosition;
   readonly termStarts: readonly TermStart[];
+  /** Voter sets of the last term in which it led or followed, if known. */
+  readonly voterSets?: readonly VoterSet[];
+  /** Voter sets of other terms that it granted since. */
+  readonly proposedVoterSets?: readonly VoterSet[];
 }
 
 /** Phase of an attempt to change the primary. */
@@ -34,6 +38,12 @@
   readonly phase: AttemptPhase;
   /** Answers by instance; undefined if it refused or did not answer. */
   readonly answers: ReadonlyMap<string, GrantAnswer | undefined>;
+  /**
+   * Sets of which a majority each has to grant the term, its own voters first.
+   */
+  readonly voterSets?: readonly VoterSet[];
+  /** Whether every declared instance has to grant the term. */
+  readonly needsEveryGrant?: boolean;
   /** When a majority had granted, in milliseconds. */
   readonly majorityAtMs?: number;
   /** Instance chosen for promotion. */
--- a/packages/decisions/src/core/failover/election-attempt.ts
+++ b/packages/decisions/src/core/failover/election-attempt.ts
@@ -1,4 +1,4 @@
-import {comparePositions, majorityOf} from '../groups/index.js';
+import {comparePositions, hasMajority} from '../groups/index.js';
 import type {GroupResource} from '../resources/index.js';
 import type {ElectionAttempt, GrantAnswer} from './election-attempt-types.js';
 import {AttemptPhase} from './election-attempt-types.js';
@@ -38,9 +38,7 @@
   if (attempt.phase !== AttemptPhase.Granting) return attempt;
   const answers = new Map(attempt.answers).set(instance, answer);
   const updated = {...attempt, answers};
-  const hasMajority =
-    grantedInstances(updated).length >= majorityOf(group.instances.length);
-  if (!hasMajority) return updated;
+  if (!hasQuorum(updated, group)) return {...updated, majorityAtMs: undefined};
   return {...updated, majorityAtMs: attempt.majorityAtMs ?? nowMs};
 }
 
@@ -87,8 +85,8 @@
 
 /**
  * Chooses the instance to promote: among those that granted, the one with the
- * highest (last term, position). It has every confirmed write, because the
- * majority that granted and the majority that has the write overlap.
+ * highest (last term, position). It has every confirmed write, because a
+ * majority of each voter set that may have confirmed it has granted.
  *
  * @returns The name, or undefined without a majority of grants.
  */
@@ -96,8 +94,8 @@
   attempt: ElectionAttempt,
   group: GroupResource,
 ): string | undefined {
+  if (!hasQuorum(attempt, group)) return undefined;
   const granted = grantedInstances(attempt);
-  if (granted.length < majorityOf(group.instances.length)) return undefined;
   const order = orderByPreference(attempt, group);
   const ranked = order.filter(name => granted.includes(name));
   return ranked.reduce((best, name) =>
@@ -105,6 +103,18 @@
   );
 }
 
+/** Whether a majority of each voter set has granted the term. */
+function hasQuorum(attempt: ElectionAttempt, group: GroupResource): boolean {
+  const declared = group.instances.map(({name}) => name);
+  const granted = grantedInstances(attempt);
+  const {voterSets, needsEveryGrant, term} = attempt;
+  if (needsEveryGrant === true && granted.length < declared.length) {
+    return false;
+  }
+  const required = voterSets ?? [{term, instances: declared}];
+  return required.every(set => hasMajority(set, granted));
+}
+
 /** Waits for grants, then chooses a candidate or fails the attempt. */
 function advanceGranting(
   attempt: ElectionAttempt,
--- a/packages/decisions/src/core/failover/observe-report.ts
+++ b/packages/decisions/src/core/failover/observe-report.ts
@@ -1,6 +1,7 @@
 import type {GroupView} from '../groups/index.js';
 import {comparePositions, InstanceRole} from '../groups/index.js';
 import {adoptView} from './adopt-view.js';
+import {observeTermStart, observeVoterSets} from './voter-sets.js';
 import type {FailoverState, InstanceReport, KnownInstance} from './types.js';
 
 /** An instance's report with the time of its request. */
@@ -24,8 +25,8 @@
 ): GroupView | undefined {
   if (report.role !== InstanceRole.Primary) return undefined;
   if (report.grantedTerm !== report.term || report.term === 0) return undefined;
-  const {instance, term, termStarts} = report;
-  return {group, term, primary: instance, termStarts};
+  const {instance, term, termStarts, voterSets} = report;
+  return {group, term, primary: instance, termStarts, voterSets};
 }
 
 /** Applies the report of an instance to the state. */
@@ -54,7 +55,7 @@
   };
   const isRaised = report.grantedTerm > state.highestTerm;
   return {
-    ...adopted,
+    ...observeTermStart(observeVoterSets(adopted, report), report),
     instances: new Map(state.instances).set(report.instance, updated),
     highestTerm: Math.max(adopted.highestTerm, report.grantedTerm),
     termRaisedAtMs: isRaised ? nowMs : state.termRaisedAtMs,
--- a/packages/decisions/src/core/failover/planned-change.ts
+++ b/packages/decisions/src/core/failover/planned-change.ts
@@ -1,6 +1,7 @@
 import {comparePositions, InstanceRole} from '../groups/index.js';
 import type {PlannedChange} from './planned-change-types.js';
 import {PlannedChangePhase} from './planned-change-types.js';
+import {hasReachableQuorum, isVoterChangeDue} from './voter-sets.js';
 import type {FailoverPolicy, FailoverState, KnownInstance} from './types.js';
 
 /** A proposed change of primary: its target and its reason. */
@@ -34,7 +35,7 @@
   policy: FailoverPolicy,
 ): PlannedChangeProposal | undefined {
   const {view} = state;
-  if (view === undefined) return undefined;
+  if (view === undefined || !hasReachableQuorum(state)) return undefined;
   const mustReplace = isLeavingOrStopping(state, view.primary);
   const successor = mustReplace
     ? mostAdvancedReplica(state)
@@ -45,6 +46,9 @@
       : 'an operator requested it';
     return {target: successor, reason};
   }
+  if (isVoterChangeDue(state)) {
+    return {target: view.primary, reason: 'the instances of the group changed'};
+  }
   if (hasReplicaAtHigherTerm(state, nowMs, policy)) {
     return {target: view.primary, reason: 'a replica granted a higher term'};
   }
--- a/packages/decisions/src/core/failover/request-term.ts
+++ b/packages/decisions/src/core/failover/request-term.ts
@@ -1,4 +1,5 @@
 import {beginAttempt} from './election-attempt.js';
+import {chooseVoters, requireVoterSets} from './voter-sets.js';
 import type {FailoverResult, FailoverState} from './types.js';
 
 /**
@@ -17,9 +18,11 @@
   replaced?: string,
 ): FailoverResult {
   const term = Math.max(state.highestTerm, state.view?.term ?? 0) + 1;
-  const attempt = beginAttempt(term, reason, preferred, nowMs, replaced);
+  const begun = beginAttempt(term, reason, preferred, nowMs, replaced);
+  const voters = {...chooseVoters(state, preferred !== undefined), term};
+  const attempt = requireVoterSets({...begun, voterSets: [voters]}, state);
   const grants = state.group.instances.map(
-    ({name}) => ({type: 'grant', instance: name, term}) as const,
+    ({name}) => ({type: 'grant', instance: name, term, voters}) as const,
   );
   return {
     state: {...state, attempt, highestTerm: term},
--- a/packages/decisions/src/core/failover/step-failover.ts
+++ b/packages/decisions/src/core/failover/step-failover.ts
@@ -2,6 +2,7 @@
 import type {GroupResource} from '../resources/index.js';
 import {adoptView} from './adopt-view.js';
 import {advanceFailover} from './advance-failover.js';
+import {haveSameNames} from '../groups/index.js';
 import {AttemptPhase} from './election-attempt-types.js';
 import {failAttempt, recordGrantAnswer} from './election-attempt.js';
 import {observeReport} from './observe-report.js';
@@ -15,6 +16,7 @@
   KnownInstance,
 } from './types.js';
 import {PromotionOutcome} from './types.js';
+import {observeVoterSets, requireVoterSets} from './voter-sets.js';
 
 /** State of an instance that has not been observed. */
 const UNOBSERVED_INSTANCE: KnownInstance = {askedAtMs: 0, answeredAtMs: 0};
@@ -36,6 +38,10 @@
   return {
     ...options,
     publishedTerm: options.view?.term ?? 0,
+    assumedVoters: options.group.instances.map(({name}) => name),
+    laterVoterSets: [],
+    knowsLedTerm: options.view !== undefined,
+    establishedTerm: 0,
     instances: new Map(
       options.group.instances.map(
         ({name}) => [name, UNOBSERVED_INSTANCE] as const,
@@ -116,18 +122,43 @@
   return {state, effects: []};
 }
 
+/**
+ * Applies the declaration of the group. Grants of the former instances say
+ * nothing about a majority of the present ones, so a request for a term has to
+ * begin anew; each promotion rests on the grants of one list.
+ */
 function applyConfiguration(
   state: FailoverState,
   event: Extract<FailoverEvent, {type: 'configured'}>,
 ): FailoverState {
-  const {group, coordinators, requestedPrimary} = event;
+  const {group, version, coordinators, requestedPrimary} = event;
   const instances = new Map(
     group.instances.map(({name}) => {
       const known = state.instances.get(name) ?? UNOBSERVED_INSTANCE;
       return [name, known] as const;
     }),
   );
-  return {...state, group, coordinators, requestedPrimary, instances};
+  const isGranting = state.attempt?.phase === AttemptPhase.Granting;
+  const attempt =
+    isGranting && !haveSameInstances(state.group, group)
+      ? failAttempt(state.attempt, 'the instances of the group changed')
+      : state.attempt;
+  return {
+    ...state,
+    group,
+    declaredVersion: version,
+    coordinators,
+    requestedPrimary,
+    instances,
+    attempt,
+  };
+}
+
+function haveSameInstances(left: GroupResource, right: GroupResource): boolean {
+  return haveSameNames(
+    left.instances.map(({name}) => name),
+    right.instances.map(({name}) => name),
+  );
 }
 
 function markUnreachable(
@@ -160,10 +191,13 @@
   const {attempt, group} = state;
   const grantedTerm = event.answer?.grantedTerm ?? 0;
   const highestTerm = Math.max(state.highestTerm, grantedTerm);
-  if (attempt?.term !== event.term) return {...state, highestTerm};
   const {instance, answer} = event;
-  const updated = recordGrantAnswer(attempt, group, instance, answer, nowMs);
-  return {...state, highestTerm, attempt: updated};
+  const observed = observeVoterSets({...state, highestTerm}, answer ?? {});
+  if (attempt?.term !== event.term) return observed;
+  if (attempt.phase !== AttemptPhase.Granting) return observed;
+  const required = requireVoterSets(attempt, observed);
+  const updated = recordGrantAnswer(required, group, instance, answer, nowMs);
+  return {...observed, attempt: updated};
 }
 
 function receivePromotionAnswer(
@@ -184,6 +218,7 @@
     term: event.term,
     primary: event.instance,
     termStarts: event.termStarts ?? [{term: event.term, position}],
+    voterSets: attempt.voterSets,
   };
   const effects: FailoverEffect[] = [
     {
--- a/packages/decisions/src/core/failover/types.ts
+++ b/packages/decisions/src/core/failover/types.ts
@@ -1,5 +1,5 @@
 import type {GroupView, InstanceRole, LogPosition} from '../groups/index.js';
-import type {TermStart} from '../groups/index.js';
+import type {TermStart, VoterSet} from '../groups/index.js';
 import type {GroupResource} from '../resources/index.js';
 import type {ElectionAttempt, GrantAnswer} from './election-attempt-types.js';
 import type {PlannedChange} from './planned-change-types.js';
@@ -21,6 +21,10 @@
   readonly replicas: Readonly<Record<string, LogPosition>>;
   /** Whether its owner is about to stop it. */
   readonly stopping: boolean;
+  /** Voter sets of the last term in which it led or followed, if known. */
+  readonly voterSets?: readonly VoterSet[];
+  /** Voter sets of later terms that it granted. */
+  readonly proposedVoterSets?: readonly VoterSet[];
 }
 
 /** State of one instance as cached by this process. */
@@ -77,11 +81,23 @@
   /** Zone of this process. */
   readonly zone: string;
   readonly group: GroupResource;
+  /** Version of the declaration of the group, if it has one. */
+  readonly declaredVersion?: number | undefined;
   /** Names of the coordinators, highest rank first. */
   readonly coordinators: readonly string[];
   /** Instance that an operator has requested as primary. */
   readonly requestedPrimary?: string;
   readonly view?: GroupView;
+  /** Voters of a term whose view does not name them. */
+  readonly assumedVoters: readonly string[];
+  /** Voter sets of higher terms than the view, highest first. */
+  readonly laterVoterSets: readonly VoterSet[];
+  /** Whether the voters of a term that was led are known. */
+  readonly knowsLedTerm: boolean;
+  /** Lowest position that the primary reported in the term of the view. */
+  readonly termFloor?: LogPosition;
+  /** Highest term whose start a majority of its voters is known to hold. */
+  readonly establishedTerm: number;
   /** When this process adopted the view, monotonic, in milliseconds. */
   readonly viewAdoptedAtMs: number;
   /** Term of the latest view published by this or another proxy. */
@@ -130,6 +146,8 @@
   | {
       readonly type: 'configured';
       readonly group: GroupResource;
+      /** Version of the declaration; absent if it has none. */
+      readonly version?: number | undefined;
       readonly coordinators: readonly string[];
       readonly requestedPrimary?: string;
     }
@@ -180,17 +198,21 @@
       readonly type: 'grant';
       readonly instance: string;
       readonly term: number;
+      /** Voters of the term. */
+      readonly voters: VoterSet;
     }
   | {
       readonly type: 'promote';
       readonly instance: string;
       readonly term: number;
+      readonly voterSets: readonly VoterSet[];
     }
   | {
       readonly type: 'follow';
       readonly instance: string;
       readonly term: number;
       readonly primary: string;
+      readonly voterSets?: readonly VoterSet[];
     }
   | {readonly type: 'publish'; readonly view: GroupView}
   | {readonly type: 'hold-writes'; readonly term: number}
--- a/packages/decisions/src/core/groups/log-position.ts
+++ b/packages/decisions/src/core/groups/log-position.ts
@@ -25,21 +25,17 @@
  *
  * @param known - The current view, if any.
  * @param update - The received view.
- * @returns The view with the higher term; `known` if the terms are equal.
+ * @returns The view with the higher term, or the one that has the voters if the
+ *   terms are equal; otherwise `known`.
  */
 export function newerView(
   known: GroupView | undefined,
   update: GroupView,
 ): GroupView {
-  if (known === undefined) return update;
-  return update.term > known.term ? update : known;
-}
-
-/**
- * Returns how many instances form a majority.
- *
- * @param instances - Number of instances in the group.
- */
-export function majorityOf(instances: number): number {
-  return Math.floor(instances / 2) + 1;
+  if (known === undefined || update.term > known.term) return update;
+  const addsVoters =
+    update.term === known.term &&
+    known.voterSets === undefined &&
+    update.voterSets !== undefined;
+  return addsVoters ? update : known;
 }
--- a/packages/decisions/src/core/groups/types.ts
+++ b/packages/decisions/src/core/groups/types.ts
@@ -14,6 +14,16 @@
   readonly position: number;
 }
 
+/** Instances of which a majority confirms the writes of a term. */
+export interface VoterSet {
+  /** Term for which the set was last proposed. */
+  readonly term: number;
+  /** Names of the instances. */
+  readonly instances: readonly string[];
+  /** Version of the declaration from which the set was taken, if known. */
+  readonly version?: number | undefined;
+}
+
 /** The current primary of a group. A view with a higher term wins. */
 export interface GroupView {
   /** Name of the group. */
@@ -24,6 +34,11 @@
   readonly primary: string;
   /** Starts of the latest few terms, ascending. */
   readonly termStarts: readonly TermStart[];
+  /**
+   * The voters of the term, then earlier sets that the next term needs as well.
+   * Absent in a view of a process that does not know them.
+   */
+  readonly voterSets?: readonly VoterSet[];
 }
 
 /** Role of an instance in its group. */
--- a/packages/decisions/src/core/routing/freshness.ts
+++ b/packages/decisions/src/core/routing/freshness.ts
@@ -67,7 +67,7 @@
  * write.
  *
  * An instance that reports no higher term had not granted one when the probe was
- * sent. If a majority of the instances reports this, no majority had granted a
+ * sent. If a majority of the voters reports this, no majority had granted a
  * higher term, so no primary could acknowledge writes in one.
  *
  * @returns The time in milliseconds, or undefined without such a majority.
@@ -76,11 +76,13 @@
   freshness: GroupFreshness,
   parameters: FreshnessParameters,
 ): number | undefined {
+  const {voters, instanceCount} = parameters;
   const sentTimes = [...freshness.observations.values()]
+    .filter(({instance}) => voters?.includes(instance) ?? true)
     .filter(({grantedTerm}) => grantedTerm <= freshness.term)
     .map(({sentAtMs}) => sentAtMs)
     .sort((left, right) => right - left);
-  return sentTimes[majorityOf(parameters.instanceCount) - 1];
+  return sentTimes[majorityOf(voters?.length ?? instanceCount) - 1];
 }
 
 /**
--- a/packages/decisions/src/core/routing/types.ts
+++ b/packages/decisions/src/core/routing/types.ts
@@ -56,6 +56,8 @@
 export interface FreshnessParameters {
   /** Number of instances in the group. */
   readonly instanceCount: number;
+  /** Voters of the term; absent if all instances are. */
+  readonly voters?: readonly string[];
   /** Maximum age of read data if the caller specifies none, in milliseconds. */
   readonly allowedAgeMs: number;
 }
--- a/packages/decisions/test/failover/model/baseline.ts
+++ b/packages/decisions/test/failover/model/baseline.ts
@@ -42,12 +42,16 @@
         state.attempt?.term === term && answer?.granted === true;
       if (!isFirstGrant) return withoutEffects(state);
       const promoted = {...state, attempt: undefined};
-      return {state: promoted, effects: [{type: 'promote', instance, term}]};
+      return {
+        state: promoted,
+        effects: [{type: 'promote', instance, term, voterSets: []}],
+      };
     }
     case 'promotion-answer': {
       if (event.outcome !== 'promoted') return withoutEffects(state);
       const {term, instance: primary} = event;
-      const view = {group: state.group.name, term, primary, termStarts: []};
+      const own = {group: state.group.name, term, primary, termStarts: []};
+      const view = {...own, voterSets: []};
       return adoptViewAndRequestFollow(state, view, [{type: 'publish', view}]);
     }
     case 'reported': {
@@ -73,7 +77,12 @@
   );
   return {
     state: {...state, attempt, highestTerm: term},
-    effects: replicas.map(({name}) => ({type: 'grant', instance: name, term})),
+    effects: replicas.map(({name}) => ({
+      type: 'grant',
+      instance: name,
+      term,
+      voters: {term, instances: state.assumedVoters},
+    })),
   };
 }
 
--- a/packages/decisions/test/failover/model/histories.ts
+++ b/packages/decisions/test/failover/model/histories.ts
@@ -1,5 +1,6 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
+import {ChangingCluster} from './changing-cluster.js';
 import type {ModelDecisions} from './model-node.js';
 import {PRODUCT_DECISIONS} from './model-node.js';
 import {ModelCluster} from './model-cluster.js';
@@ -41,6 +42,23 @@
   const cluster = new ModelCluster(size, decisions);
   // Three of four histories begin with a primary, the others without one.
   if ((choices[0] ?? 0) % 4 !== 0) cluster.electFirstPrimary();
+  return runHistory(cluster, choices);
+}
+
+/** Runs one history in which the declared instances change. */
+export function findChangingViolations(
+  choices: readonly number[],
+  decisions: ModelDecisions,
+): readonly string[] {
+  const cluster = new ChangingCluster(decisions);
+  cluster.electFirstPrimary();
+  return runHistory(cluster, choices);
+}
+
+function runHistory(
+  cluster: ModelCluster,
+  choices: readonly number[],
+): readonly string[] {
   for (const choice of choices) cluster.applyChoice(choice);
   cluster.settle();
   return cluster.check();
--- a/packages/decisions/test/failover/model/history-checker.ts
+++ b/packages/decisions/test/failover/model/history-checker.ts
@@ -1,4 +1,4 @@
-import type {WaitingWrite} from '../../../src/index.js';
+import type {VoterSet, WaitingWrite} from '../../../src/index.js';
 import {majorityOf, TERM_VALIDITY_MS} from '../../../src/index.js';
 import type {ModelEntry, ModelInstance} from './model-instance.js';
 import type {ModelOutcome} from './model-node.js';
@@ -10,7 +10,7 @@
   private readonly grantedAtMs = new Map<number, number>();
   private readonly primaries = new Map<number, string>();
 
-  constructor(private readonly instances: readonly ModelInstance[]) {}
+  constructor(protected readonly instances: readonly ModelInstance[]) {}
 
   fail(fault: string): void {
     this.faults.push(fault);
@@ -24,25 +24,41 @@
     if (!this.grantedAtMs.has(majority)) this.grantedAtMs.set(majority, nowMs);
   }
 
-  recordPrimary(term: number, name: string): void {
+  recordPrimary(
+    term: number,
+    name: string,
+    _voterSets: readonly VoterSet[],
+  ): void {
     const other = this.primaries.get(term) ?? name;
     if (other !== name) this.fail(`term ${term} has two primaries`);
     this.primaries.set(term, name);
   }
 
   checkAcknowledgement(id: number, write: WaitingWrite, nowMs: number): void {
+    const {term} = write.position;
+    this.checkTerm(id, write, nowMs);
+    const voters = this.votersOf(term);
+    const holders = voters.filter(each =>
+      each.log.some(entry => entry.id === id && entry.term === term),
+    );
+    if (holders.length < majorityOf(voters.length)) {
+      this.fail(`write ${id} acknowledged without a majority`);
+    }
+  }
+
+  /** Returns the instances of which a majority must hold a write of a term. */
+  protected votersOf(_term: number): readonly ModelInstance[] {
+    return this.instances;
+  }
+
+  /** Checks that no majority had granted a higher term too early. */
+  protected checkTerm(id: number, write: WaitingWrite, nowMs: number): void {
     const {term} = write.position;
     for (const [granted, atMs] of this.grantedAtMs) {
       if (granted <= term) continue;
       const isLate = atMs < nowMs - TERM_VALIDITY_MS || atMs < write.sentAtMs;
       if (isLate) this.fail(`write ${id} acknowledged in an old term`);
     }
-    const instancesWithEntry = this.instances.filter(each =>
-      each.log.some(entry => entry.id === id && entry.term === term),
-    );
-    if (instancesWithEntry.length < majorityOf(this.instances.length)) {
-      this.fail(`write ${id} acknowledged without a majority`);
-    }
   }
 
   checkOutcomes(
--- a/packages/decisions/test/failover/model/model-cluster.ts
+++ b/packages/decisions/test/failover/model/model-cluster.ts
@@ -1,16 +1,15 @@
 import type {
   FailoverEffect,
   FailoverEvent,
-  GroupResource,
   LogPosition,
 } from '../../../src/index.js';
 import {TERM_VALIDITY_MS} from '../../../src/index.js';
+import {groupOf, pick, ZONES} from './model-group.js';
 import {HistoryChecker} from './history-checker.js';
 import {ModelInstance} from './model-instance.js';
 import type {ModelDecisions} from './model-node.js';
 import {WRITE_HOLD_MS, ModelNode, WRITE_TIMEOUT_MS} from './model-node.js';
 
-const ZONES = ['zone-a', 'zone-b', 'zone-c'];
 const NODES = ['entry-a', 'entry-b', 'entry-c'];
 /** Rounds within which the group must settle after all faults have ended. */
 const SETTLING_ROUNDS = 150;
@@ -29,7 +28,7 @@
   readonly nodes: readonly ModelNode[];
   private readonly byName: ReadonlyMap<string, ModelInstance>;
   private readonly blockedRoutes = new Set<string>();
-  private readonly checker: HistoryChecker;
+  protected readonly checker: HistoryChecker;
   private messages: Message[] = [];
   private requestedPrimary: string | undefined;
   private nowMs = 1_000;
@@ -40,13 +39,17 @@
     const group = groupOf(names);
     this.instances = names.map(name => new ModelInstance(name));
     this.byName = new Map(this.instances.map(each => [each.name, each]));
-    this.checker = new HistoryChecker(this.instances);
+    this.checker = this.createChecker();
     this.nodes = NODES.map(
       (name, index) =>
         new ModelNode(name, ZONES[index] ?? '', group, NODES, decisions),
     );
   }
 
+  protected createChecker(): HistoryChecker {
+    return new HistoryChecker(this.instances);
+  }
+
   /** Runs without faults until the group has its first primary. */
   electFirstPrimary(): void {
     for (let round = 0; round < 4; round += 1) this.runRound();
@@ -149,7 +152,7 @@
     this.advance(ROUND_MS);
   }
 
-  private isSettled(): boolean {
+  protected isSettled(): boolean {
     const primary = this.instances.find(each => this.isLeading(each));
     const isEqual = this.instances.every(
       each => each.log.at(-1)?.id === primary?.log.at(-1)?.id,
@@ -221,11 +224,12 @@
   /** Sends the operator's request to all lead owners. */
   private broadcastRequestedPrimary(): void {
     for (const node of this.nodes) {
-      const {group, coordinators} = node.state;
+      const {group, declaredVersion: version, coordinators} = node.state;
       const {requestedPrimary} = this;
       this.dispatch(node, {
         type: 'configured',
         group,
+        version,
         coordinators,
         requestedPrimary,
       });
@@ -247,7 +251,7 @@
     for (const node of this.nodes) this.dispatch(node, {type: 'tick'});
   }
 
-  private dispatch(node: ModelNode, event: FailoverEvent): void {
+  protected dispatch(node: ModelNode, event: FailoverEvent): void {
     if (node.isPaused) return;
     for (const effect of node.handle(event, this.nowMs)) {
       this.executeEffect(node, effect);
@@ -267,22 +271,24 @@
         return this.releaseWrites(node);
       case 'grant':
         this.ask(node, effect.instance, instance => {
-          const answer = instance.grant(effect.term);
+          const answer = instance.grant(effect.term, effect.voters);
           this.checker.recordGrants(this.nowMs);
           return {...effect, type: 'grant-answer', answer};
         });
         return;
       case 'promote':
         this.ask(node, effect.instance, instance => {
-          const isDone = instance.promote(effect.term);
-          if (isDone) this.checker.recordPrimary(effect.term, instance.name);
+          const {term, voterSets} = effect;
+          const isDone = instance.promote(term, voterSets);
+          if (isDone)
+            this.checker.recordPrimary(term, instance.name, voterSets);
           const outcome = isDone ? 'promoted' : 'refused';
           return {...effect, type: 'promotion-answer', outcome} as const;
         });
         return;
       case 'follow':
         this.ask(node, effect.instance, instance => {
-          instance.follow(effect.term, effect.primary);
+          instance.follow(effect.term, effect.primary, effect.voterSets);
           this.checker.recordGrants(this.nowMs);
           return {type: 'tick'} as const;
         });
@@ -373,7 +379,7 @@
     if (view === undefined || node.isPaused || isHeld) return;
     const id = this.nextId;
     this.nextId += 1;
-    node.sentAt.set(id, this.nowMs);
+    node.startWrite(id, this.nowMs);
     const {boot} = node;
     this.send(node.name, view.primary, () => {
       const primary = this.instanceOf(view.primary);
@@ -402,22 +408,3 @@
     return found;
   }
 }
-
-function groupOf(names: readonly string[]): GroupResource {
-  const instances = names.map((name, index) => ({
-    name,
-    zone: ZONES[index % ZONES.length] ?? '',
-    address: '127.0.0.1',
-    port: 1,
-    slots: 3,
-    connectionLimit: 20,
-    state: 'active' as const,
-  }));
-  return {kind: 'group', name: 'ledger', instances, allowedAgeMs: 1_000};
-}
-
-function pick<Item>(items: readonly Item[], choice: number): Item {
-  const item = items[choice % items.length];
-  if (item === undefined) throw new Error('There is nothing to pick.');
-  return item;
-}
--- a/packages/decisions/test/failover/model/model-instance.ts
+++ b/packages/decisions/test/failover/model/model-instance.ts
@@ -4,6 +4,7 @@
   InstanceRole,
   LogPosition,
   TermStart,
+  VoterSet,
 } from '../../../src/index.js';
 
 /** An entry of a model instance's log. */
@@ -21,6 +22,8 @@
   grantedTerm = 0;
   primary = '';
   isUp = true;
+  voterSets: readonly VoterSet[] = [];
+  proposedVoterSets: readonly VoterSet[] = [];
 
   constructor(readonly name: string) {}
 
@@ -34,32 +37,44 @@
     const instance = this.name;
     const stopping = false;
     const own = {instance, role, term, grantedTerm, position, termStarts};
-    return {...own, replicas, stopping};
+    const {voterSets, proposedVoterSets} = this;
+    return {...own, replicas, stopping, voterSets, proposedVoterSets};
   }
 
-  grant(term: number): GrantAnswer {
+  grant(term: number, voters: VoterSet): GrantAnswer {
     const granted = term > this.grantedTerm;
-    if (granted) this.grantedTerm = term;
-    if (granted) this.role = 'replica';
+    if (granted) {
+      this.grantedTerm = term;
+      this.role = 'replica';
+      this.proposedVoterSets = [...this.proposedVoterSets, voters];
+    }
     const {grantedTerm, position, termStarts} = this;
-    return {granted, grantedTerm, position, termStarts};
+    const {voterSets, proposedVoterSets} = this;
+    const answer = {granted, grantedTerm, position, termStarts};
+    return {...answer, voterSets, proposedVoterSets};
   }
 
   /** Returns whether the promotion was accepted. */
-  promote(term: number): boolean {
+  promote(term: number, voterSets: readonly VoterSet[]): boolean {
     if (this.grantedTerm !== term || this.term >= term) return false;
     this.role = 'primary';
     this.term = term;
     this.replicas.clear();
+    this.enterTerm(term, voterSets);
     return true;
   }
 
-  follow(term: number, primary: string): void {
+  follow(
+    term: number,
+    primary: string,
+    voterSets: readonly VoterSet[] | undefined,
+  ): void {
     if (this.grantedTerm > term || primary === this.name) return;
     this.grantedTerm = term;
     this.term = term;
     this.role = 'replica';
     this.primary = primary;
+    this.enterTerm(term, voterSets);
   }
 
   /** Appends a write; returns undefined if it is refused. */
@@ -82,6 +97,16 @@
     return this.position;
   }
 
+  private enterTerm(
+    term: number,
+    voterSets: readonly VoterSet[] = this.voterSets,
+  ): void {
+    this.voterSets = voterSets;
+    this.proposedVoterSets = this.proposedVoterSets.filter(
+      set => set.term > term,
+    );
+  }
+
   private get termStarts(): TermStart[] {
     const starts = new Map<number, number>();
     this.log.forEach(({term}, index) => {
--- a/packages/decisions/test/failover/model/model-node.ts
+++ b/packages/decisions/test/failover/model/model-node.ts
@@ -14,6 +14,7 @@
   evaluateConfirmation,
   applyTermObservation,
   stepFailover,
+  votersOf,
 } from '../../../src/index.js';
 
 /** The decision functions under test; the baseline has its own set. */
@@ -64,6 +65,8 @@
 export class ModelNode {
   readonly outcomes = new Map<number, ModelOutcome>();
   readonly sentAt = new Map<number, number>();
+  /** Voters of the term in which each write was sent. */
+  readonly votersAtSend = new Map<number, readonly string[]>();
   readonly waiting = new Map<number, WaitingWrite>();
   state: FailoverState;
   isPaused = false;
@@ -71,11 +74,13 @@
   holdUntilMs = 0;
   /** Incremented on each restart; answers to an earlier run are dropped. */
   boot = 0;
+  /** Version of the declaration of the group, if it has one. */
+  version: number | undefined;
 
   constructor(
     readonly name: string,
     readonly zone: string,
-    private readonly group: GroupResource,
+    public group: GroupResource,
     private readonly coordinators: readonly string[],
     private readonly decisions: ModelDecisions,
   ) {
@@ -108,11 +113,18 @@
     return result.effects;
   }
 
+  /** Records that a write is sent in the term of the view. */
+  startWrite(id: number, nowMs: number): void {
+    const declared = this.group.instances.map(({name}) => name);
+    this.sentAt.set(id, nowMs);
+    this.votersAtSend.set(id, votersOf(this.state.view, declared));
+  }
+
   /** Starts waiting for the confirmation of a write that ran. */
   awaitConfirmation(id: number, primary: string, position: LogPosition): void {
     if (this.outcomes.has(id)) return;
     const sentAtMs = this.sentAt.get(id) ?? 0;
-    const instances = this.group.instances.map(({name}) => name);
+    const instances = this.votersAtSend.get(id) ?? [];
     const deadlineAtMs = sentAtMs + WRITE_TIMEOUT_MS;
     const answered = {position, primary, instances, sentAtMs, deadlineAtMs};
     this.waiting.set(id, createWaitingWrite(answered));
@@ -146,6 +158,7 @@
 
   private createState(): FailoverState {
     const {name: self, zone, group, coordinators} = this;
-    return createFailoverState({self, zone, group, coordinators});
+    const state = createFailoverState({self, zone, group, coordinators});
+    return {...state, declaredVersion: this.version};
   }
 }
--- a/packages/decisions/test/routing/freshness.test.ts
+++ b/packages/decisions/test/routing/freshness.test.ts
@@ -65,6 +65,15 @@
     );
   });
 
+  it('count no instance that is not a voter of the term', () => {
+    const observations = ['a', 'd'].map(name => observationAt(name, 100, 5));
+    const state = observations.reduce(observe, emptyFreshness(VIEW));
+    const parameters = {...PARAMETERS, voters: NAMES};
+    expect(computeLeaderConfirmedAtMs(state, parameters)).toEqual(undefined);
+    const proved = observe(state, observationAt('b', 90, 5));
+    expect(computeLeaderConfirmedAtMs(proved, parameters)).toEqual(90);
+  });
+
   it('are discarded in a new term', () => {
     const observations = ['a', 'b'].map(name => observationAt(name, 100, 5));
     const state = observeView(
--- a/packages/protocol/src/core/messages/shared-schemas.ts
+++ b/packages/protocol/src/core/messages/shared-schemas.ts
@@ -18,6 +18,17 @@
   termStarts: z.array(
     z.object({term: z.int().min(0), position: z.int().min(0)}),
   ),
+  /** The voters of the term, then earlier sets that the next term needs. */
+  voterSets: z
+    .array(
+      z.object({
+        term: z.int().min(0),
+        instances: z.array(z.string()).readonly(),
+        version: z.int().optional(),
+      }),
+    )
+    .readonly()
+    .optional(),
 });
 
 /** Schema of an error that is sent over a link. */
--- a/packages/protocol/src/core/upstream/schemas.ts
+++ b/packages/protocol/src/core/upstream/schemas.ts
@@ -53,6 +53,26 @@
 const logPositionSchema = z.object({term: z.int(), position: z.int()});
 const termStartSchema = z.object({term: z.int(), position: z.int()});
 
+/** Schema of instances of which a majority confirms the writes of a term. */
+const voterSetSchema = z.object({
+  term: z.int(),
+  instances: z.array(z.string()).readonly(),
+  /** Version of the declaration from which it was taken. */
+  version: z.int().optional(),
+});
+const voterSetsSchema = z.array(voterSetSchema).readonly();
+
+/**
+ * Voter sets that an instance keeps, as its granted term, over a restart. An
+ * instance of an earlier version reports none.
+ */
+const keptVoterSetsFields = {
+  /** The ones of the last request to lead or to follow. */
+  voterSets: voterSetsSchema.optional(),
+  /** The ones of all terms that it granted since, by term. */
+  proposedVoterSets: voterSetsSchema.optional(),
+};
+
 /** Body of a refusal. */
 export const refusalSchema = z.object({
   reason: z.enum(Object.values(RefusalReason)),
@@ -143,6 +163,7 @@
   slotsWaiting: z.int(),
   /** Whether the instance is about to be stopped. */
   stopping: z.boolean(),
+  ...keptVoterSetsFields,
 });
 
 /**
@@ -161,6 +182,8 @@
   term: z.int().min(1),
   /** Name of the requesting process. */
   coordinator: z.string(),
+  /** Voters of the term; kept with the grant. */
+  voters: voterSetSchema.optional(),
 });
 
 /**
@@ -172,6 +195,7 @@
   grantedTerm: z.int(),
   position: logPositionSchema,
   termStarts: z.array(termStartSchema),
+  ...keptVoterSetsFields,
 });
 
 /** Name and address of another instance of the group. */
@@ -186,12 +210,16 @@
   term: z.int().min(1),
   /** The other instances, which become replicas of this one. */
   replicas: z.array(peerInstanceSchema),
+  /** Voter sets of the term; they replace those of lower terms. */
+  voterSets: voterSetsSchema.optional(),
 });
 
 /** Body of `POST /follow`; refused if a higher term was granted. */
 export const followRequestSchema = z.object({
   term: z.int().min(1),
   primary: peerInstanceSchema,
+  /** Voter sets of the term; they replace those of lower terms. */
+  voterSets: voterSetsSchema.optional(),
 });
 
 /** Response to `POST /follow`. */
--- a/packages/proxy/src/core/confirmation/write-confirmer.ts
+++ b/packages/proxy/src/core/confirmation/write-confirmer.ts
@@ -11,6 +11,7 @@
   applyTermObservation,
 } from '@sapphireglade/decisions';
 import {filter, firstValueFrom, interval, merge, startWith, tap} from 'rxjs';
+import type {GroupViews} from '../groups/index.js';
 import type {
   InstanceObservation,
   InstanceObservations,
@@ -37,15 +38,17 @@
 /** Requests the current status of an instance without waiting for a change. */
 export type ProbeInstance = (group: string, instance: string) => void;
 
-/** Waits until a majority of a group's instances holds a write. */
+/** Waits until a majority of the voters of its term holds a write. */
 export class WriteConfirmer {
   /**
    * @param observations - The observations of the instances.
+   * @param groupViews - The group views, which name the voters of each term.
    * @param events - Records unconfirmed writes in the timeline.
    * @param probe - Requests the current status of an instance.
    */
   constructor(
     private readonly observations: InstanceObservations,
+    private readonly groupViews: GroupViews,
     private readonly events: EventRecorder,
     private readonly probe: ProbeInstance,
   ) {}
@@ -56,12 +59,31 @@
    * @returns `confirmed`, or the reason for which the write is unconfirmed.
    */
   async wait(executedWrite: ExecutedWrite): Promise<ConfirmationState> {
-    const {group, deadlineAtMs} = executedWrite;
-    const names = group.instances.map(({name}) => name);
+    const {group, position, deadlineAtMs} = executedWrite;
+    const voters = await this.groupViews.waitForVoters(
+      group,
+      position.term,
+      Math.max(0, deadlineAtMs - performance.now()),
+    );
+    const state =
+      voters === undefined
+        ? ConfirmationState.Superseded
+        : await this.waitForMajority(executedWrite, voters);
+    if (state !== ConfirmationState.Confirmed) {
+      this.recordUnconfirmed(executedWrite, state, deadlineAtMs);
+    }
+    return state;
+  }
+
+  private async waitForMajority(
+    executedWrite: ExecutedWrite,
+    voters: readonly string[],
+  ): Promise<ConfirmationState> {
+    const {group} = executedWrite;
     const write = new PendingConfirmation(
-      createWaitingWrite({...executedWrite, instances: names}),
+      createWaitingWrite({...executedWrite, instances: voters}),
     );
-    for (const name of names) {
+    for (const name of voters) {
       const observation = this.observations.get(group.name, name);
       if (observation !== undefined) write.applyObservation(observation);
     }
@@ -69,30 +91,26 @@
       filter(observation => observation.group === group.name),
       tap(observation => write.applyObservation(observation)),
     );
-    const state = await firstValueFrom(
+    return firstValueFrom(
       merge(observation$, interval(CHECK_INTERVAL_MS)).pipe(
         startWith(undefined),
         // The state is evaluated again when the result is returned. A pause
         // of the process before that makes the term observations too old.
-        filter(() => this.checkSettledOrProbe(executedWrite, write)),
+        filter(() => this.checkSettledOrProbe(group.name, write)),
       ),
     ).then(() => write.evaluate());
-    if (state !== ConfirmationState.Confirmed) {
-      this.recordUnconfirmed(executedWrite, state, deadlineAtMs);
-    }
-    return state;
   }
 
   /**
    * Returns whether the wait is over; probes if term observations are too old.
    */
   private checkSettledOrProbe(
-    {group}: ExecutedWrite,
+    group: string,
     write: PendingConfirmation,
   ): boolean {
     const state = write.evaluate();
     if (state === ConfirmationState.Stale && write.tryStartProbe()) {
-      for (const {name} of group.instances) this.probe(group.name, name);
+      for (const name of write.voters) this.probe(group, name);
     }
     return (
       state !== ConfirmationState.Waiting && state !== ConfirmationState.Stale
@@ -123,6 +141,11 @@
 
   constructor(private write: WaitingWrite) {}
 
+  /** Names of the instances of which a majority confirms the write. */
+  get voters(): readonly string[] {
+    return this.write.instances;
+  }
+
   applyObservation({status, sentAtMs}: InstanceObservation): void {
     const termObservation: TermObservation = {...status, askedAtMs: sentAtMs};
     this.write = applyTermObservation(this.write, termObservation);
--- a/packages/proxy/src/core/failover/failover-task.ts
+++ b/packages/proxy/src/core/failover/failover-task.ts
@@ -3,6 +3,7 @@
   findPromotion,
   listGroups,
   rankCoordinators,
+  resourceKey,
 } from '@sapphireglade/decisions';
 import type {
   FailoverRequest,
@@ -145,6 +146,8 @@
   ): void {
     const {configuration} = this.context;
     const requested = findPromotion(configuration.value, group.name);
+    const key = resourceKey(group.kind, group.name);
+    const version = configuration.value.resources.get(key)?.version;
     const existing = this.groups.get(group.name);
     const failover =
       existing ??
@@ -159,6 +162,7 @@
     failover.handle({
       type: 'configured',
       group,
+      version,
       coordinators,
       requestedPrimary: requested?.target,
     });
--- a/packages/proxy/src/core/failover/group-failover.ts
+++ b/packages/proxy/src/core/failover/group-failover.ts
@@ -22,6 +22,7 @@
 import type {PeerLinks} from '../peers/index.js';
 import type {OwnedInstances} from '../pool/index.js';
 import {UpstreamRefusedError} from '../upstream/index.js';
+import type {EffectOf} from './instance-control-client.js';
 import {InstanceControlClient} from './instance-control-client.js';
 import type {GroupViewStore} from './group-view-store.js';
 import type {WriteHolds} from './write-holds.js';
@@ -85,9 +86,9 @@
       case 'report':
         return this.report(effect.report);
       case 'grant':
-        return void this.requestTerm(effect.instance, effect.term);
+        return void this.requestTerm(effect);
       case 'promote':
-        return void this.promote(effect.instance, effect.term);
+        return void this.promote(effect);
       case 'follow':
         return void this.follow(effect);
       case 'publish':
@@ -116,18 +117,19 @@
     }
   }
 
-  private async requestTerm(instance: string, term: number): Promise<void> {
-    const {group} = this.state;
+  private async requestTerm(effect: EffectOf<'grant'>): Promise<void> {
+    const {instance, term} = effect;
     const answer = await this.controlClient
-      .requestTerm(group, instance, term)
+      .requestTerm(this.state.group, effect)
       .catch(() => undefined);
     this.options.emit({type: 'grant-answer', instance, term, answer});
   }
 
-  private async promote(instance: string, term: number): Promise<void> {
+  private async promote(effect: EffectOf<'promote'>): Promise<void> {
+    const {instance, term} = effect;
     const {group} = this.state;
     try {
-      const status = await this.controlClient.promote(group, instance, term);
+      const status = await this.controlClient.promote(group, effect);
       const {termStarts} = status;
       const outcome = PromotionOutcome.Promoted;
       const answer = {instance, term, outcome, termStarts};
@@ -141,18 +143,11 @@
     }
   }
 
-  private async follow(
-    effect: Extract<FailoverEffect, {type: 'follow'}>,
-  ): Promise<void> {
-    const {instance, term, primary} = effect;
+  private async follow(effect: EffectOf<'follow'>): Promise<void> {
+    const {instance, term} = effect;
     try {
       const {group} = this.state;
-      const answer = await this.controlClient.follow(
-        group,
-        instance,
-        term,
-        primary,
-      );
+      const answer = await this.controlClient.follow(group, effect);
       const {droppedEntries} = answer;
       this.options.emit({
         type: 'follow-answer',
--- a/packages/proxy/src/core/failover/instance-control-client.ts
+++ b/packages/proxy/src/core/failover/instance-control-client.ts
@@ -1,4 +1,4 @@
-import type {GroupResource} from '@sapphireglade/decisions';
+import type {FailoverEffect, GroupResource} from '@sapphireglade/decisions';
 import {ErrorKind, Outcome, SapphiregladeError} from '@sapphireglade/decisions';
 import type {
   FollowResponse,
@@ -9,6 +9,12 @@
 import type {InstanceWatcher} from '../observations/index.js';
 import type {OwnedInstances} from '../pool/index.js';
 
+/** The effects of one type. */
+export type EffectOf<Type extends FailoverEffect['type']> = Extract<
+  FailoverEffect,
+  {type: Type}
+>;
+
 /**
  * Sends control requests to instances over the connections of their watchers.
  */
@@ -25,39 +31,35 @@
   /** Requests the grant of a term from an instance. */
   async requestTerm(
     group: GroupResource,
-    instance: string,
-    term: number,
+    {instance, term, voters}: EffectOf<'grant'>,
   ): Promise<GrantTermResponse> {
     const {coordinator} = this;
     return this.watcher(group, instance).control((connection, timeoutMs) =>
-      connection.requestTerm({term, coordinator}, timeoutMs),
+      connection.requestTerm({term, coordinator, voters}, timeoutMs),
     );
   }
 
   /** Promotes an instance to primary of a term. */
   async promote(
     group: GroupResource,
-    instance: string,
-    term: number,
+    {instance, term, voterSets}: EffectOf<'promote'>,
   ): Promise<InstanceStatus> {
     const replicas = group.instances
       .filter(({name}) => name !== instance)
       .map(({name}) => toPeerInstance(group, name));
     return this.watcher(group, instance).control((connection, timeoutMs) =>
-      connection.promote({term, replicas}, timeoutMs),
+      connection.promote({term, replicas, voterSets}, timeoutMs),
     );
   }
 
   /** Makes an instance follow the primary of a term. */
   async follow(
     group: GroupResource,
-    instance: string,
-    term: number,
-    primary: string,
+    {instance, term, primary, voterSets}: EffectOf<'follow'>,
   ): Promise<FollowResponse> {
     const target = toPeerInstance(group, primary);
     return this.watcher(group, instance).control((connection, timeoutMs) =>
-      connection.follow({term, primary: target}, timeoutMs),
+      connection.follow({term, primary: target, voterSets}, timeoutMs),
     );
   }
 
--- a/packages/proxy/src/core/pool/group-freshness-tracker.ts
+++ b/packages/proxy/src/core/pool/group-freshness-tracker.ts
@@ -66,7 +66,7 @@
     const updated = observeInstance(
       freshness,
       observation,
-      freshnessParametersOf(group),
+      this.freshnessParametersOf(group),
     );
     this.groups.set(observed.group, updated);
   }
@@ -106,15 +106,19 @@
     const freshness = this.get(group.name);
     if (freshness === undefined || freshness.term !== term) return -Infinity;
     return (
-      computeLeaderConfirmedAtMs(freshness, freshnessParametersOf(group)) ??
-      -Infinity
+      computeLeaderConfirmedAtMs(
+        freshness,
+        this.freshnessParametersOf(group),
+      ) ?? -Infinity
     );
   }
-}
 
-function freshnessParametersOf(group: GroupResource): FreshnessParameters {
-  return {
-    instanceCount: group.instances.length,
-    allowedAgeMs: group.allowedAgeMs,
-  };
+  private freshnessParametersOf(group: GroupResource): FreshnessParameters {
+    const view = this.context.groupViews.get(group.name);
+    return {
+      instanceCount: group.instances.length,
+      voters: view?.voterSets?.[0]?.instances,
+      allowedAgeMs: group.allowedAgeMs,
+    };
+  }
 }
--- a/packages/proxy/src/core/pool/owned-instances.ts
+++ b/packages/proxy/src/core/pool/owned-instances.ts
@@ -210,6 +210,7 @@
       term: status.term,
       primary: status.instance,
       termStarts: status.termStarts,
+      voterSets: status.voterSets,
     });
   }
 }
--- a/packages/proxy/src/core/process/proxy-process.ts
+++ b/packages/proxy/src/core/process/proxy-process.ts
@@ -234,6 +234,7 @@
     const {context} = this;
     const confirmer = new WriteConfirmer(
       context.observations,
+      context.groupViews,
       context.events,
       (group, instance) =>
         void owned
--- a/packages/stand-ins/src/core/fleet/fleet-settings.ts
+++ b/packages/stand-ins/src/core/fleet/fleet-settings.ts
@@ -19,7 +19,8 @@
   instance: PlannedInstance,
 ): SettingsInput<InstanceSettings> {
   const {group, name, slots, connectionLimit} = instance;
-  const first = plan.instances.find(candidate => candidate.group === group);
+  const members = plan.instances.filter(each => each.group === group);
+  const [first] = members;
   const isPrimary = first === undefined || first.name === name;
   return {
     group,
@@ -28,6 +29,7 @@
     slots,
     connectionLimit,
     openMs: plan.deployment.openMs,
+    voters: members.map(member => member.name),
     primary: isPrimary
       ? undefined
       : {
--- a/packages/stand-ins/src/core/instance/database-instance.ts
+++ b/packages/stand-ins/src/core/instance/database-instance.ts
@@ -62,7 +62,7 @@
   constructor(private readonly settings: InstanceSettings) {
     const tuning = (): InstanceTuning => this.tuning;
     this.tuning = settings.tuning;
-    this.state = new InstanceState(settings.primary);
+    this.state = new InstanceState(settings.primary, settings.voters);
     this.slots = new SlotQueue(settings.slots);
     this.connectionRegistry = new ConnectionRegistry(settings.connectionLimit);
     this.statementRunner = new StatementRunner(this.state, this.slots, tuning);
@@ -230,17 +230,23 @@
     }
   }
 
-  private promote({term, replicas}: PromoteRequest): InstanceStatus {
-    this.state.promote(term, replicas);
+  private promote(request: PromoteRequest): InstanceStatus {
+    const {term, replicas, voterSets} = request;
+    this.state.promote(term, replicas, voterSets);
     return this.status();
   }
 
   private async follow({
     term,
     primary,
+    voterSets,
   }: FollowRequest): Promise<FollowResponse> {
     try {
-      const droppedEntries = await this.follower.follow(term, primary);
+      const droppedEntries = await this.follower.follow(
+        term,
+        primary,
+        voterSets,
+      );
       this.statementRunner.abandonWrites();
       return {droppedEntries, position: this.state.position};
     } catch (error) {
@@ -269,6 +275,7 @@
       slotsBusy: this.slots.busyCount,
       slotsWaiting: this.slots.waitingCount,
       stopping: this.tuning.stopping,
+      ...state.keptVoterSets,
     };
   }
 }
--- a/packages/stand-ins/src/core/instance/follower.ts
+++ b/packages/stand-ins/src/core/instance/follower.ts
@@ -1,4 +1,5 @@
 import {setTimeout as sleep} from 'node:timers/promises';
+import type {VoterSet} from '@sapphireglade/decisions';
 import type {PeerInstance} from '@sapphireglade/protocol';
 import type {InstanceState} from './instance-state.js';
 import {ReplicationClient} from './replication-client.js';
@@ -28,11 +29,16 @@
   /**
    * Follows a primary and drops the log entries that it does not have.
    *
+   * @param voterSets - Voter sets of the term, if the request names them.
    * @returns Number of dropped entries.
    * @throws RefusalError if a higher term was granted; another error if the
    *   primary is unreachable.
    */
-  async follow(term: number, primary: PeerInstance): Promise<number> {
+  async follow(
+    term: number,
+    primary: PeerInstance,
+    voterSets: readonly VoterSet[] | undefined,
+  ): Promise<number> {
     const {settings, state} = this.options;
     state.assertCanFollow(term);
     const client = new ReplicationClient(primary, settings.address);
@@ -41,6 +47,7 @@
         term,
         primary,
         await client.fetchHistory(term),
+        voterSets,
       );
       await this.startPulling(client, term);
       return dropped;
--- a/packages/stand-ins/src/core/instance/instance-state.ts
+++ b/packages/stand-ins/src/core/instance/instance-state.ts
@@ -1,5 +1,9 @@
-import type {LogPosition} from '@sapphireglade/decisions';
-import {comparePositions, EMPTY_POSITION} from '@sapphireglade/decisions';
+import type {LogPosition, VoterSet} from '@sapphireglade/decisions';
+import {
+  comparePositions,
+  EMPTY_POSITION,
+  mergeVoterSets,
+} from '@sapphireglade/decisions';
 import type {
   GrantTermResponse,
   GrantTermRequest,
@@ -42,9 +46,19 @@
   private currentTerm = FIRST_TERM;
   private highestGrantedTerm = FIRST_TERM;
   private followed: PeerInstance | undefined;
+  private voterSets: readonly VoterSet[];
+  private proposedVoterSets: readonly VoterSet[] = [];
 
-  /** @param primary - Primary to follow; undefined to start as primary. */
-  constructor(primary: PeerInstance | undefined) {
+  /**
+   * @param primary - Primary to follow; undefined to start as primary.
+   * @param voters - Voters of the first term; undefined if they are not known.
+   */
+  constructor(
+    primary: PeerInstance | undefined,
+    voters?: readonly string[] | undefined,
+  ) {
+    this.voterSets =
+      voters === undefined ? [] : [{term: FIRST_TERM, instances: voters}];
     this.currentRole = primary === undefined ? 'primary' : 'replica';
     this.followed = primary;
     if (primary === undefined) this.database.beginTerm(FIRST_TERM);
@@ -77,11 +91,22 @@
     return Object.fromEntries(this.confirmed);
   }
 
+  /** Voter sets that this instance reports. */
+  get keptVoterSets(): Pick<
+    GrantTermResponse,
+    'voterSets' | 'proposedVoterSets'
+  > {
+    const {voterSets, proposedVoterSets} = this;
+    const isKnown = voterSets.length > 0;
+    return {voterSets: isKnown ? voterSets : undefined, proposedVoterSets};
+  }
+
   /** Grants a term if it is higher than every term granted before. */
-  grant({term}: GrantTermRequest): GrantTermResponse {
+  grant({term, voters}: GrantTermRequest): GrantTermResponse {
     const granted = term > this.highestGrantedTerm;
     if (granted) {
       this.highestGrantedTerm = term;
+      if (voters !== undefined) this.keepProposedVoters(voters);
       this.record('granted', term);
       this.changes$.next();
     }
@@ -90,6 +115,7 @@
       grantedTerm: this.highestGrantedTerm,
       position: this.position,
       termStarts: this.database.log.latestTermStarts,
+      ...this.keptVoterSets,
     };
   }
 
@@ -99,7 +125,11 @@
    * @throws RefusalError if the term is not the one granted last, or the
    *   instance is a replica in this term.
    */
-  promote(term: number, replicas: readonly PeerInstance[]): void {
+  promote(
+    term: number,
+    replicas: readonly PeerInstance[],
+    voterSets: readonly VoterSet[] | undefined,
+  ): void {
     if (term !== this.highestGrantedTerm) throw this.createStaleTermError(term);
     if (this.currentTerm === term) {
       if (this.currentRole === 'primary') return;
@@ -111,6 +141,7 @@
     this.currentRole = 'primary';
     this.currentTerm = term;
     this.followed = undefined;
+    this.keepVoterSets(term, voterSets);
     this.confirmed.clear();
     for (const {instance} of replicas) {
       this.confirmed.set(instance, EMPTY_POSITION);
@@ -145,6 +176,7 @@
     term: number,
     primary: PeerInstance,
     history: HistoryResponse,
+    voterSets: readonly VoterSet[] | undefined,
   ): number {
     this.assertCanFollow(term);
     const {log} = this.database;
@@ -154,6 +186,7 @@
     this.currentTerm = term;
     this.highestGrantedTerm = term;
     this.followed = primary;
+    this.keepVoterSets(term, voterSets);
     this.confirmed.clear();
     this.record('followed', term, dropped);
     this.changes$.next();
@@ -241,6 +274,26 @@
     return new RefusalError(reason, message, this.highestGrantedTerm);
   }
 
+  /** Keeps the voters of a granted term; equal ones of lower terms go. */
+  private keepProposedVoters(voters: VoterSet): void {
+    this.proposedVoterSets = mergeVoterSets([
+      ...this.proposedVoterSets,
+      voters,
+    ]);
+  }
+
+  /** Keeps the voter sets of a term in which this instance leads or follows. */
+  private keepVoterSets(
+    term: number,
+    voterSets: readonly VoterSet[] | undefined,
+  ): void {
+    if (voterSets === undefined) return;
+    this.voterSets = voterSets;
+    this.proposedVoterSets = this.proposedVoterSets.filter(
+      proposed => proposed.term > term,
+    );
+  }
+
   private createStaleTermError(term: number): RefusalError {
     return this.refuse(
       RefusalReason.StaleTerm,
--- a/packages/stand-ins/src/core/instance/settings.ts
+++ b/packages/stand-ins/src/core/instance/settings.ts
@@ -40,6 +40,8 @@
   idleTimeoutMs: z.int().min(1).default(15_000),
   /** Initial primary to follow; left out for the initial primary itself. */
   primary: peerInstanceSchema.optional(),
+  /** Voters of the first term. */
+  voters: z.array(nameSchema).optional(),
   tuning: initialTuningSchema.prefault({}),
 });
 
