Divide connections by all owners of the last seconds

An instance could hold more connections than its limit when owners changed several times within seconds: shares were divided among the present owners and those right before them, and an owner of the change before that still held its own.

Change: each proxy keeps the owners of the last 5 s with their shares and divides what these leave; a proxy without a share says so at once.

--- a/packages/decisions/src/core/connection-plan/connection-holder-tracker.ts
+++ b/packages/decisions/src/core/connection-plan/connection-holder-tracker.ts
@@ -2,7 +2,7 @@
  * How long a proxy keeps its share after it was last listed, in milliseconds.
  * Instances drop the connections of dead peers after three seconds.
  */
-const HOLDER_RETENTION_MS = 5_000;
+export const HOLDER_RETENTION_MS = 5_000;
 
 /**
  * How long instances count the connections of dead peers, in milliseconds. The
@@ -57,8 +57,7 @@
       this.listedSinceMs.delete(name);
     }
     const names = [...this.lastListedAtMs.keys()].sort();
-    const isSettled = nowMs - this.firstUpdateAtMs > HOLDER_RETENTION_MS;
-    if (isSettled) return names;
+    if (this.isComplete(nowMs)) return names;
     const mayCountDeadPeers =
       nowMs - this.firstUpdateAtMs <= DEAD_PEER_TIMEOUT_MS;
     if (earlier.length > 0 && !mayCountDeadPeers)
@@ -68,6 +67,17 @@
     return [...names, ...assumed];
   }
 
+  /**
+   * Returns whether the process has run for so long that it has seen every
+   * proxy that has a share.
+   *
+   * @param nowMs - The time, in milliseconds of the process clock.
+   */
+  isComplete(nowMs: number): boolean {
+    const firstMs = this.firstUpdateAtMs ?? nowMs;
+    return nowMs - firstMs > HOLDER_RETENTION_MS;
+  }
+
   /**
    * Returns whether a proxy has been listed for so short a time that holders of
    * before may still have connections beyond their present shares. One that is
--- a/packages/decisions/src/core/connection-plan/connection-share.ts
+++ b/packages/decisions/src/core/connection-plan/connection-share.ts
@@ -81,6 +81,36 @@
  * @param instance - Identifier of the instance.
  * @param limit - Connections that the owners may hold in total.
  * @param holders - All proxies that may hold connections.
+ * @returns How many connections each holder may hold, at least one.
+ */
+export function divideConnections(
+  instance: string,
+  limit: number,
+  holders: readonly WeightedHolder[],
+): ReadonlyMap<string, number> {
+  const total = holders.reduce((sum, {weight}) => sum + weight, 0);
+  const shareOf = ({weight}: WeightedHolder): number =>
+    Math.floor((limit * weight) / total);
+  const allotted = holders.reduce((sum, each) => sum + shareOf(each), 0);
+  const names = holders.map(({name}) => name);
+  const first = new Set(
+    rankNodes(instance, names).slice(0, Math.max(0, limit - allotted)),
+  );
+  return new Map(
+    holders.map(holder => {
+      const isFirst = first.has(holder.name) && holder.isNew !== true;
+      const share = shareOf(holder) + (isFirst ? 1 : 0);
+      return [holder.name, Math.max(MINIMUM_CONNECTIONS, share)];
+    }),
+  );
+}
+
+/**
+ * Returns the share of one proxy of an instance's connection limit.
+ *
+ * @param instance - Identifier of the instance.
+ * @param limit - Connections that the owners may hold in total.
+ * @param holders - All proxies that may hold connections.
  * @param self - Name of this proxy; it has a weight of 1 if it is not among the
  *   holders.
  * @returns How many connections this proxy may hold, at least one.
@@ -91,17 +121,7 @@
   holders: readonly WeightedHolder[],
   self: string,
 ): number {
-  const own = holders.find(({name}) => name === self) ?? {
-    name: self,
-    weight: 1,
-  };
-  const allHolders = holders.includes(own) ? holders : [...holders, own];
-  const total = allHolders.reduce((sum, {weight}) => sum + weight, 0);
-  const shareOf = ({weight}: WeightedHolder): number =>
-    Math.floor((limit * weight) / total);
-  const allotted = allHolders.reduce((sum, each) => sum + shareOf(each), 0);
-  const names = allHolders.map(({name}) => name);
-  const rank = rankNodes(instance, names).indexOf(self);
-  const extra = rank < limit - allotted && own.isNew !== true ? 1 : 0;
-  return Math.max(MINIMUM_CONNECTIONS, shareOf(own) + extra);
+  const isHolder = holders.some(({name}) => name === self);
+  const all = isHolder ? holders : [...holders, {name: self, weight: 1}];
+  return divideConnections(instance, limit, all).get(self) ?? 0;
 }
--- a/packages/decisions/test/connection-plan/owner-changes.test.ts
+++ b/packages/decisions/test/connection-plan/owner-changes.test.ts
@@ -1,11 +1,7 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import fc from 'fast-check';
-import {
-  assignHolderWeights,
-  connectionShare,
-  ConnectionHolderTracker,
-} from '../../src/index.js';
+import {ConnectionHolderTracker, OwnerShares} from '../../src/index.js';
 
 /** Connections of an instance that owners may hold in the fleet of nine proxies. */
 const USABLE = 7;
@@ -20,7 +16,7 @@
 
 /** The divisions of one instance's limit by the proxies of a fleet, which have the same list of owners. */
 class InstanceShares {
-  private readonly trackers = new Map<string, ConnectionHolderTracker>();
+  private readonly proxies = new Map<string, OwnerShares>();
   private owners: readonly string[] = [];
   private nowMs = 0;
 
@@ -29,8 +25,7 @@
     private readonly limit: number,
     proxies: readonly string[],
   ) {
-    for (const name of proxies)
-      this.trackers.set(name, new ConnectionHolderTracker());
+    for (const name of proxies) this.proxies.set(name, new OwnerShares(name));
   }
 
   /** Lets time pass in which the owners stay the same. */
@@ -44,19 +39,16 @@
   /** Returns how many connections each owner may hold. */
   divide(): ReadonlyMap<string, number> {
     const shares = new Map<string, number>();
-    for (const [name, tracker] of this.trackers) {
-      const names = tracker.update(this.owners, this.nowMs);
+    const owners = this.owners.map(name => ({name, availabilityZone: name[0]}));
+    const instance = {
+      id: this.instance,
+      availabilityZone: this.instance.at(-1)!,
+      limit: this.limit,
+    };
+    for (const [name, proxy] of this.proxies) {
+      proxy.update(owners, this.nowMs);
       if (!this.owners.includes(name)) continue;
-      const holders = assignHolderWeights(
-        this.limit,
-        names,
-        holder => holder[0] === this.instance.at(-1),
-        holder => tracker.isNew(holder, this.nowMs),
-      );
-      shares.set(
-        name,
-        connectionShare(this.instance, this.limit, holders, name),
-      );
+      shares.set(name, proxy.shareOf(instance, this.nowMs));
     }
     return shares;
   }
--- a/packages/gateway/src/core/groups/group-registry.ts
+++ b/packages/gateway/src/core/groups/group-registry.ts
@@ -1,11 +1,9 @@
 import type {ClockReading} from '@sapphireglade/decisions';
 import {
   ChangeExpectation,
-  connectionShare,
+  OwnerShares,
   rankNodes,
   RESERVED_CONNECTIONS,
-  ConnectionHolderTracker,
-  assignHolderWeights,
 } from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
 import type {LatestConfiguration} from '../configuration/index.js';
@@ -37,20 +35,13 @@
   readonly log: Logger;
 }
 
-/** The proxies that may hold connections of a group. */
-interface ShareHolders {
-  readonly names: readonly string[];
-  /** Returns whether a proxy has just become an owner. */
-  readonly isNew: (name: string) => boolean;
-}
-
 /**
  * All groups, with connection pools to the instances listed by the directory.
  */
 export class GroupRegistry {
   private readonly groups = new Map<string, DatabaseGroup>();
   private readonly changeExpectation = new ChangeExpectation();
-  private readonly shareHolders = new Map<string, ConnectionHolderTracker>();
+  private readonly shares = new Map<string, OwnerShares>();
   private readonly listeners: ((group: DatabaseGroup) => void)[] = [];
 
   constructor(private readonly options: GroupRegistryOptions) {
@@ -135,46 +126,34 @@
   /** Divides the connection limits among the owners of each group. */
   private divideConnections(): void {
     const current = this.options.configuration.current;
+    const nowMs = steadyNowMs();
     for (const name of current?.groups.keys() ?? []) {
-      const holders = this.shareHoldersOf(name);
+      const shares = this.updateShares(name, nowMs);
       const group = this.groups.get(name);
       if (group === undefined) continue;
       const limit = current?.groups.get(name)?.connectionLimit ?? 0;
+      const usable = limit - RESERVED_CONNECTIONS;
       const isOwned = this.options.ownership.isOwned(name);
       const keptWarm = isOwned ? this.instancesToKeepWarm(group) : new Set();
       for (const {instance, pool} of group.members.values()) {
-        pool.setShare(isOwned ? this.shareOf(instance, limit, holders) : 0);
+        const divided = {...instance, limit: usable};
+        pool.setShare(isOwned ? shares.shareOf(divided, nowMs) : 0);
         pool.shouldKeepWarm = keptWarm.has(instance.id);
         pool.maintain();
       }
     }
   }
 
-  /** Returns the proxies that may hold connections of a group. */
-  private shareHoldersOf(group: string): ShareHolders {
-    const {ownership, earlierProxies} = this.options;
-    const tracker =
-      this.shareHolders.get(group) ?? new ConnectionHolderTracker();
-    this.shareHolders.set(group, tracker);
-    const owners = ownership.ownersOf(group);
-    const nowMs = steadyNowMs();
-    const names = tracker.update(owners, nowMs, earlierProxies());
-    return {names, isNew: name => tracker.isNew(name, nowMs)};
-  }
-
-  private shareOf(
-    {id, availabilityZone}: RegisteredInstance,
-    connectionLimit: number,
-    {names, isNew}: ShareHolders,
-  ): number {
-    const usable = connectionLimit - RESERVED_CONNECTIONS;
-    const holders = assignHolderWeights(
-      usable,
-      names,
-      name => this.options.zoneOf(name) === availabilityZone,
-      isNew,
-    );
-    return connectionShare(id, usable, holders, this.options.self);
+  /** Records the owners of a group, and returns the shares of this proxy. */
+  private updateShares(group: string, nowMs: number): OwnerShares {
+    const {self, ownership, zoneOf, earlierProxies} = this.options;
+    const shares = this.shares.get(group) ?? new OwnerShares(self);
+    this.shares.set(group, shares);
+    const owners = ownership
+      .ownersOf(group)
+      .map(name => ({name, availabilityZone: zoneOf(name)}));
+    shares.update(owners, nowMs, earlierProxies());
+    return shares;
   }
 
   /**
--- a/packages/gateway/src/core/pool/instance-pool.ts
+++ b/packages/gateway/src/core/pool/instance-pool.ts
@@ -3,8 +3,6 @@
   CommitGate,
   ConnectionWaitQueue,
   HoldingTime,
-  planSynchronization,
-  countSynchronizationMessages,
   TransactionState,
 } from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
@@ -22,12 +20,19 @@
   unresponsiveSince,
   commitsStalledSince,
 } from './instance-responsiveness.js';
-import {ConnectionBackoff} from './connection-backoff.js';
+import {
+  cheapestConnection,
+  learnStanding,
+  longestStanding,
+  youngestConnection,
+} from './connection-choice.js';
 import {
   queueDeadlineError,
   noConnectionError,
+  noShareError,
   queueFullError,
 } from './pool-errors.js';
+import {InstanceReachability} from './instance-reachability.js';
 import {PoolLog} from './pool-log.js';
 import {PooledConnection} from './pooled-connection.js';
 import {RoundTripEstimator} from './round-trip-estimator.js';
@@ -78,9 +83,7 @@
   private share = 0;
   private lastCommitAtMs = -Infinity;
   private readonly roundTrip = new RoundTripEstimator();
-  private unreachable: number | undefined;
-  private readonly backoff = new ConnectionBackoff();
-  private readonly events: PoolLog;
+  private readonly reachability: InstanceReachability;
   private isClosed = false;
 
   constructor(
@@ -88,7 +91,7 @@
     private readonly connector: InstanceConnector,
     log: Logger,
   ) {
-    this.events = new PoolLog(endpoint, log);
+    this.reachability = new InstanceReachability(new PoolLog(endpoint, log));
   }
 
   /** Number of connections that may be open. */
@@ -128,7 +131,12 @@
 
   /** Time since which no connection could be opened; undefined if the instance is reachable. */
   get unreachableSinceMs(): number | undefined {
-    return this.unreachable;
+    return this.reachability.unreachableSinceMs;
+  }
+
+  /** Whether the instance is not known to be unreachable, and may have connections of this proxy. */
+  get canBeReached(): boolean {
+    return this.unreachableSinceMs === undefined && this.share > 0;
   }
 
   /** Time since which the instance has not answered although commands are pending, if so. */
@@ -141,14 +149,27 @@
     return commitsStalledSince([...this.open], this.lastCommitAtMs);
   }
 
-  /** Sets how many connections may be open, and closes idle ones beyond that. */
+  /**
+   * Returns since when the instance behind a connection is known to have run
+   * without a restart, in milliseconds; undefined if none is open.
+   */
+  standingSinceMs(connection = longestStanding(this.open)): number | undefined {
+    learnStanding(this.open);
+    return connection?.standingSinceMs;
+  }
+
+  /** Sets how many connections may be open, and closes idle ones beyond that. Without any, nothing is known of the instance and requests are refused. */
   setShare(share: number): void {
     this.share = share;
+    if (share === 0) {
+      this.reachability.forget();
+      this.refusedAsPrimary = undefined;
+      this.rejectAll(noShareError(this.endpoint));
+    }
     while (this.open.size + this.openingCount > share) {
-      const surplus = this.idle.pop();
+      const surplus = youngestConnection(this.idle);
       if (surplus === undefined) break;
-      this.open.delete(surplus);
-      surplus.close('the connection share was reduced');
+      this.discard(surplus, 'the connection share was reduced');
     }
   }
 
@@ -163,13 +184,12 @@
       this.queue.length > this.openingCount ||
       (this.openingCount === 0 && this.isUnresponsive(PROBE_DELAY_MS, nowMs));
     if (needsMore && this.canOpenConnection(nowMs)) this.openConnection();
-    const unused = this.idle[0];
+    const [unused] = this.idle;
     const isUnused =
       unused !== undefined && nowMs - unused.releasedAtMs > IDLE_TIMEOUT_MS;
     const kept = this.shouldKeepWarm ? WARM_CONNECTIONS : 0;
-    if (isUnused && this.open.size > kept) {
+    if (isUnused && this.open.size > kept)
       this.discard(unused, 'it exceeded the idle timeout');
-    }
   }
 
   /**
@@ -183,6 +203,7 @@
     if (idle !== undefined) return Promise.resolve(idle);
     if (this.isClosed)
       return Promise.reject(this.createConnectionError('it was removed'));
+    if (this.share === 0) return Promise.reject(noShareError(this.endpoint));
     if (this.isUnresponsive(UNRESPONSIVE_TIMEOUT_MS, nowMs)) {
       return Promise.reject(this.createConnectionError('it does not answer'));
     }
@@ -235,7 +256,7 @@
   /** Rejects all requests and closes all connections, because the instance was removed. */
   close(reason: string): void {
     this.isClosed = true;
-    this.rejectAll(reason);
+    this.rejectAll(this.createConnectionError(reason));
     for (const connection of [...this.open]) {
       this.open.delete(connection);
       connection.close(reason);
@@ -247,7 +268,7 @@
     return {
       connections: Math.max(
         this.open.size + this.openingCount,
-        this.backoff.isOverLimit ? 1 : this.share,
+        this.reachability.isOverLimit ? 1 : this.share,
       ),
       holdingMs: this.holdingMs,
     };
@@ -261,30 +282,20 @@
 
   /** Whether a connection is open or expected to open. An instance that could not be reached is not expected to answer the next attempt. */
   private get canServeSoon(): boolean {
-    const isOpening = this.openingCount > 0 && this.unreachable === undefined;
-    return this.open.size > 0 || isOpening || this.backoff.isOverLimit;
+    const isOpening = this.openingCount > 0 && this.canBeReached;
+    return this.open.size > 0 || isOpening || this.reachability.isOverLimit;
   }
 
   private canOpenConnection(nowMs: number): boolean {
     const total = this.open.size + this.openingCount;
-    return !this.isClosed && total < this.share && this.backoff.canOpen(nowMs);
+    if (this.isClosed || total >= this.share) return false;
+    return this.reachability.canOpen(nowMs);
   }
 
-  /** Takes the idle connection whose session state needs the fewest changes. */
   private takeIdle(
     values: ReadonlyMap<string, string>,
   ): PooledConnection | undefined {
-    let best: PooledConnection | undefined;
-    let bestCost = Infinity;
-    // Among equals the last used one is taken, so that the others can reach the idle timeout.
-    for (const connection of [...this.idle].reverse()) {
-      const cost = countSynchronizationMessages(
-        planSynchronization(connection, values),
-      );
-      if (cost >= bestCost) continue;
-      best = connection;
-      bestCost = cost;
-    }
+    const best = cheapestConnection(this.idle, values);
     if (best === undefined) return undefined;
     this.idle.splice(this.idle.indexOf(best), 1);
     best.acquiredAtMs = steadyNowMs();
@@ -304,7 +315,8 @@
     this.openingCount += 1;
     void this.connect().finally(() => {
       this.openingCount -= 1;
-      if (!this.canServeSoon) this.rejectAll('it cannot be reached');
+      if (!this.canServeSoon)
+        this.rejectAll(this.createConnectionError('it cannot be reached'));
     });
   }
 
@@ -331,11 +343,7 @@
       pooled.close('it is not needed');
       return;
     }
-    if (this.unreachable !== undefined) {
-      this.events.logReachable();
-    }
-    this.unreachable = undefined;
-    this.backoff.recordSuccess();
+    this.reachability.recordOpened();
     this.open.add(pooled);
     this.recordObservation(greeting, sentAtMs);
     this.idle.push(pooled);
@@ -343,23 +351,14 @@
   }
 
   private recordOpenFailure(error: SapphiregladeError): void {
+    const {reachability, share} = this;
     const nowMs = steadyNowMs();
-    const wasOverLimit = this.backoff.isOverLimit;
-    this.backoff.failed(error, nowMs);
-    if (this.backoff.isOverLimit) {
-      if (!wasOverLimit) this.events.logOverLimit(this.open.size, this.share);
-      return;
-    }
-    this.lastFailedAtMs = nowMs;
-    if (this.open.size > 0 || this.unreachable !== undefined) return;
-    this.unreachable = nowMs;
-    this.events.logUnreachable(error);
+    reachability.recordFailure(error, nowMs, this.open.size, share);
+    if (!reachability.isOverLimit) this.lastFailedAtMs = nowMs;
   }
 
-  private rejectAll(reason: string): void {
-    for (const queued of this.queue.removeAll()) {
-      queued.reject(this.createConnectionError(reason));
-    }
+  private rejectAll(error: Error): void {
+    for (const queued of this.queue.removeAll()) queued.reject(error);
   }
 
   private answered(
@@ -382,17 +381,17 @@
   private onConnectionLost(connection: PooledConnection, reason: string): void {
     if (!this.open.has(connection)) return;
     this.lastFailedAtMs = steadyNowMs();
-    this.events.logConnectionLost(reason);
+    this.reachability.recordLost(reason);
     this.removeConnection(connection);
     this.maintain();
   }
 
   private removeConnection(connection: PooledConnection): void {
+    learnStanding(this.open);
     this.open.delete(connection);
     const index = this.idle.indexOf(connection);
     if (index >= 0) this.idle.splice(index, 1);
   }
-
   private createConnectionError(reason: string): Error {
     return noConnectionError(this.endpoint, reason);
   }
--- a/packages/gateway/src/core/pool/pool-errors.ts
+++ b/packages/gateway/src/core/pool/pool-errors.ts
@@ -3,6 +3,9 @@
 import type {InstanceEndpoint} from '../upstream/index.js';
 import {RECONNECT_DELAY_MS} from './connection-backoff.js';
 
+/** Delay before a request is repeated that was refused for want of a share, in milliseconds; shares are divided anew at this interval. */
+const SHARE_RETRY_DELAY_MS = 500;
+
 /** Creates the error for a request that could not be served before its deadline. */
 export function queueFullError(
   {id}: InstanceEndpoint,
@@ -39,3 +42,12 @@
     {retryAfterMs: RECONNECT_DELAY_MS},
   );
 }
+
+/** Creates the error for a request to an instance of which this proxy may hold no connection. */
+export function noShareError({id}: InstanceEndpoint): SapphiregladeError {
+  return new SapphiregladeError(
+    ErrorKind.NoConnection,
+    `This proxy has no share in the connections to instance ${id}.`,
+    {retryAfterMs: SHARE_RETRY_DELAY_MS},
+  );
+}
--- a/packages/gateway/src/core/pool/pooled-connection.ts
+++ b/packages/gateway/src/core/pool/pooled-connection.ts
@@ -42,9 +42,15 @@
   releasedAtMs = steadyNowMs();
   /** When the connection opened, in milliseconds. */
   readonly openedAtMs = steadyNowMs();
+  /**
+   * Since when the instance behind the connection is known to have run without a
+   * restart, in milliseconds.
+   */
+  standingSinceMs = this.openedAtMs;
   private transactionState: TransactionState = TransactionState.Idle;
   private readonly outstandingCommands: OutstandingCommand[] = [];
   private lastReplyAtMs = steadyNowMs();
+  private lastAnsweredSentAtMs = -Infinity;
 
   constructor(
     private readonly connection: InstanceConnection,
@@ -79,6 +85,22 @@
     return this.outstandingCommands.find(each => each.awaitsReplica)?.sentAtMs;
   }
 
+  /**
+   * Learns from another connection to the same address how long the instance has
+   * run. If that one has answered a command which was sent after this one opened,
+   * both end at the same process.
+   */
+  learnStanding(other: PooledConnection): void {
+    const isSameProcess =
+      other.openedAtMs <= this.openedAtMs &&
+      other.lastAnsweredSentAtMs >= this.openedAtMs;
+    if (!isSameProcess) return;
+    this.standingSinceMs = Math.min(
+      this.standingSinceMs,
+      other.standingSinceMs,
+    );
+  }
+
   /** Returns whether the instance's protocol can express a command. */
   canSend(command: InstanceCommand): boolean {
     return this.connection.canSend(command);
@@ -95,6 +117,7 @@
       this.outstandingCommands.splice(index, 1);
     });
     this.lastReplyAtMs = steadyNowMs();
+    this.lastAnsweredSentAtMs = Math.max(this.lastAnsweredSentAtMs, sentAtMs);
     this.transactionState = reply.state;
     this.trackSessionState(command, reply);
     this.onReply(reply, sentAtMs, command);
