Count a suspicion only of the primary that is recorded

Callers: a primary that had just been recorded was replaced as well, so that there was none for a further 0.2 s; and a dead primary was not replaced for as long as one of its two owners got no answers from the store, which executed its calls.

Cause: a member record names the groups whose primary its proxy cannot use, not which primary. A suspicion of the one before counted against the next, and a record that lives on counted as a proxy that can use the primary.

Change: the record names the term with each suspicion, and the groups to whose primary its proxy may hold no connection; a proxy without either has no vote. The record is published beside the renewal of its lease, not after its answer.

--- a/packages/gateway/src/core/coordinator/coordinator-task.ts
+++ b/packages/gateway/src/core/coordinator/coordinator-task.ts
@@ -1,5 +1,7 @@
+import type {PrimaryRecord} from '@sapphireglade/decisions';
 import {
   shouldReplacePrimary,
+  tallySuspicions,
   PrimaryPhase,
   rankNodes,
 } from '@sapphireglade/decisions';
@@ -291,7 +293,7 @@
     if (stored.record.phase === PrimaryPhase.Changing) {
       return this.change(group, PrimaryChangeReason.Unfinished);
     }
-    if (this.isPrimaryFailed(group, stored.record.primary)) {
+    if (this.isPrimaryFailed(group.name, stored.record)) {
       return this.change(group, PrimaryChangeReason.Unusable);
     }
     const primary = this.context.directory.find(stored.record.primary);
@@ -311,16 +313,16 @@
     return () => new PrimaryChange(this.context, group, reason).run();
   }
 
-  private isPrimaryFailed(group: DatabaseGroup, primary: string): boolean {
-    const owners = this.context.ownersOf(group.name);
+  private isPrimaryFailed(
+    group: string,
+    {primary, term}: PrimaryRecord,
+  ): boolean {
+    const owners = this.context.ownersOf(group);
     const records = owners.flatMap(
       name => this.context.members.find(name) ?? [],
     );
     return shouldReplacePrimary({
-      members: records.length,
-      suspectingMembers: records.filter(({suspects}) =>
-        suspects.includes(group.name),
-      ).length,
+      ...tallySuspicions(group, term, records),
       isPrimaryRemoved: this.context.directory.find(primary) === undefined,
     });
   }
--- a/packages/gateway/src/core/membership/known-proxies.ts
+++ b/packages/gateway/src/core/membership/known-proxies.ts
@@ -1,5 +1,6 @@
 import type {StoredItem} from '../store/index.js';
 import {StorePrefixListener} from '../store/index.js';
+import {steadyNowMs} from '../time/index.js';
 
 /** Prefix of the keys of all proxies that may be running. */
 export const KNOWN_PROXY_PREFIX = 'sapphireglade/known/';
@@ -41,6 +42,8 @@
   /** Names that were present when the keys were first read. */
   private earlierNames: readonly string[] | undefined;
   private readonly keys = new Map<string, KnownProxyEntry>();
+  /** When a proxy was last removed, in milliseconds of the steady clock. */
+  private removedAtMs = -Infinity;
 
   /** @param generation - Returns the current generation of the store. */
   constructor(private readonly generation: () => number = () => 0) {
@@ -106,8 +109,12 @@
   override onSnapshot(items: readonly StoredItem[]): void {
     // A key that a restore has lost is kept until it is written again.
     const lost = this.lostNames;
-    for (const name of this.names)
-      if (!lost.includes(name)) this.keys.delete(name);
+    const gone = this.names.filter(name => !lost.includes(name));
+    for (const name of gone) this.keys.delete(name);
+    const isAnyGone = gone.some(
+      name => !items.some(({key}) => key === KNOWN_PROXY_PREFIX + name),
+    );
+    if (isAnyGone) this.removedAtMs = steadyNowMs();
     for (const item of items) this.onPut(item);
     this.earlierNames ??= this.names;
   }
@@ -126,5 +133,11 @@
 
   override onDelete(key: string): void {
     this.keys.delete(key.slice(KNOWN_PROXY_PREFIX.length));
+    this.removedAtMs = steadyNowMs();
+  }
+
+  /** Time since a proxy was last removed, in milliseconds. */
+  get unchangedForMs(): number {
+    return steadyNowMs() - this.removedAtMs;
   }
 }
--- a/packages/gateway/src/core/membership/member-list.ts
+++ b/packages/gateway/src/core/membership/member-list.ts
@@ -16,6 +16,8 @@
   peerAddress: z.string(),
   capacity: z.number(),
   suspects: z.array(z.string()),
+  suspectedTerms: z.array(z.number()).optional(),
+  unobserved: z.array(z.string()).optional(),
 });
 
 /** Difference between a member record and its predecessor. */
@@ -30,6 +32,7 @@
 /** The live proxies according to the store. */
 export class MemberList extends StorePrefixListener {
   private readonly live = new Map<string, MemberRecord>();
+  private readonly revisions = new Map<string, number>();
   private readonly departures = new Map<string, number>();
   private readonly changes = new Subject<void>();
 
@@ -52,6 +55,11 @@
     return this.live.get(name);
   }
 
+  /** Returns the revision of a live proxy's record; 0 if there is none. */
+  revisionOf(name: string): number {
+    return this.revisions.get(name) ?? 0;
+  }
+
   /** Names of the live proxies. */
   get names(): string[] {
     return [...this.live.keys()];
@@ -104,6 +112,7 @@
     const {name, incarnation, capacity} = record;
     const previous = this.live.get(name);
     this.live.set(name, record);
+    this.revisions.set(name, item.revision);
     this.departures.delete(name);
     const hasJoined = previous?.incarnation !== incarnation;
     const hasCapacityChanged = !hasJoined && previous.capacity !== capacity;
@@ -112,6 +121,7 @@
 
   override onDelete(key: string): void {
     const name = key.slice(MEMBER_PREFIX.length);
+    this.revisions.delete(name);
     if (!this.live.delete(name)) return;
     this.departures.set(name, steadyNowMs());
     this.log.warn('A proxy left.', {member: name});
--- a/packages/gateway/src/core/membership/member-registration-task.ts
+++ b/packages/gateway/src/core/membership/member-registration-task.ts
@@ -22,6 +22,14 @@
 /** Delay after a failed call, in milliseconds. */
 const RETRY_DELAY_MS = 200;
 
+/** A primary that a proxy cannot use. */
+export interface SuspectedPrimary {
+  /** Name of its group. */
+  readonly group: string;
+  /** Term in which it leads. */
+  readonly term: number;
+}
+
 /** Options of the member registration. */
 export interface MemberRegistrationOptions {
   readonly name: string;
@@ -50,8 +58,11 @@
   private readonly abortController = new AbortController();
   private lease: number | undefined;
   private leaseTtlMs = NON_OWNER_LEASE_TTL_MS;
-  private suspects: readonly string[] = [];
+  private suspects: readonly SuspectedPrimary[] = [];
+  private unobserved: readonly string[] = [];
   private publishedValue: string | undefined;
+  /** Revision at which {@link publishedValue} was written. */
+  private publishedRevision = 0;
   private wake: () => void = () => undefined;
 
   constructor(private readonly options: MemberRegistrationOptions) {
@@ -59,10 +70,22 @@
     options.store.restored$.subscribe(() => this.onStoreRestored());
   }
 
-  /** Publishes the groups whose primary this proxy cannot use. */
-  publishSuspects(suspects: readonly string[]): void {
-    if (suspects.join() === this.suspects.join()) return;
+  /**
+   * Publishes what this proxy knows of the primaries.
+   *
+   * @param suspects - The primaries that it cannot use, in order of their groups.
+   * @param unobserved - Groups to whose primary it may hold no connection.
+   */
+  publishSuspects(
+    suspects: readonly SuspectedPrimary[],
+    unobserved: readonly string[] = [],
+  ): void {
+    const isSame =
+      JSON.stringify(suspects) === JSON.stringify(this.suspects) &&
+      unobserved.join() === this.unobserved.join();
+    if (isSame) return;
     this.suspects = [...suspects];
+    this.unobserved = [...unobserved];
     this.wake();
   }
 
@@ -95,25 +118,41 @@
   private onStoreRestored(): void {
     this.lease = undefined;
     this.publishedValue = undefined;
+    this.publishedRevision = 0;
     this.wake();
   }
 
   private async keepRegistered(): Promise<void> {
     while (!this.abortController.signal.aborted) {
-      try {
-        await this.renew();
-        await this.publish();
-        await this.pause(this.leaseTtlMs / RENEWALS_PER_LEASE);
-      } catch (error) {
-        if (!isStoreFailure(error)) throw error;
-        this.options.log.debug(
-          'The member lease could not be renewed or published; retrying.',
-          {
-            error: String(error),
-          },
-        );
-        await this.pause(RETRY_DELAY_MS);
-      }
+      // The store may execute calls that it does not answer: the record lives
+      // on then, and has to say which primaries cannot be used.
+      const publishing = this.attempt(() => this.publish());
+      const isRenewed = await this.attempt(() => this.renew());
+      const isPublished =
+        (await publishing) && (await this.attempt(() => this.publish()));
+      await this.pause(
+        isRenewed && isPublished
+          ? this.leaseTtlMs / RENEWALS_PER_LEASE
+          : RETRY_DELAY_MS,
+      );
+    }
+  }
+
+  /** Calls the store. Returns whether it answered. */
+  private async attempt(call: () => Promise<void>): Promise<boolean> {
+    if (this.abortController.signal.aborted) return false;
+    try {
+      await call();
+      return true;
+    } catch (error) {
+      if (!isStoreFailure(error)) throw error;
+      this.options.log.debug(
+        'The member lease could not be renewed or published; retrying.',
+        {
+          error: String(error),
+        },
+      );
+      return false;
     }
   }
 
@@ -142,21 +181,30 @@
       availabilityZone: this.options.availabilityZone,
       peerAddress: this.options.peerAddress(),
       capacity: this.options.capacity(),
-      suspects: this.suspects,
+      suspects: this.suspects.map(({group}) => group),
+      suspectedTerms: this.suspects.map(({term}) => term),
+      ...(this.unobserved.length > 0 && {unobserved: this.unobserved}),
     };
     const value = JSON.stringify(record);
-    const isListed = members.find(name)?.incarnation === incarnation;
+    const isListed =
+      members.find(name)?.incarnation === incarnation &&
+      // A call that got no response may be executed after a later one.
+      members.revisionOf(name) <= this.publishedRevision;
     const isCurrent = this.publishedValue === value && isListed;
-    if (isCurrent || this.lease === undefined) return;
+    const {lease} = this;
+    if (isCurrent || lease === undefined) return;
     const result = await store.transact({
       conditions: [],
-      puts: [{key: MEMBER_PREFIX + name, value, leaseId: this.lease}],
+      puts: [{key: MEMBER_PREFIX + name, value, leaseId: lease}],
     });
+    // A renewal that ran beside it may have replaced the lease.
+    if (this.lease !== lease) return;
     if (result.kind !== 'committed') {
       this.lease = undefined;
       return;
     }
     this.publishedValue = value;
+    this.publishedRevision = result.revision;
     this.options.onPublished();
   }
 
--- a/packages/gateway/src/core/membership/types.ts
+++ b/packages/gateway/src/core/membership/types.ts
@@ -13,6 +13,13 @@
   readonly capacity: number;
   /** Groups whose primary the proxy cannot use. */
   readonly suspects: readonly string[];
+  /**
+   * Terms of the primaries of {@link suspects}, in the same order. Undefined in a
+   * record of an earlier version.
+   */
+  readonly suspectedTerms?: readonly number[] | undefined;
+  /** Groups to whose primary the proxy may hold no connection; it cannot judge them. */
+  readonly unobserved?: readonly string[] | undefined;
 }
 
 /**
--- a/packages/gateway/src/core/primary-health/primary-health-check-task.ts
+++ b/packages/gateway/src/core/primary-health/primary-health-check-task.ts
@@ -10,7 +10,10 @@
   GroupMember,
   GroupRegistry,
 } from '../groups/index.js';
-import type {MemberRegistrationTask} from '../membership/index.js';
+import type {
+  MemberRegistrationTask,
+  SuspectedPrimary,
+} from '../membership/index.js';
 import type {InstancePool} from '../pool/index.js';
 import {steadyNowMs} from '../time/index.js';
 import {CommandKind, ConnectionLostError} from '../upstream/index.js';
@@ -62,7 +65,8 @@
   }
 
   private check(): void {
-    const suspects = new Set<string>();
+    const suspects: SuspectedPrimary[] = [];
+    const unobserved: string[] = [];
     for (const group of this.groups.owned) {
       const pool = primaryPool(group);
       for (const member of group.members.values()) {
@@ -71,15 +75,26 @@
         if (member.pool !== pool) this.pingIfBehind(member);
       }
       if (pool === undefined) continue;
+      if (pool.connectionShare === 0) {
+        unobserved.push(group.name);
+        this.suspicions.delete(group.name);
+        continue;
+      }
       const reason = this.suspect(group, pool);
       if (reason !== undefined) {
-        suspects.add(group.name);
+        suspects.push({
+          group: group.name,
+          term: group.record?.record.term ?? 0,
+        });
         this.logNewSuspicion(group, pool, reason);
       }
       this.pingIfIdle(group, pool);
     }
-    this.suspected = suspects;
-    this.member.publishSuspects([...suspects].sort());
+    this.suspected = new Set(suspects.map(({group}) => group));
+    this.member.publishSuspects(
+      suspects.sort((left, right) => (left.group < right.group ? -1 : 1)),
+      unobserved.sort(),
+    );
   }
 
   /** Returns why the primary of a group is suspected, if it is. */
@@ -197,7 +212,7 @@
     ({instance, pool}) =>
       pool !== primary &&
       !instance.isLeaving &&
-      pool.unreachableSinceMs === undefined &&
+      pool.canBeReached &&
       !hasExceeded(pool.unresponsiveSinceMs, nowMs, UNRESPONSIVE_LIMIT_MS),
   ).length;
 }
--- a/packages/gateway/test/membership/late-store-calls.test.ts
+++ b/packages/gateway/test/membership/late-store-calls.test.ts
@@ -1,50 +1,21 @@
 import type {ClockReading} from '@sapphireglade/decisions';
-import {ErrorKind, SapphiregladeError} from '@sapphireglade/decisions';
 import {createSilentLogger} from '@sapphireglade/runtime';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
-import type {StoreTransaction, TransactionResult} from '../../src/index.js';
 import {
   KNOWN_PROXY_PREFIX,
   readClocks,
   ViewLeaseTask,
 } from '../../src/index.js';
-import {MemoryStore, MemoryStoreState} from '../support/memory-store.js';
+import {LateStore} from '../support/late-store.js';
+import {MemoryStoreState} from '../support/memory-store.js';
 
 const SELF = 'proxy-0';
 
 /** Longer than two renewals take, in milliseconds. */
 const RENEWALS_MS = 800;
 
-/** A store that does not respond to one transaction and executes it later. */
-class LateStore extends MemoryStore {
-  isLateNext = false;
-  private lateTransaction: StoreTransaction | undefined;
-
-  override async transact(
-    transaction: StoreTransaction,
-  ): Promise<TransactionResult> {
-    if (!this.isLateNext) return super.transact(transaction);
-    this.isLateNext = false;
-    this.lateTransaction = transaction;
-    await sleep(50);
-    throw new SapphiregladeError(ErrorKind.StoreUnavailable, 'No answer.');
-  }
-
-  /** Executes the transaction that got no response. */
-  async executeLate(): Promise<void> {
-    const {lateTransaction} = this;
-    if (lateTransaction === undefined) throw new Error('Nothing is late.');
-    this.lateTransaction = undefined;
-    await super.transact(lateTransaction);
-  }
-
-  get hasLate(): boolean {
-    return this.lateTransaction !== undefined;
-  }
-}
-
 describe('ViewLeaseTask with a store that executes calls without a response late', () => {
   let state: MemoryStoreState;
   let store: LateStore;
@@ -90,7 +61,7 @@
   }
 
   it('extends no view after the lease named by the store was revoked, although an older one was published late', async () => {
-    store.isLateNext = true;
+    store.unanswered = 1;
     const task = await begin();
     await awaitPublication(task);
     expect(store.hasLate).toEqual(true);
@@ -110,7 +81,7 @@
   it('extends no view while the store does not name this proxy, because its earlier incarnation was removed from the list late', async () => {
     const earlier = await begin();
     await awaitPublication(earlier);
-    store.isLateNext = true;
+    store.unanswered = 1;
     await earlier.stop(0);
     expect(store.hasLate).toEqual(true);
     const task = await begin();
