--- a/packages/decisions/src/core/instance-choice/commit-upper-bound.ts
+++ b/packages/decisions/src/core/instance-choice/commit-upper-bound.ts
@@ -1,5 +1,6 @@
 import type {LogPosition} from '../groups/index.js';
 import {comparePositions} from '../groups/index.js';
+import {higherPosition} from '../primary-change/index.js';
 
 /** Instances that store an acknowledged commit: the primary and one replica. */
 const COMMIT_COPIES = 2;
@@ -10,6 +11,11 @@
   readonly received: readonly LogPosition[];
   /** Number of instances that did not answer or were removed and may store commits. */
   readonly missing: number;
+  /**
+   * Position known to include acknowledged commits whose other copies may be
+   * gone, if there is one.
+   */
+  readonly minimumPosition: LogPosition | undefined;
   /** Whether a commit waits for a replica before it is acknowledged. */
   readonly hasSynchronousReplication: boolean;
 }
@@ -21,7 +27,8 @@
  *
  * An acknowledged commit is stored on at least two instances. If fewer than two
  * are missing, at least one that answered has it, so the highest position among
- * the answers includes all of them.
+ * the answers includes all of them. That fails for commits whose other copies
+ * are gone; an answer has to reach the position that is known to include those.
  *
  * @param inputs - The answers.
  * @returns The position, or undefined if other instances may have more commits.
@@ -29,14 +36,17 @@
 export function findCommitUpperBound({
   received,
   missing,
+  minimumPosition,
   hasSynchronousReplication,
 }: CommitUpperBoundInputs): LogPosition | undefined {
   if (!hasSynchronousReplication || missing >= COMMIT_COPIES) return undefined;
-  return received.reduce<LogPosition | undefined>(
-    (highest, position) =>
-      highest === undefined || comparePositions(position, highest) > 0
-        ? position
-        : highest,
+  const highest = received.reduce<LogPosition | undefined>(
+    higherPosition,
     undefined,
   );
+  const isBehind =
+    highest !== undefined &&
+    minimumPosition !== undefined &&
+    comparePositions(highest, minimumPosition) < 0;
+  return isBehind ? undefined : highest;
 }
--- a/packages/decisions/src/core/primary-change/choose-target.ts
+++ b/packages/decisions/src/core/primary-change/choose-target.ts
@@ -119,8 +119,35 @@
   const pendingReport =
     reasonToWait(inputs) ?? reasonToAwaitReturn(inputs, best);
   if (pendingReport !== undefined) return waitChoice(pendingReport);
-  if (best === undefined) return waitChoice('no replica has reported');
-  return {...promoteChoice(best), unverified: describeMissingProof(inputs)};
+  const remaining = mostAdvancedCandidate(
+    [best, reportedOldPrimary(inputs)].filter(hasReport),
+    best?.id,
+  );
+  if (remaining === undefined) return waitChoice('no replica has reported');
+  return {
+    ...promoteChoice(remaining),
+    unverified: describeMissingProof(inputs),
+  };
+}
+
+/**
+ * Returns whether a choice is safe only if the list of instances is complete: an
+ * instance that joined and is not listed yet may have confirmed a commit. What
+ * the old primary has includes each of them.
+ *
+ * @param inputs - What the choice was made from.
+ * @param choice - The choice.
+ */
+export function restsOnList(
+  inputs: TargetInputs,
+  {position}: Extract<TargetChoice, {kind: 'promote'}>,
+): boolean {
+  if (!inputs.hasSynchronousReplication) return false;
+  const oldPrimary = intactOldPrimary(inputs);
+  return (
+    oldPrimary === undefined ||
+    comparePositions(position, oldPrimary.report.received) < 0
+  );
 }
 
 /** A candidate whose report has arrived. */
@@ -147,13 +174,19 @@
 }
 
 /** Returns the old primary if its report proves that it has every acknowledged commit. */
-function intactOldPrimary({
+function intactOldPrimary(inputs: TargetInputs): ReportedCandidate | undefined {
+  const oldPrimary = reportedOldPrimary(inputs);
+  return oldPrimary && isAtLeast(oldPrimary, inputs.minimumPosition)
+    ? oldPrimary
+    : undefined;
+}
+
+/** Returns the old primary if it has stepped down and nobody can have led since. */
+function reportedOldPrimary({
   oldPrimary,
-  minimumPosition,
   wasPromotionOrdered,
 }: TargetInputs): ReportedCandidate | undefined {
-  if (wasPromotionOrdered || !hasReport(oldPrimary)) return undefined;
-  return isAtLeast(oldPrimary, minimumPosition) ? oldPrimary : undefined;
+  return wasPromotionOrdered || !hasReport(oldPrimary) ? undefined : oldPrimary;
 }
 
 /** Returns the old primary if no order was given, and at most one instance is missing. */
@@ -222,13 +255,15 @@
     : 'the instances that reported lack a commit that may be acknowledged';
 }
 
-/** Returns the highest position; on a tie, the instance that was ordered before, then one that is not leaving. */
+/** Returns the highest position among logs of the term, if there is one; on a tie, the instance that was ordered before, then one that is not leaving. */
 function mostAdvancedCandidate(
   candidates: readonly ReportedCandidate[],
   orderedTarget: string | undefined,
 ): ReportedCandidate | undefined {
   return [...candidates].sort(
     (left, right) =>
+      Number(left.report.hasLeftTerm === true) -
+        Number(right.report.hasLeftTerm === true) ||
       comparePositions(right.report.received, left.report.received) ||
       Number(right.id === orderedTarget) - Number(left.id === orderedTarget) ||
       Number(left.isLeaving) - Number(right.isLeaving) ||
@@ -240,6 +275,7 @@
   {report}: ReportedCandidate,
   position: LogPosition | undefined,
 ): boolean {
+  if (report.hasLeftTerm === true) return false;
   return (
     position === undefined || comparePositions(report.received, position) >= 0
   );
--- a/packages/decisions/src/core/primary-change/departed-instances.ts
+++ b/packages/decisions/src/core/primary-change/departed-instances.ts
@@ -18,6 +18,17 @@
   bound: LogPosition | undefined;
 }
 
+/** A hold of a replica during the term. */
+interface Hold {
+  readonly instance: GroupInstance;
+  /** Highest position that the replica reported. */
+  readonly position: LogPosition;
+  /** Since when no command can end it unseen, in milliseconds; undefined if one may. */
+  readonly finalSinceMs: number | undefined;
+  /** Whether it is certainly one of the listed start. */
+  isSettled: boolean;
+}
+
 /**
  * Instances of one group that left, or restarted, during the current term.
  *
@@ -37,10 +48,9 @@
   /** Instances that a record of the term listed and the last one does not. */
   private takenOff: readonly GroupInstance[] = [];
   /** Replicas that are held during the term, and the position at which each one was held. */
-  private holds: {
-    readonly instance: GroupInstance;
-    readonly position: LogPosition;
-  }[] = [];
+  private holds: Hold[] = [];
+  /** Position that every log with a certain acknowledged commit has reached. */
+  private acknowledged: LogPosition | undefined;
   private readonly absences: AbsentInstances;
 
   /**
@@ -74,6 +84,7 @@
       this.recorded = undefined;
       this.takenOff = [];
       this.holds = [];
+      this.acknowledged = undefined;
       this.present = present;
     }
     // A promotion that takes effect late ends every hold.
@@ -131,14 +142,27 @@
       .map(({instance}) => instance);
   }
 
-  /** Highest position that a departed instance may have confirmed, as far as it is known. */
+  /**
+   * Highest position that a departed instance may have confirmed, as far as it is
+   * known, or that an acknowledged commit has certainly reached.
+   */
   get bound(): LogPosition | undefined {
     return this.departures.reduce<LogPosition | undefined>(
       (highest, {bound}) => higherPosition(highest, bound),
-      this.recorded?.departedPosition,
+      higherPosition(this.recorded?.departedPosition, this.acknowledged),
     );
   }
 
+  /**
+   * Records a position that every log with a certain acknowledged commit has
+   * reached, whoever confirmed the commit. One of an earlier term is included in
+   * the start of the term, unless the commit was given up since.
+   */
+  recordAcknowledged(position: LogPosition): void {
+    if (position.term < this.term) return;
+    this.acknowledged = higherPosition(this.acknowledged, position);
+  }
+
   /** Returns what a further record of the same term has to carry. */
   confirmersFor({
     term,
@@ -196,15 +220,53 @@
 
   /**
    * Records that a replica was held at a position, so that it has confirmed
-   * nothing of the term beyond it. Each further report replaces the last one.
+   * nothing of the term beyond it. Of several reports the highest counts: a lower
+   * one comes from a later start, whose entry the directory does not have yet.
    *
    * @param instance - The replica.
    * @param position - What it had received when it was held.
+   * @param finalSinceMs - When it reported that, in milliseconds; undefined if a
+   *   command of before may still end the hold. Such a hold bounds nothing.
    */
-  recordHold({id, bornAtMs}: GroupInstance, position: LogPosition): void {
+  recordHold(
+    {id, bornAtMs}: GroupInstance,
+    position: LogPosition,
+    finalSinceMs: number | undefined,
+  ): void {
     const instance = {id, bornAtMs};
+    const before = this.holds.find(hold => isSame(hold.instance, instance));
     this.forgetHold(instance);
-    this.holds.push({instance, position});
+    const isFinal = finalSinceMs !== undefined;
+    this.holds.push({
+      instance,
+      position: higherPosition(before?.position, position) ?? position,
+      finalSinceMs: isFinal
+        ? (before?.finalSinceMs ?? finalSinceMs)
+        : undefined,
+      isSettled: isFinal && before?.isSettled === true,
+    });
+  }
+
+  /**
+   * Handles a list of the instances. A replica that has started again is listed by
+   * its former start for a while, so a hold bounds the listed start only if the
+   * list still has it later than that.
+   *
+   * @param listed - The instances of the list.
+   * @param isListedSince - Returns whether the list has all that started before a
+   *   time, in milliseconds.
+   */
+  settleHolds(
+    listed: readonly GroupInstance[],
+    isListedSince: (timeMs: number) => boolean,
+  ): void {
+    for (const hold of this.holds) {
+      const {instance, finalSinceMs} = hold;
+      hold.isSettled ||=
+        finalSinceMs !== undefined &&
+        includes(listed, instance) &&
+        isListedSince(finalSinceMs);
+    }
   }
 
   /** Records that a replica is not held any more, or may not be. */
@@ -240,7 +302,9 @@
       // The directory of this proxy may be behind that of the coordinator.
       const bound = includes(this.takenOff, instance)
         ? this.recorded?.departedPosition
-        : this.holds.find(hold => isSame(hold.instance, instance))?.position;
+        : this.holds.find(
+            hold => hold.isSettled && isSame(hold.instance, instance),
+          )?.position;
       this.departures.push({instance, bound});
     }
   }
--- a/packages/decisions/src/core/primary-change/types.ts
+++ b/packages/decisions/src/core/primary-change/types.ts
@@ -135,6 +135,8 @@
   readonly received: LogPosition;
   /** Highest term that it was asked to hold for. */
   readonly heldTerm: number;
+  /** Whether its log has left that of the term of the record, so that its position shows nothing. */
+  readonly hasLeftTerm?: boolean | undefined;
 }
 
 /** An instance that may have acknowledged commits. */
--- a/packages/decisions/test/instance-choice/commit-upper-bound.test.ts
+++ b/packages/decisions/test/instance-choice/commit-upper-bound.test.ts
@@ -48,6 +48,7 @@
         const bound = findCommitUpperBound({
           received: answering.map(each => receivedBy(each, commits)),
           missing: size - answering.length,
+          minimumPosition: undefined,
           hasSynchronousReplication: true,
         });
         if (bound === undefined) return;
@@ -66,6 +67,7 @@
         const bound = findCommitUpperBound({
           received,
           missing: size - answering.length - 1,
+          minimumPosition: undefined,
           hasSynchronousReplication: true,
         });
         return (
@@ -97,9 +99,32 @@
         findCommitUpperBound({
           received,
           missing,
+          minimumPosition: undefined,
           hasSynchronousReplication,
         }),
       ).toEqual(undefined);
     });
   }
+
+  describe('if commits are known whose other copies may be gone', () => {
+    const received = [
+      {term: 1, position: 7},
+      {term: 1, position: 5},
+    ];
+
+    /** Returns the bound if such commits go up to a position. */
+    function boundWith(minimumPosition: LogPosition): LogPosition | undefined {
+      const hasSynchronousReplication = true;
+      const inputs = {received, missing: 1, minimumPosition};
+      return findCommitUpperBound({...inputs, hasSynchronousReplication});
+    }
+
+    it('is undefined if no answer includes them', () => {
+      expect(boundWith({term: 1, position: 8})).toEqual(undefined);
+    });
+
+    it('is the highest position if that includes them', () => {
+      expect(boundWith({term: 1, position: 7})).toEqual(received[0]);
+    });
+  });
 });
--- a/packages/decisions/test/primary-change/choose-target.test.ts
+++ b/packages/decisions/test/primary-change/choose-target.test.ts
@@ -7,7 +7,7 @@
   TargetChoice,
   TargetInputs,
 } from '../../src/index.js';
-import {chooseTarget} from '../../src/index.js';
+import {chooseTarget, restsOnList} from '../../src/index.js';
 
 /** Actual contents of the logs of one group. */
 interface ActualLogs {
@@ -299,4 +299,42 @@
       expect(choice.kind).toEqual('wait');
     });
   });
+
+  // Guards against an empty replica in place of an old primary that has reported.
+  it('chooses the old primary without a proof if no replica is ahead of it', () => {
+    const choice = chooseTarget({
+      ...NOTHING_LOST,
+      replicas: [candidate('replica', 0)],
+      oldPrimary: candidate('old', 3),
+      minimumPosition: {term: 1, position: 4},
+    });
+    expect(choice).toHaveSubset({kind: 'promote', target: 'old'});
+    expect(
+      choice.kind === 'promote' && choice.unverified !== undefined,
+    ).toEqual(true);
+  });
+
+  describe('restsOnList', () => {
+    const inputs: TargetInputs = {
+      ...NOTHING_LOST,
+      replicas: [candidate('replica', 3)],
+      oldPrimary: candidate('old', 3),
+    };
+    const choice = {
+      kind: 'promote',
+      target: 'replica',
+      position: {term: 1, position: 3},
+    } as const;
+
+    it('is false if the target has all that the old primary reported', () => {
+      expect(restsOnList(inputs, choice)).toEqual(false);
+    });
+
+    it('is true if the old primary has more, or has not reported', () => {
+      const longer = {...inputs, oldPrimary: candidate('old', 4)};
+      expect(restsOnList(longer, choice)).toEqual(true);
+      const silent = {...inputs, oldPrimary: candidate('old')};
+      expect(restsOnList(silent, choice)).toEqual(true);
+    });
+  });
 });
--- a/packages/decisions/test/primary-change/departed-instances.test.ts
+++ b/packages/decisions/test/primary-change/departed-instances.test.ts
@@ -287,3 +287,106 @@
     expect(mayReturn()).toEqual([]);
   });
 });
+
+describe('DepartedInstances of which one was held while it left', () => {
+  const BEFORE_RESTART = {term: 1, position: 5};
+  const HELD_AT_MS = 100;
+  let departed: DepartedInstances;
+
+  beforeEach(() => {
+    departed = new DepartedInstances(() => RETURN_WITHIN_MS);
+    update(departed, recordWith(), ALL, {leaving: [LEFT]});
+    departed.recordHold(LEFT, BEFORE_RESTART, HELD_AT_MS);
+    departed.settleHolds(ALL, timeMs => timeMs <= HELD_AT_MS);
+  });
+
+  // Guards against a bound by the log of the next start, whose entry is late.
+  it('bound it by what it had before it restarted without its log', () => {
+    departed.recordHold(LEFT, {term: 0, position: 0}, HELD_AT_MS + 1);
+    update(departed, recordWith(), [{...LEFT, bornAtMs: 20}, REMAINING]);
+    expect(departed.unbounded).toEqual([]);
+    expect(departed.bound).toEqual(BEFORE_RESTART);
+  });
+
+  it('bound it by what it received after its hold had ended', () => {
+    departed.recordHold(LEFT, AFTER_DEPARTURE, HELD_AT_MS + 1);
+    update(departed, recordWith(), [PRIMARY, REMAINING]);
+    expect(departed.bound).toEqual(AFTER_DEPARTURE);
+  });
+
+  // Guards against a bound by a hold that a late release may have ended.
+  it('do not bound it by a hold that may have ended unseen', () => {
+    departed.forgetHold(LEFT);
+    departed.recordHold(LEFT, BEFORE_RESTART, undefined);
+    departed.settleHolds(ALL, () => true);
+    update(departed, recordWith(), [PRIMARY, REMAINING]);
+    expect(departed.unbounded).toEqual([LEFT]);
+    expect(departed.bound).toEqual(undefined);
+  });
+
+  // Guards against a bound by the hold of the next start, whose entry is late.
+  it('do not bound it by a hold that no later list shows to be of its start', () => {
+    departed.forgetHold(LEFT);
+    departed.recordHold(LEFT, BEFORE_RESTART, HELD_AT_MS);
+    departed.settleHolds(ALL, timeMs => timeMs < HELD_AT_MS);
+    const next = {...LEFT, bornAtMs: 20};
+    departed.settleHolds([PRIMARY, next, REMAINING], () => true);
+    update(departed, recordWith(), [PRIMARY, next, REMAINING]);
+    expect(departed.unbounded).toEqual([LEFT]);
+    expect(departed.bound).toEqual(undefined);
+  });
+
+  it('bound it by the highest position once its hold is final', () => {
+    departed.recordHold(LEFT, AFTER_DEPARTURE, undefined);
+    departed.recordHold(LEFT, BEFORE_RESTART, HELD_AT_MS);
+    departed.settleHolds(ALL, () => true);
+    update(departed, recordWith(), [PRIMARY, REMAINING]);
+    expect(departed.bound).toEqual(AFTER_DEPARTURE);
+  });
+});
+
+describe('DepartedInstances of a term with a commit that is certainly acknowledged', () => {
+  const LOWER = {term: 1, position: 6};
+  const NEXT_TERM: PrimaryRecord = {...recordWith(), term: 2};
+  let departed: DepartedInstances;
+
+  beforeEach(() => {
+    departed = new DepartedInstances(() => RETURN_WITHIN_MS);
+    update(departed, recordWith(), ALL);
+    departed.recordAcknowledged(AFTER_DEPARTURE);
+  });
+
+  it('demand its position, whatever is told later', () => {
+    departed.recordAcknowledged(LOWER);
+    expect(departed.unbounded).toEqual([]);
+    expect(departed.bound).toEqual(AFTER_DEPARTURE);
+  });
+
+  it('bound nobody by it', () => {
+    update(departed, recordWith(), [PRIMARY, REMAINING]);
+    expect(departed.unbounded).toEqual([LEFT]);
+  });
+
+  it('tell it with the next record, which is not written for it alone', () => {
+    const record = recordWith({instances: [LEFT, REMAINING]});
+    update(departed, record, ALL);
+    expect(departed.isRecordOutdated(record)).toEqual(false);
+    const confirmers = departed.confirmersFor(record);
+    expect(confirmers?.departedPosition).toEqual(AFTER_DEPARTURE);
+    const next = new DepartedInstances(() => RETURN_WITHIN_MS);
+    update(next, recordWith(confirmers), ALL);
+    expect(next.bound).toEqual(AFTER_DEPARTURE);
+  });
+
+  it('do not demand it in a later term, whose start includes it', () => {
+    update(departed, NEXT_TERM, ALL);
+    departed.recordAcknowledged(AFTER_DEPARTURE);
+    expect(departed.bound).toEqual(undefined);
+  });
+
+  it('demand one of a term that no record names yet', () => {
+    const unrecorded = {term: 2, position: 3};
+    departed.recordAcknowledged(unrecorded);
+    expect(departed.bound).toEqual(unrecorded);
+  });
+});
--- a/packages/decisions/test/primary-change/group-under-faults.ts
+++ b/packages/decisions/test/primary-change/group-under-faults.ts
@@ -119,7 +119,9 @@
       replica.isHeld = shouldHold;
       if (!shouldHold) continue;
       this.holds += 1;
-      this.departed.recordHold(replica, reportOf(replica, this.term).received);
+      const {received} = reportOf(replica, this.term);
+      this.departed.recordHold(replica, received, this.now);
+      this.departed.settleHolds([replica], () => true);
     }
     this.replicate();
   }
@@ -167,6 +169,8 @@
       if (reports.isHeld(instance.id, instance.bornAtMs)) continue;
       reports.record(reportOf(instance, this.term), instance.bornAtMs);
     }
+    // The directory of the model is never behind.
+    this.held.settle(this.instances, Infinity, () => true);
     const choice = chooseTarget(this.filter(this.inputs(this.held)));
     if (choice.kind === 'wait') return;
     const target = this.find(choice.target);
--- a/packages/decisions/test/primary-change/outstanding-orders.test.ts
+++ b/packages/decisions/test/primary-change/outstanding-orders.test.ts
@@ -1,7 +1,14 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import type {PrimaryRecord, ReplicationReport} from '../../src/index.js';
+import type {
+  LogPosition,
+  PrimaryRecord,
+  ReplicationReport,
+  SentOrder,
+  TargetInputs,
+} from '../../src/index.js';
 import {
+  chooseOrderedTarget,
   OrderState,
   outstandingOrderOf,
   outstandingOrderState,
@@ -103,4 +110,75 @@
       );
     });
   });
+
+  describe('outstandingOrderOf a steady record', () => {
+    it('is none, unless the record carries one', () => {
+      const steady = {...RECORD, phase: PrimaryPhase.Steady, target: undefined};
+      expect(outstandingOrderOf(steady, 9)).toEqual(undefined);
+      expect(
+        outstandingOrderOf({...steady, outstandingOrder: ORDER}, 9),
+      ).toEqual(ORDER);
+    });
+  });
+
+  describe('chooseOrderedTarget', () => {
+    const sent: SentOrder = {
+      target: ORDER.target,
+      incarnation: 1,
+      position: {term: 3, position: 4},
+    };
+
+    /** Returns the inputs of a change in which instances have received positions. */
+    function inputs(
+      received: Record<string, LogPosition | undefined>,
+    ): TargetInputs {
+      return {
+        replicas: Object.entries(received).map(([id, position]) => ({
+          id,
+          isLeaving: false,
+          report:
+            position && report({id, isPrimary: false, received: position}),
+        })),
+        oldPrimary: undefined,
+        mayOldPrimaryReport: false,
+        hasSynchronousReplication: true,
+        wasPromotionOrdered: true,
+        minimumPosition: undefined,
+        unverifiedDepartures: [],
+        mayReturn: [],
+      };
+    }
+
+    const BEHIND = {term: 3, position: 3};
+    const ORDERED = {term: 3, position: 4};
+    const AHEAD = {term: 3, position: 5};
+
+    it('is the ordered instance again, also behind an entry that nobody confirmed and with others silent', () => {
+      const choice = chooseOrderedTarget(
+        inputs({a: AHEAD, b: ORDERED, c: undefined}),
+        sent,
+        1,
+      );
+      expect(choice).toHaveSubset({kind: 'promote', target: 'b'});
+    });
+
+    for (const [name, received, incarnation] of [
+      ['does not answer', {a: AHEAD, b: undefined}, 1],
+      ['has less than when it was ordered', {a: AHEAD, b: BEHIND}, 1],
+      ['is another incarnation', {a: AHEAD, b: ORDERED}, 2],
+      ['is behind a later term', {a: {term: 5, position: 1}, b: ORDERED}, 1],
+    ] as const) {
+      it(`waits if the ordered instance ${name}`, () => {
+        expect(
+          chooseOrderedTarget(inputs(received), sent, incarnation),
+        ).toHaveSubset({kind: 'wait'});
+      });
+    }
+
+    it('is the ordered instance as another incarnation, if all reports choose it', () => {
+      expect(
+        chooseOrderedTarget(inputs({a: BEHIND, b: ORDERED}), sent, 2),
+      ).toHaveSubset({kind: 'promote', target: 'b'});
+    });
+  });
 });
--- a/packages/gateway/src/core/coordinator/coordinator-task.ts
+++ b/packages/gateway/src/core/coordinator/coordinator-task.ts
@@ -51,7 +51,10 @@
 export interface CoordinatorTaskOptions {
   readonly context: Omit<
     PrimaryChangeContext,
-    'coordinatorRevision' | 'coordinatorForMs'
+    | 'coordinatorRevision'
+    | 'coordinatorForMs'
+    | 'isDirectoryCurrent'
+    | 'refreshDirectory'
   >;
   readonly key: CoordinatorKey;
   /** The lease to which the coordinator key is attached. */
@@ -100,11 +103,10 @@
         this.coordinatorSinceMs === undefined
           ? undefined
           : steadyNowMs() - this.coordinatorSinceMs,
+      isDirectoryCurrent: options.isUpToDate,
+      refreshDirectory: options.onRefreshNeeded,
     };
-    this.recordRecovery = new RecordRecovery(this.context, {
-      isUpToDate: options.isUpToDate,
-      onRefreshNeeded: options.onRefreshNeeded,
-    });
+    this.recordRecovery = new RecordRecovery(this.context);
     this.leavingReplicas = new LeavingReplicas(this.context);
   }
 
--- a/packages/gateway/src/core/coordinator/group-observers.ts
+++ b/packages/gateway/src/core/coordinator/group-observers.ts
@@ -3,6 +3,7 @@
 import type {RunningSettings} from '../settings/index.js';
 import type {ControlConnections} from './control-connections.js';
 import {GroupDepartures} from './group-departures.js';
+import {OrderHistory} from './order-history.js';
 import {OutstandingOrders} from './outstanding-orders.js';
 import type {PrimaryChangeContext} from './primary-change-context.js';
 
@@ -19,10 +20,14 @@
   groups: Pick<GroupRegistry, 'onGroup'>,
   control: ControlConnections,
   settings: RunningSettings,
-): Pick<PrimaryChangeContext, 'departures' | 'outstandingOrders'> {
+): Pick<
+  PrimaryChangeContext,
+  'departures' | 'outstandingOrders' | 'orderHistory'
+> {
   const returnWithinMs = (): number => settings.current.instanceReturnWithinMs;
   return {
     departures: new GroupDepartures(directory, groups, control, returnWithinMs),
     outstandingOrders: new OutstandingOrders(groups),
+    orderHistory: new OrderHistory(groups),
   };
 }
--- a/packages/gateway/src/core/coordinator/held-instances.ts
+++ b/packages/gateway/src/core/coordinator/held-instances.ts
@@ -1,23 +1,23 @@
 import type {
-  PrimarySighting,
   PromotionCandidate,
   ReplicationReport,
   TargetInputs,
 } from '@sapphireglade/decisions';
 import {
-  formatPosition,
-  hasLedThroughout,
-  hasOnlyAssumedOrder,
   HeldReports,
   higherPosition,
-  isOldPrimaryByAnotherName,
+  reportInTerm,
 } from '@sapphireglade/decisions';
 import type {RegisteredInstance} from '../directory/index.js';
 import type {VersionedPrimaryRecord} from '../groups/index.js';
+import {REGISTRATION_MS} from '../primary-health/index.js';
 import {steadyNowMs} from '../time/index.js';
 import type {InstanceCommand} from '../upstream/index.js';
 import {CommandKind} from '../upstream/index.js';
+import {OldPrimarySighting} from './old-primary-sighting.js';
 import type {PrimaryChangeContext} from './primary-change-context.js';
+import type {HoldConfirmation, Survey, ViewsEnd} from './hold-survey.js';
+import {ReturnedPrimaries} from './returned-primaries.js';
 
 /** The instances of a group that one change of primary holds or has stepped down, and what they reported. */
 export class HeldInstances {
@@ -25,12 +25,11 @@
   /** Kept apart, because the old primary may have entries that no replica confirmed. */
   private readonly oldPrimaryReport = new HeldReports();
   private heldAtMs = steadyNowMs();
-  private leadingReport: ReplicationReport | undefined;
-  /** Name by which the old primary has returned, if it is another one than before. */
-  private otherName: string | undefined;
-  /** The old primary as it was before this change stepped it down. */
-  private sighting: PrimarySighting | undefined;
-  private sightedAtMs = 0;
+  private highestReportedTerm = 0;
+  private readonly sighting: OldPrimarySighting;
+  private readonly returned: ReturnedPrimaries;
+  private confirmation: HoldConfirmation | undefined;
+  private viewsEnd: ViewsEnd | undefined;
 
   /**
    * @param context - Dependencies of the change.
@@ -44,18 +43,38 @@
     private readonly group: string,
     private readonly orders: () => number,
     private readonly orderedTarget: () => string | undefined,
-  ) {}
+  ) {
+    this.sighting = new OldPrimarySighting(context, orders);
+    this.returned = new ReturnedPrimaries(
+      context,
+      group,
+      (instances, command) => this.sendToAll(instances, command),
+    );
+  }
 
   /** Report of an instance that leads a term which a hold of this change cannot end, if there is one. */
   get leader(): ReplicationReport | undefined {
-    return this.leadingReport;
+    return this.returned.leader;
+  }
+
+  /** Who was asked by the last confirmation of the holds, and who answered. */
+  get lastConfirmation(): HoldConfirmation | undefined {
+    return this.confirmation;
   }
 
-  /** Steady-clock time of the last hold of an instance, in milliseconds. */
+  /** Steady-clock time of the last hold on which the end of the views rests, in milliseconds. */
   get lastHeldAtMs(): number {
     return this.heldAtMs;
   }
 
+  /**
+   * Steady-clock time at which the views of the old primary had ended while every
+   * replica was held, in milliseconds. No hold that ends later matters to them.
+   */
+  get viewsEndedAtMs(): number | undefined {
+    return this.viewsEnd?.atMs;
+  }
+
   /** Returns every instance that may hold acknowledged commits. The old primary is included only if it may have followed another primary since. */
   replicas({record}: VersionedPrimaryRecord): RegisteredInstance[] {
     const instances = this.context.directory.findByGroup(this.group);
@@ -68,134 +87,74 @@
     return this.replicaReports.find(id) !== undefined;
   }
 
+  /** Returns whether an incarnation of an instance is held or stepped down. */
+  isHeld({id, bornAtMs}: RegisteredInstance): boolean {
+    const reports = [this.replicaReports, this.oldPrimaryReport];
+    return reports.some(each => each.isHeld(id, bornAtMs));
+  }
+
+  /** Highest term that any instance has reported since every one has to report again. */
+  get highestTerm(): number {
+    return this.highestReportedTerm;
+  }
+
   /** Sends a command to several instances and returns the reports of those that respond. */
   async sendToAll(
     instances: readonly RegisteredInstance[],
     command: InstanceCommand,
   ): Promise<ReplicationReport[]> {
-    const reports = await Promise.all(
+    const answers = await Promise.all(
       instances.map(each => this.context.control.sendCommand(each, command)),
     );
-    return reports.filter(report => report !== undefined);
+    const reports = answers.filter(report => report !== undefined);
+    const terms = reports.map(({term}) => term);
+    this.highestReportedTerm = Math.max(this.highestReportedTerm, ...terms);
+    return reports;
+  }
+
+  private async send(
+    instance: RegisteredInstance,
+    command: InstanceCommand,
+  ): Promise<ReplicationReport | undefined> {
+    const [report] = await this.sendToAll([instance], command);
+    return report;
   }
 
   /** Stops replication on the replicas that are not held and stores their positions. */
   async holdReplicas(known: VersionedPrimaryRecord): Promise<void> {
-    const canHoldOldPrimary = await this.observeOldPrimary(known);
-    const missing = this.replicas(known).filter(
+    const canHoldOldPrimary = await this.sighting.observe(known, each =>
+      this.send(each, {kind: CommandKind.Status}),
+    );
+    const unheld = this.replicas(known).filter(
       ({id, bornAtMs}) =>
         (canHoldOldPrimary || id !== known.record.primary) &&
         !this.replicaReports.isHeld(id, bornAtMs),
     );
     const term = this.nextTerm(known);
+    const missing = await this.findLostHolds(known, unheld);
     // An instance that was ordered to lead is not stopped by a hold.
     if (this.wasPromotionOrdered) {
       await this.sendToAll(missing, {kind: CommandKind.StepDown, term});
     }
+    const askedAtMs = steadyNowMs();
     const held = await this.sendToAll(missing, {
       kind: CommandKind.HoldTerm,
       term,
     });
-    this.recordOtherName(known, held);
-    const reports = await this.stepDownReturnedPrimaries(missing, held, term);
-    if (reports.length > 0) this.heldAtMs = steadyNowMs();
-    for (const report of reports) {
-      const instance = missing.find(({id}) => id === report.id);
-      this.replicaReports.record(report, instance?.bornAtMs);
+    this.returned.recordOtherName(known, held);
+    const reports = await this.returned.stepDown(missing, held, term);
+    const heldAtMs = steadyNowMs();
+    this.onHeld(reports.map(({id}) => id));
+    for (const each of reports) {
+      const report = reportInTerm(each, known.record);
+      const {bornAtMs} = missing.find(({id}) => id === report.id) ?? {};
+      this.replicaReports.record(report, bornAtMs, askedAtMs, heldAtMs);
     }
   }
 
-  /**
-   * Asks the old primary whether it leads, as long as that can disprove an order.
-   *
-   * @returns Whether it may be held; a step-down ends what it could show.
-   */
-  private async observeOldPrimary({
-    record,
-  }: VersionedPrimaryRecord): Promise<boolean> {
-    const old = this.context.directory.find(record.primary);
-    const isObserved = this.sighting?.entry.incarnation === old?.bornAtMs;
-    const isAssumed = hasOnlyAssumedOrder(record, this.orders());
-    if (old === undefined || isObserved || !isAssumed) return true;
-    const [report] = await this.sendToAll([old], {kind: CommandKind.Status});
-    if (report === undefined) return false;
-    const entry = {incarnation: old.bornAtMs, sequence: old.sequence};
-    this.sighting = {report, entry};
-    this.sightedAtMs = steadyNowMs();
-    return true;
-  }
-
-  /** Returns the old primary if it has led without interruption until it was held. */
-  private uninterruptedPrimary({
-    record,
-  }: VersionedPrimaryRecord): string | undefined {
-    const {directory} = this.context;
-    const {sighting} = this;
-    const {primary} = record;
-    const old = directory.find(primary);
-    const isRegistered = old !== undefined && directory.isRegistered(primary);
-    const hasLed = hasLedThroughout({
-      record,
-      orders: this.orders(),
-      sighting,
-      entry: isRegistered
-        ? {incarnation: old.bornAtMs, sequence: old.sequence}
-        : undefined,
-      observedForMs: steadyNowMs() - directory.ageMs - this.sightedAtMs,
-    });
-    const isHeld = this.replicaReports.isHeld(
-      primary,
-      sighting?.entry.incarnation,
-    );
-    return hasLed && isHeld ? primary : undefined;
-  }
-
-  /** Recognizes the old primary if it has returned by another name. */
-  private recordOtherName(
-    {record}: VersionedPrimaryRecord,
-    reports: readonly ReplicationReport[],
-  ): void {
-    const returned = reports.find(each =>
-      isOldPrimaryByAnotherName(record, each),
-    );
-    if (returned === undefined) return;
-    this.otherName = returned.id;
-    this.context.departures.of(this.group).recordReport(record, returned);
-    this.context.log.info('The old primary has returned by another name.', {
-      group: this.group,
-      instance: returned.id,
-      before: record.primary,
-      term: record.term,
-      position: formatPosition(returned.received),
-    });
-  }
-
-  /**
-   * Steps down the instances that still lead, because a hold stops only
-   * replicas. A primary that crashed returns as one, perhaps by another name.
-   *
-   * @returns The reports of the instances that are held.
-   */
-  private async stepDownReturnedPrimaries(
-    instances: readonly RegisteredInstance[],
-    reports: readonly ReplicationReport[],
-    term: number,
-  ): Promise<ReplicationReport[]> {
-    const leaders = instances.filter(({id}) =>
-      reports.some(report => report.id === id && report.isPrimary),
-    );
-    const replicas = reports.filter(({isPrimary}) => !isPrimary);
-    this.leadingReport = undefined;
-    if (leaders.length === 0) return replicas;
-    await this.sendToAll(leaders, {kind: CommandKind.StepDown, term});
-    const held = await this.sendToAll(leaders, {
-      kind: CommandKind.HoldTerm,
-      term,
-    });
-    [this.leadingReport] = held
-      .filter(report => report.isPrimary && report.term >= term)
-      .sort((left, right) => right.term - left.term);
-    return [...replicas, ...held.filter(({isPrimary}) => !isPrimary)];
+  /** Whether the old primary has stepped down. */
+  get hasSteppedDown(): boolean {
+    return this.oldPrimaryReport.highestPosition !== undefined;
   }
 
   /** Steps the old primary down, if it is reachable and has not reported since it started. */
@@ -203,99 +162,207 @@
     const old = this.context.directory.find(known.record.primary);
     if (old === undefined) return;
     if (this.oldPrimaryReport.isHeld(old.id, old.bornAtMs)) return;
-    const [report] = await this.sendToAll([old], {
+    const askedAtMs = steadyNowMs();
+    const report = await this.send(old, {
       kind: CommandKind.StepDown,
       term: this.nextTerm(known),
     });
     if (report === undefined) return;
-    this.oldPrimaryReport.record(report, old.bornAtMs);
-    this.heldAtMs = steadyNowMs();
+    this.oldPrimaryReport.record(report, old.bornAtMs, askedAtMs);
+    if (this.viewsEnd === undefined) this.heldAtMs = steadyNowMs();
   }
 
   /**
-   * Holds every instance that reported once more and compares what it has.
+   * Holds every listed instance once more and records what it has.
    *
-   * A promotion that takes effect late, or a release that arrives late, ends the
-   * holds without a restart, and the reports are out of date then.
+   * What was reported before may be out of date: a promotion that takes effect
+   * late, a late release or a restart ends a hold, and an instance that joined
+   * was never held.
    *
-   * @returns Whether the target and everyone else who answers is as reported.
+   * @param known - The record of the change.
+   * @param outOfUseAtMs - When no proxy could use the old primary any more if the
+   *   holds stood until then, in milliseconds of the steady clock.
+   * @returns Whether no view can have been verified since, and nobody can have
+   *   confirmed a commit who had not reported.
    */
-  async confirmHolds(
+  async survey(
     known: VersionedPrimaryRecord,
-    target: string,
+    outOfUseAtMs: number,
   ): Promise<boolean> {
+    const {primary} = known.record;
     const term = this.nextTerm(known);
+    const old = this.context.directory.find(primary);
+    // If an order is only assumed, the old primary is observed before it is held.
     const replicas = this.replicas(known).filter(
-      ({id}) => this.replicaReports.find(id) !== undefined,
+      ({id}) => id !== primary || this.hasReported(id),
     );
-    const old = this.context.directory.find(known.record.primary);
-    const hasOldReport =
-      old !== undefined && this.oldPrimaryReport.find(old.id) !== undefined;
-    const [held, steppedDown] = await Promise.all([
-      this.sendToAll(replicas, {kind: CommandKind.HoldTerm, term}),
-      this.sendToAll(hasOldReport ? [old] : [], {
+    const stepsDown = old !== undefined && !this.wasPromotionOrdered;
+    const hadReported = this.hasSteppedDown;
+    const answering = await this.findLostHolds(known, replicas);
+    const [ofReplicas, ofOldPrimary] = await Promise.all([
+      this.confirm(known, this.replicaReports, answering, {
+        kind: CommandKind.HoldTerm,
+        term,
+      }),
+      this.confirm(known, this.oldPrimaryReport, stepsDown ? [old] : [], {
         kind: CommandKind.StepDown,
         term,
       }),
     ]);
-    const bornAtMs = (id: string): number | undefined =>
-      this.context.directory.find(id)?.bornAtMs;
-    const areReplicasHeld = held.map(report =>
-      this.replicaReports.confirm(report, bornAtMs(report.id)),
-    );
-    const isOldPrimaryHeld = steppedDown.map(report =>
-      this.oldPrimaryReport.confirm(report, bornAtMs(report.id)),
-    );
-    const hasTargetAnswered = [...held, ...steppedDown].some(
-      ({id}) => id === target,
-    );
-    const areHeld = [...areReplicasHeld, ...isOldPrimaryHeld].every(Boolean);
+    this.confirmation = {
+      asked: [...replicas, ...(stepsDown ? [old] : [])].map(({id}) => id),
+      answered: [...ofReplicas.answered, ...ofOldPrimary.answered],
+    };
+    const areAllHeld =
+      ofReplicas.answered.length === replicas.length &&
+      ofReplicas.changed.length === 0;
+    if (areAllHeld && !this.wasPromotionOrdered)
+      this.viewsEnd ??= {atMs: outOfUseAtMs, held: ofReplicas.answered};
+    // Another instance has led, and may have ended every hold.
+    if (this.highestReportedTerm > known.record.term) this.viewsEnd = undefined;
+    // Its first report shows nothing that happened after the views had ended.
+    const isFirstReport = !hadReported && this.viewsEnd !== undefined;
+    const areHeld = this.onHeld([
+      ...ofReplicas.changed,
+      ...(isFirstReport ? [] : ofOldPrimary.changed),
+    ]);
     // An instance that leads has to be stepped down and held first.
-    const isLedElsewhere = [...held, ...steppedDown].some(
-      ({isPrimary}) => isPrimary,
+    const isAnyLeading = ofReplicas.isAnyLeading || ofOldPrimary.isAnyLeading;
+    if (isAnyLeading) this.clear();
+    return areHeld && !isAnyLeading;
+  }
+
+  /**
+   * Handles that instances were held which had not been, or whose hold had ended.
+   *
+   * @returns Whether the views of the old primary had ended before.
+   */
+  private onHeld(ids: readonly string[]): boolean {
+    const {held = []} = this.viewsEnd ?? {};
+    if (ids.every(id => held.includes(id))) return true;
+    this.heldAtMs = steadyNowMs();
+    this.viewsEnd = undefined;
+    this.replicaReports.unsettle();
+    return false;
+  }
+
+  /**
+   * Handles the present list of the instances.
+   *
+   * @param known - The record of the change.
+   * @param isListedSince - Returns whether the list has every instance that
+   *   started before a time of the steady clock, in milliseconds.
+   * @returns Whether it has a replica by another start than was held.
+   */
+  settle(
+    known: VersionedPrimaryRecord,
+    isListedSince: (timeMs: number) => boolean,
+  ): boolean {
+    const {replicaReports, viewsEnd} = this;
+    const replicas = this.replicas(known);
+    replicaReports.settle(replicas, viewsEnd?.atMs ?? Infinity, isListedSince);
+    return replicas.some(
+      ({id, bornAtMs}) =>
+        !replicaReports.isSettled(id) && !replicaReports.isHeld(id, bornAtMs),
     );
-    if (isLedElsewhere) this.clear();
-    return hasTargetAnswered && areHeld;
   }
 
-  /** Whether every instance that reported is still held; a restart requires a new hold. */
-  areIntact(known: VersionedPrimaryRecord): boolean {
-    const old = this.context.directory.find(known.record.primary);
-    const hasOldPrimaryRestarted =
-      old !== undefined && hasRestarted(this.oldPrimaryReport, old);
-    const hasReplicaRestarted = this.replicas(known).some(each =>
-      hasRestarted(this.replicaReports, each),
+  /** Whether the list was read late enough after the report of each replica. */
+  isSettled(known: VersionedPrimaryRecord): boolean {
+    return this.replicas(known).every(({id}) =>
+      this.replicaReports.isSettled(id),
+    );
+  }
+
+  /**
+   * Finds the holds of instances that have ended, by a restart or by a release that
+   * arrived late.
+   *
+   * @returns The instances that may be held again without hiding that a hold has ended.
+   */
+  private async findLostHolds(
+    known: VersionedPrimaryRecord,
+    instances: readonly RegisteredInstance[],
+  ): Promise<RegisteredInstance[]> {
+    const {isDirectoryCurrent} = this.context;
+    this.settle(known, timeMs => isDirectoryCurrent(timeMs + REGISTRATION_MS));
+    const held = instances.filter(({id}) => this.hasReported(id));
+    const reports = await this.sendToAll(held, {kind: CommandKind.Status});
+    for (const {id, heldTerm} of reports) {
+      const {bornAtMs} = held.find(each => each.id === id) ?? {};
+      if (heldTerm < this.nextTerm(known))
+        this.replicaReports.interrupt(id, bornAtMs);
+    }
+    return instances.filter(
+      each => !held.includes(each) || reports.some(({id}) => id === each.id),
     );
-    return !hasOldPrimaryRestarted && !hasReplicaRestarted;
+  }
+
+  /** Sends a command to instances and compares their reports with the last ones. */
+  private async confirm(
+    {record}: VersionedPrimaryRecord,
+    reports: HeldReports,
+    instances: readonly RegisteredInstance[],
+    command: InstanceCommand,
+  ): Promise<Survey> {
+    const askedAtMs = steadyNowMs();
+    const answers = await this.sendToAll(instances, command);
+    const answeredAtMs = steadyNowMs();
+    const changed = answers.filter(report => {
+      const {bornAtMs} = instances.find(({id}) => id === report.id) ?? {};
+      const inTerm = reportInTerm(report, record);
+      return !reports.confirm(inTerm, bornAtMs, askedAtMs, answeredAtMs);
+    });
+    return {
+      answered: answers.map(({id}) => id),
+      changed: changed.map(({id}) => id),
+      isAnyLeading: answers.some(({isPrimary}) => isPrimary),
+    };
   }
 
   /** Requires every instance to report again. */
   clear(): void {
     this.replicaReports.clear();
     this.oldPrimaryReport.clear();
-    this.sighting = undefined;
+    this.sighting.clear();
+    this.viewsEnd = undefined;
   }
 
-  /** Returns what the choice of a target depends on. */
-  targetInputs(known: VersionedPrimaryRecord): TargetInputs {
+  /**
+   * Returns what the choice of a target depends on.
+   *
+   * @param known - The record of the change.
+   * @param sinceMs - Time after which an instance must have been asked for its
+   *   report to count, in milliseconds of the steady clock.
+   */
+  targetInputs(
+    known: VersionedPrimaryRecord,
+    sinceMs = -Infinity,
+  ): TargetInputs {
     const {primary, initialPosition} = known.record;
     const {configuration, departures, directory} = this.context;
     const departed = departures.of(this.group);
     const old = directory.find(primary);
-    const candidates = this.replicas(known).map(({id, isLeaving}) => ({
-      id,
-      isLeaving,
-      report: this.replicaReports.find(id),
-    }));
+    const candidates = this.replicas(known).map(
+      ({id, bornAtMs, isLeaving}) => ({
+        id,
+        isLeaving,
+        report: this.replicaReports.isCounted(id, bornAtMs)
+          ? this.replicaReports.find(id, sinceMs)
+          : undefined,
+      }),
+    );
     const isReturned = ({id}: PromotionCandidate): boolean =>
-      old === undefined && id === this.otherName && !this.wasPromotionOrdered;
+      old === undefined &&
+      id === this.returned.otherName &&
+      !this.wasPromotionOrdered;
     return {
       replicas: candidates.filter(each => !isReturned(each)),
       oldPrimary: old
         ? {
             id: old.id,
             isLeaving: old.isLeaving,
-            report: this.oldPrimaryReport.find(old.id),
+            report: this.oldPrimaryReport.find(old.id, sinceMs),
           }
         : candidates.find(isReturned),
       mayOldPrimaryReport: old !== undefined,
@@ -304,7 +371,10 @@
           ?.hasSynchronousReplication ?? true,
       wasPromotionOrdered: this.wasPromotionOrdered,
       orderedTarget: this.orderedTarget(),
-      uninterruptedPrimary: this.uninterruptedPrimary(known),
+      uninterruptedPrimary: this.sighting.findUninterrupted(
+        known,
+        incarnation => this.replicaReports.isHeld(primary, incarnation),
+      ),
       minimumPosition: [
         departed.bound,
         this.replicaReports.highestPosition,
@@ -328,11 +398,3 @@
     return record.term + 1 + this.orders();
   }
 }
-
-/** Returns whether an instance has restarted since it reported. */
-function hasRestarted(
-  reports: HeldReports,
-  {id, bornAtMs}: RegisteredInstance,
-): boolean {
-  return reports.find(id) !== undefined && !reports.isHeld(id, bornAtMs);
-}
--- a/packages/gateway/src/core/coordinator/index.ts
+++ b/packages/gateway/src/core/coordinator/index.ts
@@ -10,4 +10,5 @@
 export * from './control-connections.js';
 export * from './group-departures.js';
 export * from './group-observers.js';
+export * from './order-history.js';
 export * from './outstanding-orders.js';
--- a/packages/gateway/src/core/coordinator/leaving-replicas.ts
+++ b/packages/gateway/src/core/coordinator/leaving-replicas.ts
@@ -9,6 +9,7 @@
   RegisteredInstance,
 } from '../directory/index.js';
 import type {DatabaseGroup} from '../groups/index.js';
+import {REGISTRATION_MS} from '../primary-health/index.js';
 import {steadyNowMs} from '../time/index.js';
 import {CommandKind} from '../upstream/index.js';
 import type {PrimaryChangeContext} from './primary-change-context.js';
@@ -19,6 +20,13 @@
  */
 const HOLD_INTERVAL_MS = 500;
 
+/** Since when the term of a group is recorded. */
+interface RecordedTerm {
+  readonly term: number;
+  /** Time of the steady clock, in milliseconds. */
+  readonly sinceMs: number;
+}
+
 /** What a leaving replica was last told. */
 interface LeavingReplica {
   readonly instance: GroupInstance;
@@ -33,6 +41,9 @@
 export class LeavingReplicas {
   private readonly replicas = new Map<string, LeavingReplica>();
   private readonly sending = new Set<string>();
+  private readonly terms = new Map<string, RecordedTerm>();
+  /** When each replica was released last, in milliseconds of the steady clock. */
+  private readonly releasedAtMs = new Map<string, number>();
   private roleRevision = 0;
 
   /** @param context - Dependencies of the coordinator. */
@@ -44,9 +55,11 @@
    * @param group - A group whose primary is not being replaced by this proxy.
    */
   async update(group: DatabaseGroup): Promise<void> {
-    const {directory, configuration} = this.context;
+    const {directory, configuration, departures, isDirectoryCurrent} =
+      this.context;
     this.observeRole();
     const record = group.storedRecord?.record;
+    if (record !== undefined) this.observeTerm(group.name, record.term);
     const hasConfirmers =
       configuration.current?.groups.get(group.name)
         ?.hasSynchronousReplication ?? true;
@@ -54,6 +67,11 @@
     const leaving = replicasOf(directory, group.name, record.primary).filter(
       ({isLeaving}) => isLeaving,
     );
+    departures
+      .of(group.name)
+      .settleHolds(leaving, timeMs =>
+        isDirectoryCurrent(timeMs + REGISTRATION_MS),
+      );
     const held = leavingReplicasToHold(directory, group.name, record.primary);
     await Promise.all(
       leaving.map(instance =>
@@ -101,6 +119,7 @@
     const record = group.storedRecord?.record;
     if (record === undefined) return;
     const role = coordinatorRevision();
+    const isFinal = !this.mayReleaseArrive(group.name, instance.id);
     const report = await control.sendCommand(instance, {
       kind: CommandKind.HoldTerm,
       term: record.term + 1,
@@ -115,7 +134,11 @@
     }
     // After a restore, a hold for an earlier term does not stop it in the present one.
     if (departed.currentTerm === record.term)
-      departed.recordHold(instance, report.received);
+      departed.recordHold(
+        instance,
+        report.received,
+        isFinal ? steadyNowMs() : undefined,
+      );
     if (known?.isHeld === true) return;
     log.info('A leaving replica was held; it confirms no more commits.', {
       group: group.name,
@@ -131,6 +154,7 @@
   ): Promise<void> {
     const {control, departures, log} = this.context;
     departures.of(group.name).forgetHold(instance);
+    this.releasedAtMs.set(instance.id, steadyNowMs());
     const report = await control.sendCommand(instance, {
       kind: CommandKind.ReleaseTerm,
     });
@@ -142,6 +166,27 @@
     });
   }
 
+  private observeTerm(group: string, term: number): void {
+    if (this.terms.get(group)?.term === term) return;
+    this.terms.set(group, {term, sinceMs: steadyNowMs()});
+  }
+
+  /**
+   * Returns whether a release may still arrive at a replica and end its hold. A
+   * release names no term; an earlier coordinator sends it, or the change that began
+   * the term, and it may be as late as an order.
+   */
+  private mayReleaseArrive(group: string, id: string): boolean {
+    const {coordinatorForMs, outstandingOrders} = this.context;
+    const nowMs = steadyNowMs();
+    const ages = [
+      coordinatorForMs() ?? 0,
+      nowMs - (this.terms.get(group)?.sinceMs ?? nowMs),
+      nowMs - (this.releasedAtMs.get(id) ?? -Infinity),
+    ];
+    return Math.min(...ages) < outstandingOrders.limitMs;
+  }
+
   private find({id, bornAtMs}: GroupInstance): LeavingReplica | undefined {
     const known = this.replicas.get(id);
     return known?.instance.bornAtMs === bornAtMs ? known : undefined;
--- a/packages/gateway/src/core/coordinator/outstanding-orders.ts
+++ b/packages/gateway/src/core/coordinator/outstanding-orders.ts
@@ -1,5 +1,9 @@
-import type {OutstandingOrder} from '@sapphireglade/decisions';
-import {fencingTokenOf, outstandingOrderOf} from '@sapphireglade/decisions';
+import type {OutstandingOrder, SentOrder} from '@sapphireglade/decisions';
+import {
+  fencingTokenOf,
+  outstandingOrderOf,
+  PrimaryPhase,
+} from '@sapphireglade/decisions';
 import type {GroupRegistry, VersionedPrimaryRecord} from '../groups/index.js';
 import {steadyNowMs} from '../time/index.js';
 
@@ -9,13 +13,16 @@
  */
 const ORDER_PENDING_MS = 10_000;
 
-/** The newest order of a group that this process has seen in a record. */
-interface SeenOrder {
-  readonly token: number;
+/** An order that this process has seen in a record. */
+interface SeenOrder extends OutstandingOrder {
   /** Time of the steady clock, in milliseconds. */
   readonly sinceMs: number;
-  /** Whether this process sent the order and has its result. */
-  isSettled: boolean;
+  /** Whether it is known to have no effect. */
+  isVoid: boolean;
+  /** What this process knows of it, if it sent the order and has its answer. */
+  sent: SentOrder | undefined;
+  /** The order before it that may still take effect. */
+  before: SeenOrder | undefined;
 }
 
 /** Orders to promote that the records of the groups leave without a result, and since when this process has seen them. */
@@ -39,7 +46,7 @@
     );
   }
 
-  /** Returns the order that a record leaves without a result, if its result is not known to this process. */
+  /** Returns the order that a record leaves without a result and that may still take effect. */
   find(
     group: string,
     {record, revision, generation = 0}: VersionedPrimaryRecord,
@@ -48,8 +55,13 @@
       record,
       fencingTokenOf(generation, revision),
     );
-    if (order === undefined) return undefined;
-    return this.see(group, order).isSettled ? undefined : order;
+    if (order === undefined) {
+      if (record.phase === PrimaryPhase.Steady) this.seen.delete(group);
+      return undefined;
+    }
+    const seen = this.see(group, order);
+    const pending = seen.isVoid ? seen.before : seen;
+    return pending && this.isPending(pending) ? toOrder(pending) : undefined;
   }
 
   /** Returns how long this process has known of an order, in milliseconds. */
@@ -57,19 +69,53 @@
     return steadyNowMs() - this.see(group, order).sinceMs;
   }
 
+  /** Returns what this process knows of an order that it has sent itself. */
+  findSent(group: string, order: OutstandingOrder): SentOrder | undefined {
+    return this.see(group, order).sent;
+  }
+
   /**
-   * Handles the end of an order that this process sent: it was answered, or its
-   * connection was reset.
+   * Handles the end of the call of an order that this process sent. It may take
+   * effect later, unless it is void.
+   *
+   * @param group - Name of the group.
+   * @param order - The order.
+   * @param sent - What is known of the ordered instance; undefined if the order
+   *   has no effect.
    */
-  settle(group: string, order: OutstandingOrder): void {
-    this.see(group, order).isSettled = true;
+  settle(
+    group: string,
+    order: OutstandingOrder,
+    sent: SentOrder | undefined,
+  ): void {
+    const seen = this.see(group, order);
+    seen.sent = sent;
+    seen.isVoid = sent === undefined;
   }
 
-  private see(group: string, {token}: OutstandingOrder): SeenOrder {
+  private isPending({sinceMs}: SeenOrder): boolean {
+    return steadyNowMs() - sinceMs < this.limitMs;
+  }
+
+  private see(group: string, {target, token}: OutstandingOrder): SeenOrder {
     const known = this.seen.get(group);
     if (known?.token === token) return known;
-    const order = {token, sinceMs: steadyNowMs(), isSettled: false};
+    if (known?.before?.token === token) return known.before;
+    const before = known?.isVoid === true ? known.before : known;
+    if (before !== undefined) before.before = undefined;
+    const order: SeenOrder = {
+      target,
+      token,
+      sinceMs: steadyNowMs(),
+      isVoid: false,
+      sent: undefined,
+      before,
+    };
     this.seen.set(group, order);
     return order;
   }
 }
+
+function toOrder({target, token}: SeenOrder): OutstandingOrder {
+  return {target, token};
+}
--- a/packages/gateway/src/core/coordinator/earlier-order.ts
+++ b/packages/gateway/src/core/coordinator/pending-order.ts
@@ -2,34 +2,43 @@
   OutstandingOrder,
   PrimaryRecord,
   ReplicationReport,
+  SentOrder,
   TargetChoice,
   TargetInputs,
 } from '@sapphireglade/decisions';
 import {
+  chooseOrderedTarget,
   chooseTarget,
   hasOnlyAssumedOrder,
+  keptPosition,
   OrderState,
   outstandingOrderState,
+  PrimaryPhase,
+  restsOnList,
 } from '@sapphireglade/decisions';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {VersionedPrimaryRecord} from '../groups/index.js';
 import {CommandKind} from '../upstream/index.js';
 import type {HeldInstances} from './held-instances.js';
 import type {PrimaryChangeContext} from './primary-change-context.js';
+import type {EffectiveOrder, PromotionChoice} from './promotion-orders.js';
 
 /** Interval between two checks whether an instance leads, in milliseconds. */
 const POLL_INTERVAL_MS = 100;
 
 /**
- * The order to promote that one change of primary found in the record, sent by
- * another coordinator or by this one before it lost the role.
+ * The order to promote that may still take effect during one change of primary.
+ * It was found in the record, sent by another coordinator or by this one before
+ * it lost the role, or it was sent by this change and has no observed result.
  *
  * Nobody can take such an order back. Until it has taken effect or is not
- * expected any more, the change neither orders another promotion nor records
- * another instance as the primary.
+ * expected any more, the change neither orders nor records another instance. An
+ * order of another coordinator is not even repeated: the first one may be on its
+ * way, and would arrive with a lower token.
  */
-export class EarlierOrder {
+export class PendingOrder {
   private order: OutstandingOrder | undefined;
+  private sent: SentOrder | undefined;
   private record: PrimaryRecord | undefined;
   private isAssumed: true | undefined;
 
@@ -53,22 +62,40 @@
    */
   read(known: VersionedPrimaryRecord): string | undefined {
     const {record} = known;
+    const {outstandingOrders} = this.context;
     this.record = record;
-    this.order = this.context.outstandingOrders.find(this.group, known);
+    this.order = outstandingOrders.find(this.group, known);
+    // The present primary cannot be promoted again to show the result.
+    const isChanging = record.phase === PrimaryPhase.Changing;
+    this.sent =
+      isChanging && this.order !== undefined
+        ? outstandingOrders.findSent(this.group, this.order)
+        : undefined;
     this.isAssumed =
       hasOnlyAssumedOrder(record, record.orders ?? 0) || undefined;
-    return record.target ?? record.outstandingOrder?.target;
+    return record.target ?? this.order?.target;
+  }
+
+  /** Handles an order of this change that may take effect. */
+  onSent({order, sent}: EffectiveOrder): void {
+    this.order = order;
+    this.sent = sent;
   }
 
-  /** Handles a record of an order by this change, which names the order no more. */
-  onSuperseded(): void {
-    this.order = undefined;
+  /** Handles that a record of an order was written, which does not say that an earlier one was assumed. */
+  onRecorded(): void {
     this.isAssumed = undefined;
   }
 
   /** What a further record of the change carries. */
   get fields(): Pick<PrimaryRecord, 'outstandingOrder' | 'isOrderAssumed'> {
-    return {outstandingOrder: this.order, isOrderAssumed: this.isAssumed};
+    return {outstandingOrder: this.pending, isOrderAssumed: this.isAssumed};
+  }
+
+  /** The order, while it may still take effect. */
+  get pending(): OutstandingOrder | undefined {
+    const isPending = this.stateWith(undefined) === OrderState.Pending;
+    return isPending ? this.order : undefined;
   }
 
   /**
@@ -110,18 +137,31 @@
     return this.stateWith(report) === OrderState.Effective ? report : undefined;
   }
 
-  /** Chooses the instance to promote, if none can be promoted by the order. */
+  /** Chooses the instance to promote. */
   choose(inputs: TargetInputs): TargetChoice {
-    const {pendingTarget} = this;
+    const {pendingTarget, sent, context} = this;
     if (pendingTarget === undefined) return chooseTarget(inputs);
-    const reason = `an earlier order may still promote ${pendingTarget}`;
-    return {kind: 'wait', reason};
+    if (sent === undefined) {
+      const reason = `an earlier order may still promote ${pendingTarget}`;
+      return {kind: 'wait', reason};
+    }
+    const {bornAtMs} = context.directory.find(pendingTarget) ?? {};
+    return chooseOrderedTarget(inputs, sent, bornAtMs);
+  }
+
+  /** Returns whether a choice is safe only if the list of instances is complete. */
+  restsOnList(inputs: TargetInputs, choice: PromotionChoice): boolean {
+    const {pendingTarget, sent} = this;
+    const {bornAtMs} = this.context.directory.find(choice.target) ?? {};
+    const isRepeated =
+      choice.target === pendingTarget &&
+      sent !== undefined &&
+      keptPosition(inputs, sent, bornAtMs) !== undefined;
+    return !isRepeated && restsOnList(inputs, choice);
   }
 
-  /** The ordered instance, while the order may still take effect. */
   private get pendingTarget(): string | undefined {
-    const isPending = this.stateWith(undefined) === OrderState.Pending;
-    return isPending ? this.order?.target : undefined;
+    return this.pending?.target;
   }
 
   private stateWith(report: ReplicationReport | undefined): OrderState {
--- a/packages/gateway/src/core/coordinator/primary-change-context.ts
+++ b/packages/gateway/src/core/coordinator/primary-change-context.ts
@@ -8,6 +8,7 @@
 import type {CoordinationStore} from '../store/index.js';
 import type {ControlConnections} from './control-connections.js';
 import type {GroupDepartures} from './group-departures.js';
+import type {OrderHistory} from './order-history.js';
 import type {OutstandingOrders} from './outstanding-orders.js';
 import type {PromotionService} from './promotion-service.js';
 
@@ -31,6 +32,8 @@
   readonly promotions: PromotionService;
   /** Orders that the records leave without a result. */
   readonly outstandingOrders: OutstandingOrders;
+  /** Orders of the past minute, for the log. */
+  readonly orderHistory: OrderHistory;
   /**
    * Returns the revision at which this proxy became the coordinator; 0 if it is
    * not the coordinator.
@@ -45,6 +48,14 @@
    * Returns the revision up to which the keys written by proxies are in sync.
    */
   readonly followedRevision: () => number;
+  /**
+   * Returns whether the store responds and the directory is in sync by a response
+   * that was requested after a time of the steady clock, in milliseconds. Before a
+   * proxy is the coordinator, it does not follow the directory that closely.
+   */
+  readonly isDirectoryCurrent: (sinceMs: number) => boolean;
+  /** Reads the directory now. */
+  readonly refreshDirectory: () => void;
   readonly metrics: GatewayMetrics;
   readonly log: Logger;
 }
--- a/packages/gateway/src/core/coordinator/primary-change.ts
+++ b/packages/gateway/src/core/coordinator/primary-change.ts
@@ -1,5 +1,4 @@
 import type {
-  LogPosition,
   PrimaryRecord,
   ReplicationReport,
   TermFields,
@@ -7,7 +6,6 @@
 import {
   confirmersAmong,
   elapsedMs,
-  fencingTokenOf,
   formatPosition,
   PrimaryPhase,
   termFields,
@@ -16,29 +14,29 @@
 import type {DatabaseGroup, VersionedPrimaryRecord} from '../groups/index.js';
 import {readClocks, steadyNowMs} from '../time/index.js';
 import {CommandKind} from '../upstream/index.js';
-import {EarlierOrder} from './earlier-order.js';
+import {recordLeastAcknowledged} from './acknowledged-commits.js';
 import {HeldInstances} from './held-instances.js';
+import {OrderLog} from './order-log.js';
+import {PendingOrder} from './pending-order.js';
 import type {PrimaryChangeContext} from './primary-change-context.js';
-import {PromotionResult} from './promotion-service.js';
+import type {PromotionChoice} from './promotion-orders.js';
+import {PromotionOrders} from './promotion-orders.js';
 import {PrimaryChangeReason} from './primary-change-reason.js';
-import {TargetChoiceLog} from './target-choice-log.js';
+import {TargetSelection} from './target-selection.js';
 import {writePrimaryRecord} from './write-primary-record.js';
 import {ViewRevocation} from './view-revocation.js';
 
 /** Interval between two checks of a condition, in milliseconds. */
 const POLL_INTERVAL_MS = 25;
 
-/** How long a planned change waits for proxies to release the primary, in milliseconds; they let transactions finish first, for up to 250 ms. */
+/** How long a planned change waits for releases, in milliseconds; proxies let transactions finish first, for up to 250 ms. */
 const RELEASE_TIMEOUT_MS = 350;
 
 /** Delay before instances that did not report are queried again, in milliseconds. */
 const RETRY_DELAY_MS = 100;
 
-/** Maximum age of the fencing token when a promotion is ordered, in milliseconds. */
-const TOKEN_VALIDITY_MS = 800;
-
-/** Maximum time for a promoted instance to become primary, in milliseconds. */
-const PROMOTION_TIMEOUT_MS = 4_000;
+/** Maximum time after a steady record was written in which instances are released, in milliseconds; the process may have been suspended. */
+const RELEASE_VALIDITY_MS = 800;
 
 export {PrimaryChangeReason};
 
@@ -56,9 +54,9 @@
   private failedPromotions = 0;
   /** The instance that was ordered to lead last, if its promotion was not observed. */
   private orderedTarget: string | undefined;
-  private readonly earlierOrder: EarlierOrder;
-  /** Whether the last order may take effect; one that was refused changes nothing. */
-  private mayHavePromoted = false;
+  private readonly pendingOrder: PendingOrder;
+  private readonly selection: TargetSelection;
+  private readonly orders: PromotionOrders;
   private revocation: ViewRevocation | undefined;
   /** Generation of the store in which the change began. */
   private readonly generation: number;
@@ -78,8 +76,27 @@
       () => this.failedPromotions,
       () => this.orderedTarget,
     );
-    this.earlierOrder = new EarlierOrder(context, group.name, this.held, () =>
-      this.assertStillCoordinator(),
+    const assertStillCoordinator = (): void => this.assertStillCoordinator();
+    this.pendingOrder = new PendingOrder(
+      context,
+      group.name,
+      this.held,
+      assertStillCoordinator,
+    );
+    const orderLog = new OrderLog(context, group.name, this.held);
+    this.orders = new PromotionOrders(
+      context,
+      group.name,
+      orderLog,
+      () => this.isStillCoordinator,
+    );
+    this.selection = new TargetSelection(
+      context,
+      group,
+      this.held,
+      this.pendingOrder,
+      orderLog,
+      assertStillCoordinator,
     );
   }
 
@@ -94,8 +111,12 @@
     if (known === undefined) throw new Error('The group has no record.');
     this.countStep('begun');
     this.log('A change of primary begins.', {reason: this.reason});
-    this.failedPromotions = known.record.orders ?? 0;
-    this.orderedTarget = this.earlierOrder.read(known);
+    this.orderedTarget = this.pendingOrder.read(known);
+    const {phase, orders = 0} = known.record;
+    // An order that is not expected any more has changed nothing since.
+    const isPast =
+      phase === PrimaryPhase.Steady && this.pendingOrder.pending === undefined;
+    this.failedPromotions = isPast ? 0 : orders;
     if (await this.adoptPrimary(known)) return;
     try {
       const announced = await this.announce(known);
@@ -131,7 +152,7 @@
         ? old
         : await this.write({
             ...this.fieldsOfTerm(old.record),
-            ...this.earlierOrder.fields,
+            ...this.pendingOrder.fields,
             phase: PrimaryPhase.Changing,
             isPlanned: this.reason === PrimaryChangeReason.Leaving,
             orders: this.failedPromotions,
@@ -143,18 +164,18 @@
 
   /** Returns what every record of the change repeats. */
   private fieldsOfTerm(record: PrimaryRecord): TermFields {
+    recordLeastAcknowledged(this.context, this.group);
     const departed = this.context.departures.of(this.group.name);
-    const confirmers = departed.confirmersFor(record);
-    return {...termFields(record), confirmers};
+    return {...termFields(record), confirmers: departed.confirmersFor(record)};
   }
 
   /** Completes the change if an earlier coordinator promoted an instance. */
   private async adoptPrimary(known: VersionedPrimaryRecord): Promise<boolean> {
     if (this.reason !== PrimaryChangeReason.Unfinished) return false;
-    const leader = await this.earlierOrder.findPromoted(known);
+    const leader = await this.pendingOrder.findPromoted(known);
     if (leader === undefined) return false;
     // It may have led for a while, and who confirmed its commits may have left.
-    await this.completeChange(leader);
+    await this.completeChange(leader, this.failedPromotions);
     return true;
   }
 
@@ -166,20 +187,27 @@
     }
   }
 
-  /** Waits until no proxy can use the old primary any more. */
-  private async awaitViewRevocation(): Promise<void> {
-    const isRevoked = (): boolean =>
-      this.revocation?.isComplete(
+  /**
+   * Waits until no proxy can use the old primary any more.
+   *
+   * @returns Since when, in milliseconds of the steady clock.
+   */
+  private async awaitViewRevocation(): Promise<number> {
+    for (;;) {
+      const sinceMs = this.revocation?.completeSinceMs(
         this.held.lastHeldAtMs,
         this.failedPromotions > 0,
-      ) === true;
-    while (!isRevoked()) {
+        this.held.hasSteppedDown,
+      );
+      if (sinceMs !== undefined) {
+        this.log('The old primary is out of use everywhere.', {
+          withoutAnswer: this.unreleasedProxies.join(' '),
+        });
+        return sinceMs;
+      }
       this.assertStillCoordinator();
       await sleep(POLL_INTERVAL_MS);
     }
-    this.log('The old primary is out of use everywhere.', {
-      withoutAnswer: this.unreleasedProxies.join(' '),
-    });
   }
 
   private get unreleasedProxies(): readonly string[] {
@@ -191,54 +219,55 @@
     announced: VersionedPrimaryRecord,
   ): Promise<void> {
     let known = announced;
-    let loggedReason = '';
-    const choices = new TargetChoiceLog(this.context, this.group);
+    let wasPending = false;
     for (;;) {
+      const isPending = this.pendingOrder.pending !== undefined;
+      // The order may have taken effect unseen and have ended the holds.
+      if (wasPending && !isPending) this.held.clear();
+      wasPending = isPending;
       await this.held.holdReplicas(known);
-      const leader = await this.earlierOrder.findLeader();
+      const leader = await this.pendingOrder.findLeader();
       if (leader !== undefined) {
         await this.adoptLeader(leader);
         return;
       }
-      const inputs = this.held.targetInputs(known);
-      const choice = this.earlierOrder.choose(inputs);
-      choices.record(inputs, choice);
-      if (choice.kind === 'promote') {
-        await this.awaitViewRevocation();
-        if (!this.held.areIntact(known)) continue;
-        const {target, position, unverified} = choice;
-        if (!(await this.held.confirmHolds(known, target))) {
-          this.log('The instances changed while they were held.', {target});
-          await sleep(RETRY_DELAY_MS);
-          continue;
-        }
-        if (unverified !== undefined) {
-          this.countStep('unverified');
-          choices.reportUnverified(choice);
+      const unknownTerms = this.held.highestTerm - known.record.term;
+      if (unknownTerms > this.failedPromotions) {
+        known = await this.restartChange(known, unknownTerms);
+        continue;
+      }
+      if (this.selection.canChoose(known)) {
+        const outOfUseAtMs = await this.awaitViewRevocation();
+        const choice = await this.selection.select(known, outOfUseAtMs);
+        if (choice !== undefined) {
+          if (choice.unverified !== undefined) {
+            this.countStep('unverified');
+            this.selection.reportUnverified(choice);
+          }
+          const next = await this.promote(known, choice);
+          if (next === undefined) return;
+          known = next;
         }
-        if (await this.promote(known.record, target, position)) return;
-        if (this.mayHavePromoted) known = await this.restartChange(known);
-      } else if (choice.reason !== loggedReason) {
-        loggedReason = choice.reason;
-        this.log('The change of primary waits.', {waitsFor: choice.reason});
       }
-      if (!this.hasFailedPromotion) await this.held.stepDownOldPrimary(known);
+      if (this.failedPromotions === 0)
+        await this.held.stepDownOldPrimary(known);
       await sleep(RETRY_DELAY_MS);
       this.assertStillCoordinator();
     }
   }
 
   /**
-   * Restarts the change after a promotion without an observed new primary.
+   * Restarts the change after promotions without an observed new primary.
    *
-   * The promoted instance may still become primary, and proxies without access
-   * to the store may have discovered it. Its term is therefore skipped, and the
+   * A promoted instance may still become primary, and proxies without access to
+   * the store may have discovered it. Its term is therefore skipped, and the
    * proxies' views of it have to expire.
    */
   private restartChange(
     known: VersionedPrimaryRecord,
+    promotions: number,
   ): Promise<VersionedPrimaryRecord> {
-    this.failedPromotions += 1;
+    this.failedPromotions = promotions;
     this.held.clear();
     return this.announce(known);
   }
@@ -252,89 +281,65 @@
       position: formatPosition(leader.received),
     });
     await this.awaitViewRevocation();
-    await this.completeChange(leader);
+    await this.completeChange(leader, this.failedPromotions);
   }
 
-  /** Orders the promotion with a fencing token written for it. Returns whether the target leads. */
+  /** Orders the promotion with a fencing token written for it. Returns the record with which the change goes on, or undefined if the target leads. */
   private async promote(
-    old: PrimaryRecord,
-    target: string,
-    lastPosition: LogPosition,
-  ): Promise<boolean> {
-    const {context, group} = this;
-    const sentAt = readClocks();
+    known: VersionedPrimaryRecord,
+    choice: PromotionChoice,
+  ): Promise<VersionedPrimaryRecord | undefined> {
+    const {record: old} = known;
+    const {target, position: lastPosition} = choice;
+    const writtenAt = readClocks();
+    const orders = this.failedPromotions + 1;
     const written = await this.write({
       ...this.fieldsOfTerm(old),
       phase: PrimaryPhase.Changing,
       isPlanned: old.isPlanned,
-      orders: this.failedPromotions + 1,
+      orders,
       target,
       lastPosition,
     });
-    const ageMs = (): number => elapsedMs(sentAt, readClocks());
-    this.earlierOrder.onSuperseded();
-    const {generation = 0, revision} = written;
-    const fencingToken = fencingTokenOf(generation, revision);
-    const answer = await context.promotions.promote({
-      group: group.name,
-      instance: target,
-      holder: context.self,
-      fencingToken,
-      // The store may have been restored since the token was written.
-      isValid: () => ageMs() <= TOKEN_VALIDITY_MS && this.isStillCoordinator,
-    });
-    context.outstandingOrders.settle(group.name, {target, token: fencingToken});
-    this.countStep('ordered');
-    this.log('A promotion was ordered.', {
-      target,
-      token: fencingToken,
-      answer,
-      ageMs: Math.round(ageMs()),
-    });
-    this.mayHavePromoted =
-      answer === PromotionResult.Accepted || answer === PromotionResult.Unknown;
-    if (!this.mayHavePromoted) return false;
+    this.pendingOrder.onRecorded();
+    const effective = await this.orders.send(choice, {written, writtenAt});
+    // One that was refused changes nothing.
+    if (effective === undefined) return known;
+    this.pendingOrder.onSent(effective);
     this.orderedTarget = target;
-    return this.awaitPromotion(target, old.term, lastPosition);
-  }
-
-  /** Waits until the promoted instance is primary. Returns false after the time limit. */
-  private async awaitPromotion(
-    id: string,
-    oldTerm: number,
-    initialPosition: LogPosition,
-  ): Promise<boolean> {
-    const deadlineMs = steadyNowMs() + PROMOTION_TIMEOUT_MS;
-    while (steadyNowMs() < deadlineMs) {
-      this.assertStillCoordinator();
-      const endpoint = this.context.directory.find(id);
-      if (endpoint === undefined) return false;
-      const report = await this.context.control.sendCommand(endpoint, {
-        kind: CommandKind.Status,
-      });
-      if (report?.isPrimary && report.term > oldTerm) {
-        const {bornAtMs: primaryBornAtMs} = endpoint;
-        await this.completeChange(report, {initialPosition, primaryBornAtMs});
-        return true;
-      }
-      await sleep(POLL_INTERVAL_MS);
-    }
-    return false;
+    const leader = await this.orders.awaitLeader(target, old.term);
+    this.assertStillCoordinator();
+    if (leader === undefined) return this.restartChange(known, orders);
+    await this.completeChange(leader.report, orders, {
+      initialPosition: lastPosition,
+      primaryBornAtMs: leader.endpoint.bornAtMs,
+    });
+    return undefined;
   }
 
   /**
    * Records the new primary and lets the replicas replicate from it.
    *
    * @param leader - Report of the instance that leads.
+   * @param orders - Number of orders that may have been given in the term.
    * @param began - How its term began. If the position is unknown, the one of
    *   now counts, which includes the commits of earlier terms.
    */
   private async completeChange(
     leader: ReplicationReport,
+    orders: number,
     began: Pick<PrimaryRecord, 'initialPosition' | 'primaryBornAtMs'> = {},
   ): Promise<void> {
     const instances = this.context.directory.findByGroup(this.group.name);
+    const {pending} = this.pendingOrder;
+    // One of several orders has taken effect; the others may still do so.
+    const outstanding =
+      orders > 1 && pending?.target === leader.id
+        ? {outstandingOrder: pending, orders: orders - 1}
+        : {};
+    const writtenAt = readClocks();
     await this.write({
+      ...outstanding,
       term: leader.term,
       primary: leader.id,
       phase: PrimaryPhase.Steady,
@@ -349,28 +354,21 @@
       tookMs: Math.round(steadyNowMs() - this.beganAtMs),
     });
     // The next coordinator may have held the instances in the meantime.
-    if (!this.isStillCoordinator) return;
+    const isLate = elapsedMs(writtenAt, readClocks()) > RELEASE_VALIDITY_MS;
+    if (isLate || !this.isStillCoordinator) return;
     const others = this.context.directory
       .findByGroup(this.group.name)
       .filter(({id}) => id !== leader.id);
     await this.held.sendToAll(others, {kind: CommandKind.ReleaseTerm});
   }
 
-  /** Whether another instance may have led after the old primary. */
-  private get hasFailedPromotion(): boolean {
-    return this.failedPromotions > 0;
-  }
-
   /** Writes a record of this change. */
   private write(record: PrimaryRecord): Promise<VersionedPrimaryRecord> {
     this.assertStillCoordinator();
     return writePrimaryRecord(this.context, this.group, record);
   }
 
-  /**
-   * Throws if the role was lost since the change began, even if this proxy has
-   * claimed it again: the record may be another one by now.
-   */
+  /** Throws if the role was lost since the change began, even if this proxy has claimed it again: the record may be another one by now. */
   private assertStillCoordinator(): void {
     if (this.isStillCoordinator) return;
     throw new Error('This proxy no longer coordinates.');
--- a/packages/gateway/src/core/coordinator/promotion-service.ts
+++ b/packages/gateway/src/core/coordinator/promotion-service.ts
@@ -16,6 +16,13 @@
 export type PromotionResult =
   (typeof PromotionResult)[keyof typeof PromotionResult];
 
+/** Returns whether the platform may execute an order that was answered so. */
+export function mayTakeEffect(answer: PromotionResult): boolean {
+  return (
+    answer === PromotionResult.Accepted || answer === PromotionResult.Unknown
+  );
+}
+
 /** A promotion of one instance. */
 export interface Promotion {
   readonly group: string;
--- a/packages/gateway/src/core/coordinator/record-recovery.ts
+++ b/packages/gateway/src/core/coordinator/record-recovery.ts
@@ -25,17 +25,6 @@
  */
 const RECENT_START_MS = 10_000;
 
-/** What the recovery needs to know about the directory. */
-export interface RecordRecoveryOptions {
-  /**
-   * Returns whether the directory is in sync by a response that was requested
-   * after a time of the steady clock, in milliseconds.
-   */
-  readonly isUpToDate: (sinceMs: number) => boolean;
-  /** Called while the directory is out of date. */
-  readonly onRefreshNeeded: () => void;
-}
-
 /**
  * Writes the record of a group that has none, or whose record was written
  * before the store was restored from a backup.
@@ -51,10 +40,8 @@
   >();
   private readonly loggedReasons = new Map<string, string>();
 
-  constructor(
-    private readonly context: PrimaryChangeContext,
-    private readonly options: RecordRecoveryOptions,
-  ) {}
+  /** @param context - Dependencies of the coordinator. */
+  constructor(private readonly context: PrimaryChangeContext) {}
 
   /**
    * Asks the instances of a group, and writes what they show.
@@ -68,8 +55,8 @@
     // Until then the directory and the list of proxies may be incomplete.
     const settledAtMs = store.generationSinceMs + RESTORE_SETTLE_MS;
     if (!store.isSettled) return;
-    if (!this.options.isUpToDate(settledAtMs)) {
-      this.options.onRefreshNeeded();
+    if (!this.context.isDirectoryCurrent(settledAtMs)) {
+      this.context.refreshDirectory();
       return;
     }
     const {generation} = store;
--- a/packages/gateway/src/core/coordinator/view-revocation.ts
+++ b/packages/gateway/src/core/coordinator/view-revocation.ts
@@ -1,6 +1,7 @@
 import type {VersionedPrimaryRecord} from '../groups/index.js';
 import {VIEW_VALIDITY_MS} from '../groups/index.js';
 import {steadyNowMs} from '../time/index.js';
+import {recordLeastReleased} from './acknowledged-commits.js';
 import type {PrimaryChangeContext} from './primary-change-context.js';
 
 /**
@@ -15,7 +16,7 @@
  */
 const RELEASE_GRACE_PERIOD_MS = 250;
 
-/** Interval between two checks for leases to revoke, in milliseconds. */
+/** Interval between two checks of the releases, in milliseconds. */
 const POLL_INTERVAL_MS = 25;
 
 /**
@@ -33,6 +34,8 @@
    */
   private readonly revokedAtMs = new Map<string, number>();
   private readonly revoking = new Set<string>();
+  /** Since when every proxy has published its release, in milliseconds of the steady clock. */
+  private releasedAtMs: number | undefined;
   private readonly beganAtMs = steadyNowMs();
   private readonly timer: NodeJS.Timeout;
 
@@ -48,8 +51,8 @@
     private readonly group: string,
     private readonly known: VersionedPrimaryRecord,
   ) {
-    this.timer = setInterval(() => this.revokeLeases(), POLL_INTERVAL_MS);
-    this.revokeLeases();
+    this.timer = setInterval(() => this.checkReleases(), POLL_INTERVAL_MS);
+    this.checkReleases();
   }
 
   /** Stops revoking leases. */
@@ -66,7 +69,8 @@
   }
 
   /**
-   * Returns whether no proxy can use the old primary any more.
+   * Returns since when no proxy can use the old primary any more, in milliseconds
+   * of the steady clock; undefined while one may.
    *
    * A proxy without access to the store verifies its view with the old primary
    * and a replica. This fails once they are held.
@@ -76,20 +80,32 @@
    * @param ignoresReleases - Whether proxies that have released the old primary
    *   may have discovered another primary since, which no record has taken out
    *   of use.
+   * @param hasSteppedDown - Whether the old primary has stepped down. Otherwise
+   *   it may still commit in a planned change, which proxies acknowledge for a
+   *   while.
    */
-  isComplete(heldAtMs: number, ignoresReleases: boolean): boolean {
-    if (!this.isUpToDate) return false;
+  completeSinceMs(
+    heldAtMs: number,
+    ignoresReleases: boolean,
+    hasSteppedDown = false,
+  ): number | undefined {
+    if (!this.isUpToDate) return undefined;
     const {silent} = this;
-    if (silent.length === 0 && !ignoresReleases) return true;
+    if (silent.length > 0) this.releasedAtMs = undefined;
+    else this.releasedAtMs ??= steadyNowMs();
+    if (this.releasedAtMs !== undefined && !ignoresReleases) {
+      const mayCommit = this.known.record.isPlanned === true && !hasSteppedDown;
+      return pastOrUndefined(
+        mayCommit ? endOfViews(this.releasedAtMs) : this.releasedAtMs,
+      );
+    }
     let startMs = heldAtMs;
     for (const name of silent) {
       const leaseRevokedAtMs = this.revokedAtMs.get(name);
-      if (leaseRevokedAtMs === undefined) return false;
+      if (leaseRevokedAtMs === undefined) return undefined;
       startMs = Math.max(startMs, leaseRevokedAtMs);
     }
-    // Only the steady clock may end the wait, because the wall clock may jump
-    // ahead.
-    return steadyNowMs() - startMs >= VIEW_VALIDITY_MS + CLOCK_DRIFT_MARGIN_MS;
+    return pastOrUndefined(endOfViews(startMs));
   }
 
   /**
@@ -102,6 +118,11 @@
     return store.generation === generation && followedRevision() >= revision;
   }
 
+  private checkReleases(): void {
+    recordLeastReleased(this.context, this.group);
+    this.revokeLeases();
+  }
+
   private revokeLeases(): void {
     if (!this.isUpToDate) return;
     const isGraceOver =
@@ -143,3 +164,16 @@
     }
   }
 }
+
+/** Returns when the views that were valid at a time of the steady clock have expired, in milliseconds. */
+function endOfViews(startMs: number): number {
+  return startMs + VIEW_VALIDITY_MS + CLOCK_DRIFT_MARGIN_MS;
+}
+
+/**
+ * Returns a time if it has passed. Only the steady clock may tell, because the
+ * wall clock may jump ahead.
+ */
+function pastOrUndefined(timeMs: number): number | undefined {
+  return steadyNowMs() >= timeMs ? timeMs : undefined;
+}
--- a/packages/gateway/src/core/directory/instance-directory.ts
+++ b/packages/gateway/src/core/directory/instance-directory.ts
@@ -1,7 +1,7 @@
 import type {ClockReading} from '@sapphireglade/decisions';
 import {elapsedMs} from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
-import {Subject} from 'rxjs';
+import {filter, firstValueFrom, Subject, takeUntil, timer} from 'rxjs';
 import {readClocks, steadyNowMs, wholeMilliseconds} from '../time/index.js';
 import type {RegisteredInstance} from './types.js';
 
@@ -36,6 +36,7 @@
 export class InstanceDirectory {
   private readonly entries = new Map<string, DirectoryEntry>();
   private readonly changes = new Subject<void>();
+  private readonly confirmations = new Subject<ClockReading>();
   private zones = 0;
   private confirmedAt: ClockReading | undefined;
 
@@ -78,6 +79,22 @@
    */
   confirm(sentAt: ClockReading): void {
     this.confirmedAt = sentAt;
+    this.confirmations.next(sentAt);
+  }
+
+  /**
+   * Waits until the directory is confirmed by a request that was sent after a
+   * time, or until a time limit.
+   *
+   * @param sinceMs - The time, in milliseconds of the steady clock.
+   * @param timeoutMs - The time limit, in milliseconds.
+   */
+  async awaitConfirmation(sinceMs: number, timeoutMs: number): Promise<void> {
+    const confirmed$ = this.confirmations.pipe(
+      filter(({steadyMs}) => steadyMs >= sinceMs),
+      takeUntil(timer(timeoutMs)),
+    );
+    await firstValueFrom(confirmed$, {defaultValue: undefined});
   }
 
   /**
--- a/packages/gateway/src/core/forwarding/forwarded-request-server.ts
+++ b/packages/gateway/src/core/forwarding/forwarded-request-server.ts
@@ -1,3 +1,4 @@
+import type {InstanceListView} from '@sapphireglade/decisions';
 import {
   ErrorKind,
   RequestAgeEstimator,
@@ -16,6 +17,7 @@
 import {relayRequestSchema} from '../store-relay/index.js';
 import type {InstanceReply} from '../upstream/index.js';
 import {readClocks} from '../time/index.js';
+import {instanceListRequestSchema} from './instance-list-view.js';
 import type {
   ForwardedMessage,
   ForwardedResponse,
@@ -50,6 +52,8 @@
   readonly configuration: LatestConfiguration;
   /** Answers requests of other proxies for the state of the store. */
   readonly relayServer: StoreRelayServer;
+  /** Returns what this proxy knows of the instances of a group. */
+  readonly instanceListOf: (group: string) => InstanceListView;
   /**
    * Returns the time by which a stopping process answers every statement, in
    * milliseconds of the steady clock; Infinity while it is not stopping.
@@ -119,7 +123,10 @@
     _peer: unknown,
     _deadlineMs: number,
     link: Link,
-  ): Promise<ForwardedResponse | RelayResponse> {
+  ): Promise<ForwardedResponse | RelayResponse | InstanceListView> {
+    const listRequest = instanceListRequestSchema.safeParse(body);
+    if (listRequest.success)
+      return this.options.instanceListOf(listRequest.data.group);
     const relayRequest = relayRequestSchema.safeParse(body);
     if (relayRequest.success)
       return this.answerRelayRequest(relayRequest.data, link);
--- a/packages/gateway/src/core/forwarding/forwarding-service.ts
+++ b/packages/gateway/src/core/forwarding/forwarding-service.ts
@@ -1,3 +1,4 @@
+import type {InstanceListView} from '@sapphireglade/decisions';
 import {HybridLogicalClock} from '@sapphireglade/runtime';
 import type {Logger} from '@sapphireglade/runtime';
 import type {
@@ -11,8 +12,14 @@
 import type {StoreRelayServer, RelayRequest} from '../store-relay/index.js';
 import type {GroupOwnership} from '../ownership/index.js';
 import type {StatementRunner} from '../sessions/index.js';
-import {readClocks, steadyNowMs} from '../time/index.js';
+import {
+  readClocks,
+  steadyNowMs,
+  TIMED_OUT,
+  withTimeout,
+} from '../time/index.js';
 import {ForwardingRunner} from './forwarding-runner.js';
+import {decodeInstanceList, instanceListRequest} from './instance-list-view.js';
 import {OwnedGroupRunner} from './owned-group-runner.js';
 import {ForwardedRequestServer} from './forwarded-request-server.js';
 import {OwnerLinks} from './owner-links.js';
@@ -52,6 +59,8 @@
   readonly localRunner: StatementRunner;
   /** Answers requests of other proxies for the state of the store. */
   readonly relayServer: StoreRelayServer;
+  /** Returns what this proxy knows of the instances of a group. */
+  readonly instanceListOf: (group: string) => InstanceListView;
   /**
    * Returns the time by which a stopping process answers every statement, in
    * milliseconds of the steady clock; Infinity while it is not stopping.
@@ -77,6 +86,7 @@
       primaryZoneOf: options.primaryZoneOf,
       configuration,
       relayServer: options.relayServer,
+      instanceListOf: options.instanceListOf,
       answersByMs: options.answersByMs,
       log,
     });
@@ -157,6 +167,34 @@
     return result.kind === 'answered' ? result.body : undefined;
   }
 
+  /**
+   * Asks the other owners of a group what they know of its instances.
+   *
+   * @param group - Name of the group.
+   * @param timeoutMs - Time limit, in milliseconds.
+   * @returns One entry for each of them; undefined for one that did not answer.
+   */
+  async requestInstanceLists(
+    group: string,
+    timeoutMs: number,
+  ): Promise<Array<InstanceListView | undefined>> {
+    const deadlineMs = steadyNowMs() + timeoutMs;
+    return Promise.all(
+      this.ownerLinks.otherOwnersOf(group).map(async peer => {
+        if (peer === undefined) return undefined;
+        const request = peer.request(
+          () => instanceListRequest(group),
+          deadlineMs,
+        );
+        // Opening a link may take longer.
+        const result = await withTimeout(request, timeoutMs);
+        return result !== TIMED_OUT && result.kind === 'answered'
+          ? decodeInstanceList(result.body)
+          : undefined;
+      }),
+    );
+  }
+
   /** Sends the next relay request to another owner, if there is one. */
   changeRelayOwner(): void {
     this.ownerLinks.changeAnyOwner();
--- /dev/null
+++ b/packages/gateway/src/core/forwarding/instance-list-view.ts
@@ -0,0 +1,42 @@
+import type {InstanceListView} from '@sapphireglade/decisions';
+import * as z from 'zod';
+
+/** Kind of the request for what a proxy knows of the instances of a group. */
+const INSTANCE_LIST_KIND = 'instances';
+
+/** Schema of the request. */
+export const instanceListRequestSchema = z.object({
+  kind: z.literal(INSTANCE_LIST_KIND),
+  group: z.string(),
+});
+
+/** A request for what a proxy knows of the instances of a group. */
+export type InstanceListRequest = z.infer<typeof instanceListRequestSchema>;
+
+/** Schema of the response. */
+const instanceListResponseSchema = z.object({
+  canRead: z.boolean(),
+  ageMs: z.number().nonnegative(),
+  instances: z.array(
+    z.object({id: z.string(), bornAtMs: z.number().optional()}),
+  ),
+});
+
+/** Creates the request for a group. */
+export function instanceListRequest(group: string): InstanceListRequest {
+  return {kind: INSTANCE_LIST_KIND, group};
+}
+
+/** Decodes a response. Returns undefined for one of an earlier version, or an error. */
+export function decodeInstanceList(
+  response: unknown,
+): InstanceListView | undefined {
+  const result = instanceListResponseSchema.safeParse(response);
+  if (!result.success) return undefined;
+  const {canRead, ageMs, instances} = result.data;
+  return {
+    canRead,
+    ageMs,
+    instances: instances.map(({id, bornAtMs}) => ({id, bornAtMs})),
+  };
+}
--- a/packages/gateway/src/core/forwarding/owner-links.ts
+++ b/packages/gateway/src/core/forwarding/owner-links.ts
@@ -48,6 +48,11 @@
     );
   }
 
+  /** Returns the other owners of a group; undefined for one that is no longer listed. */
+  otherOwnersOf(group: string): Array<OwnerPeer | undefined> {
+    return this.otherOwners(group).map(name => this.peer(name));
+  }
+
   /**
    * Chooses an owner of a group.
    *
--- a/packages/gateway/src/core/groups/database-group.ts
+++ b/packages/gateway/src/core/groups/database-group.ts
@@ -12,7 +12,6 @@
   InstanceUse,
   isSameSteadyPrimary,
   PrimaryPositionHistory,
-  ReplicationLagEstimate,
   PositionSource,
   PrimaryPhase,
   ViewFreshness,
@@ -25,10 +24,17 @@
 import {RegistrationUsePolicy} from '../directory/index.js';
 import type {InstancePool, ReportedPosition} from '../pool/index.js';
 import {readClocks, steadyNowMs} from '../time/index.js';
+import type {CommitHolders} from './commit-holders.js';
+import {findCommitHolders} from './commit-holders.js';
+import {AcknowledgedCommits} from './acknowledged-commits.js';
 import {toInstanceCandidate} from './instance-candidate.js';
 import type {GroupMember} from './group-member.js';
+import {createGroupMember} from './group-member.js';
 import {MemberRemovals} from './member-removals.js';
+import {ObservedChange} from './observed-change.js';
 import {PrimaryProblem} from './primary-problem.js';
+import {ReplicaWitness} from './replica-witness.js';
+import {StoreConfirmation} from './store-confirmation.js';
 import type {VersionedPrimaryRecord} from './types.js';
 import {isOutdated} from './types.js';
 
@@ -43,6 +49,12 @@
 export class DatabaseGroup {
   /** Positions observed at the instances. */
   readonly positions = new PrimaryPositionHistory();
+  /** What this process has acknowledged. */
+  readonly acknowledged = new AcknowledgedCommits();
+  /** When the store last confirmed the view. */
+  readonly storeConfirmation = new StoreConfirmation();
+  /** What lies on a replica that can be asked for it. */
+  readonly witness = new ReplicaWitness(this);
   /** Tracks until when the view of the record is valid. */
   readonly viewFreshness: ViewFreshness = new ViewFreshness(VIEW_VALIDITY_MS);
   private readonly membersById = new Map<string, GroupMember>();
@@ -59,11 +71,7 @@
   private highestLedTerm = 0;
   /** Latest time at which no other instance had become primary after the newest steady record. */
   private notReplacedAt: ClockReading | undefined;
-  private changeProgress: ChangeProgress = {
-    beganAtMs: 0,
-    isPlanned: false,
-    targetAtMs: undefined,
-  };
+  private readonly observedChange: ObservedChange;
 
   /**
    * @param name - Name of the group.
@@ -74,7 +82,9 @@
     readonly name: string,
     readonly changeExpectation: ChangeExpectation = new ChangeExpectation(),
     private readonly usePolicy: InstanceUsePolicy = new RegistrationUsePolicy(),
-  ) {}
+  ) {
+    this.observedChange = new ObservedChange(changeExpectation);
+  }
 
   /** Emits each newer record. */
   get records$(): Subject<VersionedPrimaryRecord> {
@@ -133,7 +143,7 @@
     }
     this.known = update;
     if (isSame) return this.recordChanges.next(update);
-    this.updateChangeProgress(update);
+    this.observedChange.onRecord(update.record);
     if (lastPosition !== undefined && !isBehind) {
       this.observeRecordedPosition(lastPosition);
     }
@@ -190,28 +200,16 @@
 
   /** Progress of the change of primary that the record describes. */
   get change(): ChangeProgress {
-    return this.changeProgress;
-  }
-
-  /** A record that only names the target belongs to the same change. */
-  private updateChangeProgress({record}: VersionedPrimaryRecord): void {
-    const nowMs = steadyNowMs();
-    const isPlanned = record.isPlanned === true;
-    const isChanging = record.phase === PrimaryPhase.Changing;
-    const hasTarget = isChanging && record.target !== undefined;
-    const {changeProgress, changeExpectation} = this;
-    const hadTarget = changeProgress.targetAtMs !== undefined;
-    if (hasTarget && !hadTarget)
-      changeExpectation.recordChoice(changeProgress, nowMs);
-    if (!isChanging) changeExpectation.recordPromotion(changeProgress, nowMs);
-    this.changeProgress = hasTarget
-      ? {...this.changeProgress, targetAtMs: nowMs}
-      : {beganAtMs: nowMs, isPlanned, targetAtMs: undefined};
+    return this.observedChange.progress;
   }
 
   /** Handles a response of the store that confirmed the record as newest. */
   confirmRecord(sentAt: ClockReading): void {
-    if (!this.hasDiscoveredPrimary) this.viewFreshness.confirm(sentAt);
+    this.storeConfirmation.onRecordConfirmed(sentAt);
+    if (!this.hasDiscoveredPrimary) {
+      this.viewFreshness.confirm(sentAt);
+      this.storeConfirmation.onViewProlonged(sentAt);
+    }
     const {target, orders = 0} = this.known?.record ?? {};
     const mayBeReplaced = target !== undefined || orders > 0;
     if (!mayBeReplaced) this.markNotReplaced(sentAt);
@@ -219,7 +217,16 @@
 
   /** Handles a renewal of the view lease. */
   onLeaseRenewed(sentAt: ClockReading): void {
-    if (!this.hasDiscoveredPrimary) this.extendView(sentAt);
+    if (this.hasDiscoveredPrimary) return;
+    if (this.viewFreshness.isValid(sentAt))
+      this.storeConfirmation.onViewProlonged(sentAt);
+    this.extendView(sentAt);
+  }
+
+  /** Returns whether the view would be valid without what instances have verified. */
+  isConfirmedByStore(now: ClockReading): boolean {
+    if (this.hasDiscoveredPrimary) return false;
+    return this.storeConfirmation.hasProlongedWithin(VIEW_VALIDITY_MS, now);
   }
 
   /**
@@ -241,7 +248,7 @@
 
   /** Adds an instance. */
   addMember(instance: RegisteredInstance, pool: InstancePool): void {
-    const member = {instance, pool, lag: new ReplicationLagEstimate()};
+    const member = createGroupMember(instance, pool);
     this.membersById.set(instance.id, member);
     pool.positions$.subscribe(reported =>
       this.observePosition(member, reported),
@@ -273,19 +280,11 @@
    * Returns the instances besides the primary that may hold acknowledged commits.
    *
    * @param nowMs - The time, in milliseconds of the steady clock.
-   * @returns Those that can be queried, and how many others there may be. A
-   *   process that has just started may not know which instances were removed
-   *   recently.
    */
-  possibleCommitHolders(nowMs: number): {
-    readonly replicas: readonly GroupMember[];
-    readonly absent: number;
-  } {
-    const primary = this.known?.record.primary;
-    const replicas = [...this.membersById.values()].filter(
-      ({instance}) => instance.id !== primary,
-    );
-    return {replicas, absent: 1 + this.removals.countExcept(primary, nowMs)};
+  possibleCommitHolders(nowMs: number): CommitHolders {
+    const members = [...this.membersById.values()];
+    const record = this.known?.record;
+    return findCommitHolders(record, members, this.removals, nowMs);
   }
 
   /** Returns the primary, or the reason why it cannot be used. */
@@ -328,7 +327,7 @@
     return [...this.membersById.values()]
       .filter(({instance}) => instance.id !== primary)
       .filter(({instance}) => this.mayReceiveStatements(instance.id, false))
-      .filter(({pool}) => pool.unreachableSinceMs === undefined)
+      .filter(({pool}) => pool.canBeReached)
       .map(member =>
         toInstanceCandidate(
           member,
@@ -340,9 +339,10 @@
 
   /** Records a position reported by an instance. */
   private observePosition(
-    {instance: {id}, lag}: GroupMember,
+    {instance: {id}, lag, shown}: GroupMember,
     reported: ReportedPosition,
   ): void {
+    shown.record(reported.position);
     const {positions} = this;
     positions.discardAfterSuspension(readClocks());
     positions.recordSeen(reported.position);
--- a/packages/gateway/src/core/groups/fetch-replication-report.ts
+++ b/packages/gateway/src/core/groups/fetch-replication-report.ts
@@ -14,6 +14,16 @@
 /** Delay before an overloaded instance is queried again, in milliseconds. */
 const BUSY_RETRY_DELAY_MS = 15;
 
+/** A report, and since when its instance is known to have run. */
+export interface StandingReport {
+  readonly report: ReplicationReport;
+  /**
+   * Since when the instance is known to have run without a restart, in
+   * milliseconds of the steady clock.
+   */
+  readonly standingSinceMs: number;
+}
+
 /**
  * Fetches the role, term and position of an instance over a connection of its
  * pool.
@@ -23,6 +33,13 @@
 export async function fetchReplicationReport(
   pool: InstancePool,
 ): Promise<ReplicationReport | undefined> {
+  return (await fetchStandingReport(pool))?.report;
+}
+
+/** Fetches a report as {@link fetchReplicationReport} does, with the time for which the instance has run. */
+export async function fetchStandingReport(
+  pool: InstancePool,
+): Promise<StandingReport | undefined> {
   const deadlineMs = steadyNowMs() + ANSWER_TIMEOUT_MS;
   const connection = await acquireConnection(pool, deadlineMs);
   if (connection === undefined) return undefined;
@@ -39,8 +56,9 @@
     // expire, so the request is retried.
     const isBusy = reply.refusal?.kind === ErrorKind.Overloaded;
     if (!isBusy || steadyNowMs() + BUSY_RETRY_DELAY_MS >= deadlineMs) {
+      const standingSinceMs = pool.standingSinceMs(connection) ?? Infinity;
       pool.release(connection);
-      return reply.report;
+      return reply.report && {report: reply.report, standingSinceMs};
     }
     await sleep(BUSY_RETRY_DELAY_MS);
   }
--- a/packages/gateway/src/core/groups/group-registry.ts
+++ b/packages/gateway/src/core/groups/group-registry.ts
@@ -15,8 +15,9 @@
 import type {GroupOwnership} from '../ownership/index.js';
 import {InstancePool} from '../pool/index.js';
 import type {InstanceConnector} from '../upstream/index.js';
-import {steadyNowMs} from '../time/index.js';
+import {readClocks, steadyNowMs} from '../time/index.js';
 import {DatabaseGroup} from './database-group.js';
+import {needsConfirmation} from './view-witnesses.js';
 
 /** Dependencies of the group registry. */
 export interface GroupRegistryOptions {
@@ -97,6 +98,14 @@
     for (const group of this.groups.values()) group.confirmRecord(sentAt);
   }
 
+  /** Whether the view of an owned group is invalid, or could not be verified without the store. */
+  get needsConfirmation(): boolean {
+    const now = readClocks();
+    return this.owned.some(
+      group => !group.viewFreshness.isValid(now) || needsConfirmation(group),
+    );
+  }
+
   /** Extends every view that was still valid when the renewal was sent. */
   extendAllViews(sentAt: ClockReading): void {
     for (const group of this.groups.values()) group.onLeaseRenewed(sentAt);
--- a/packages/gateway/src/core/groups/index.ts
+++ b/packages/gateway/src/core/groups/index.ts
@@ -1,5 +1,6 @@
 /** State of each group of instances as cached by this proxy. */
 export * from './fetch-replication-report.js';
+export * from './acknowledged-commits.js';
 export * from './commit-bound-probe.js';
 export * from './database-group.js';
 export * from './group-member.js';
@@ -8,3 +9,4 @@
 export * from './instance-candidate.js';
 export * from './primary-records.js';
 export * from './types.js';
+export * from './view-witnesses.js';
--- a/packages/gateway/src/core/primary-health/primary-releases.ts
+++ b/packages/gateway/src/core/primary-health/primary-releases.ts
@@ -1,4 +1,5 @@
-import {PrimaryPhase} from '@sapphireglade/decisions';
+import type {LogPosition} from '@sapphireglade/decisions';
+import {formatPosition, PrimaryPhase} from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
 import type {
   DatabaseGroup,
@@ -24,16 +25,40 @@
  */
 export const RELEASE_PREFIX = 'sapphireglade/released/';
 
+/**
+ * Time after which commits that an earlier process of the same name acknowledged
+ * need not be known, in milliseconds: each instance that confirmed one is listed
+ * by then.
+ */
+export const REGISTRATION_MS = 2_000;
+
+/** Stands for the position of a process that has acknowledged no commit. */
+const NONE = '-';
+
 /** The version of a record that a proxy has applied. */
 type ReleasedRecord = Pick<VersionedPrimaryRecord, 'revision' | 'generation'>;
 
+/** A release of a proxy. */
+interface Release extends ReleasedRecord {
+  /** What it has acknowledged; undefined if it does not know. */
+  readonly acknowledged: AcknowledgedBound | undefined;
+  /** Position that every log with a certain one of these commits has reached, if any is known. */
+  readonly least: LogPosition | undefined;
+}
+
+/** Every commit that a proxy has acknowledged is included in a position. */
+export interface AcknowledgedBound {
+  /** The position; undefined if it has acknowledged none. */
+  readonly position: LogPosition | undefined;
+}
+
 /**
  * Publishes in the store that this proxy no longer uses an old primary, and
  * tracks the releases of the other proxies.
  */
 export class PrimaryReleases extends StorePrefixListener {
   /** The last record that each proxy has applied, by key. */
-  private readonly released = new Map<string, ReleasedRecord>();
+  private readonly released = new Map<string, Release>();
 
   constructor(
     private readonly self: string,
@@ -60,7 +85,7 @@
     if (known.record.isPlanned === true && known.record.target === undefined) {
       await waitUntilIdle(group, known.record.primary);
     }
-    await this.answer(group.name, known);
+    await this.answer(group, known);
   }
 
   /**
@@ -80,6 +105,28 @@
     );
   }
 
+  /**
+   * Returns what a proxy had acknowledged when it released the primary that a
+   * record took out of use, if it has told.
+   */
+  acknowledgedBy(
+    group: string,
+    member: string,
+    known: ReleasedRecord,
+  ): AcknowledgedBound | undefined {
+    return this.hasReleased(group, member, known)
+      ? this.released.get(releaseKey(group, member))?.acknowledged
+      : undefined;
+  }
+
+  /**
+   * Returns a position that every log with all commits of a proxy has certainly
+   * reached, by its last release, whichever record that was for.
+   */
+  leastAcknowledgedBy(group: string, member: string): LogPosition | undefined {
+    return this.released.get(releaseKey(group, member))?.least;
+  }
+
   override onRestored(): void {
     this.released.clear();
   }
@@ -104,7 +151,7 @@
    * sent to the old primary.
    */
   private async answer(
-    group: string,
+    group: DatabaseGroup,
     known: VersionedPrimaryRecord,
   ): Promise<void> {
     const leaseId = this.leaseOf();
@@ -115,8 +162,12 @@
         conditions: [],
         puts: [
           {
-            key: releaseKey(group, this.self),
-            value: releaseValue(known),
+            key: releaseKey(group.name, this.self),
+            value: releaseValue(
+              known,
+              acknowledgedBound(group),
+              group.acknowledged.leastPosition,
+            ),
             leaseId,
           },
         ],
@@ -124,7 +175,7 @@
     } catch (error) {
       // The change of primary waits until this proxy's view has expired.
       this.log.warn('A release could not be published.', {
-        group,
+        group: group.name,
         revision: known.revision,
         error: String(error),
       });
@@ -145,19 +196,66 @@
   return name.replace(/[%/]/g, encodeURIComponent);
 }
 
-/** Returns the value of a release. */
-export function releaseValue({
-  revision,
-  generation = 0,
-}: ReleasedRecord): string {
-  return `${generation}/${revision}`;
+/**
+ * Returns what this process has acknowledged; undefined if it does not know, or
+ * has run for too short to answer for the process before it.
+ */
+export function acknowledgedBound({
+  acknowledged,
+}: DatabaseGroup): AcknowledgedBound | undefined {
+  // The steady clock counts from the start of the process.
+  const isKnown = acknowledged.isComplete && steadyNowMs() >= REGISTRATION_MS;
+  return isKnown ? {position: acknowledged.position} : undefined;
+}
+
+/**
+ * Returns the value of a release.
+ *
+ * @param record - The record that was applied.
+ * @param acknowledged - What the process has acknowledged, if it knows.
+ * @param least - Position that every log with all of it has certainly reached.
+ */
+export function releaseValue(
+  {revision, generation = 0}: ReleasedRecord,
+  acknowledged?: AcknowledgedBound,
+  least?: LogPosition,
+): string {
+  const parts = [`${generation}`, `${revision}`];
+  if (acknowledged !== undefined || least !== undefined)
+    parts.push(acknowledged === undefined ? '' : formatBound(acknowledged));
+  if (least !== undefined) parts.push(formatPosition(least));
+  return parts.join('/');
+}
+
+function formatBound({position}: AcknowledgedBound): string {
+  return position === undefined ? NONE : formatPosition(position);
 }
 
 /** Parses the value of a release. Returns undefined if it is invalid. */
-function parseRelease(value: string): ReleasedRecord | undefined {
-  const [generation, revision] = value.split('/').map(Number);
-  return Number.isSafeInteger(generation) && Number.isSafeInteger(revision)
-    ? {generation, revision: revision!}
+function parseRelease(value: string): Release | undefined {
+  const [generation, revision, acknowledged, least] = value.split('/');
+  const record = {generation: Number(generation), revision: Number(revision)};
+  return Object.values(record).every(Number.isSafeInteger)
+    ? {
+        ...record,
+        acknowledged: parseAcknowledged(acknowledged),
+        least: parsePosition(least),
+      }
+    : undefined;
+}
+
+function parseAcknowledged(
+  text: string | undefined,
+): AcknowledgedBound | undefined {
+  if (text === NONE) return {position: undefined};
+  const position = parsePosition(text);
+  return position && {position};
+}
+
+function parsePosition(text: string | undefined): LogPosition | undefined {
+  const [term, position] = (text ?? '').split('.').map(Number);
+  return Number.isSafeInteger(term) && Number.isSafeInteger(position)
+    ? {term: term!, position: position!}
     : undefined;
 }
 
--- a/packages/gateway/src/core/primary-health/view-verification-task.ts
+++ b/packages/gateway/src/core/primary-health/view-verification-task.ts
@@ -8,8 +8,13 @@
   GroupRegistry,
   VersionedPrimaryRecord,
 } from '../groups/index.js';
-import {fetchReplicationReport} from '../groups/index.js';
+import {
+  fetchStandingReport,
+  isStandingMember,
+  mayVouch,
+} from '../groups/index.js';
 import {readClocks, steadyNowMs} from '../time/index.js';
+import {ViewVerificationLog} from './view-verification-log.js';
 
 /** Interval between two checks of the age of the views, in milliseconds. */
 const CHECK_INTERVAL_MS = 100;
@@ -34,9 +39,14 @@
  * higher term, or steps the old primary down, and then waits for longer than a
  * view is valid. Therefore a primary that reports to lead, together with a
  * replica that follows it and is not held, extends a view that is still valid.
- * An expired view cannot be restored in this way: the process may have been
- * suspended during the whole change, and a replica loses its hold when it
- * restarts.
+ *
+ * A replica that restarted has lost its hold, and one that joined was never
+ * held; a primary that restarted leads again. So both must have run since the
+ * store last confirmed the record: what a later change told them still holds.
+ * A connection that has been open since then shows it.
+ *
+ * An expired view cannot be restored in this way, because the process may have
+ * been suspended during the whole change.
  *
  * An instance that leads a higher term and has a follower in it is adopted as
  * the primary, so that a proxy without access to the store follows a change
@@ -49,6 +59,7 @@
   private readonly unverified = new Set<DatabaseGroup>();
   private isStoreLossReported = false;
   private lastAskedAtMs = -Infinity;
+  private readonly verifications: ViewVerificationLog;
 
   constructor(
     private readonly groups: GroupRegistry,
@@ -57,6 +68,7 @@
     private readonly log: Logger,
   ) {
     super('view-verification');
+    this.verifications = new ViewVerificationLog(log);
   }
 
   protected override onStart(): Promise<void> {
@@ -85,6 +97,7 @@
       steadyNowMs() - this.lastAskedAtMs < STORE_RECOVERED_AFTER_MS;
     if (isQuerying === this.isStoreLossReported) return;
     this.isStoreLossReported = isQuerying;
+    if (!isQuerying) this.verifications.clear();
     this.log.warn(
       isQuerying
         ? 'The store does not confirm the primaries; querying the instances.'
@@ -101,9 +114,9 @@
       const includesAll = this.unverified.has(group);
       const reports: ReplicationReport[] = [];
       const query = async ({pool}: GroupMember): Promise<void> => {
-        const report = await fetchReplicationReport(pool);
-        if (report === undefined) return;
-        reports.push(report);
+        const answer = await fetchStandingReport(pool);
+        if (answer === undefined || !mayVouch(group, answer)) return;
+        reports.push(answer.report);
         // An unresponsive primary must not delay the adoption of a new one.
         if (includesAll) this.adoptNewPrimary(group, reports, sentAt);
       };
@@ -132,7 +145,9 @@
     );
     // A leaving replica is held, and does not follow.
     const replica =
-      replicas.find(({instance}) => !instance.isLeaving) ?? replicas[0];
+      replicas.find(
+        each => !each.instance.isLeaving && isStandingMember(group, each),
+      ) ?? replicas[0];
     const primary = members.find(each => each.instance.id === record.primary);
     return [primary, replica].filter(each => each !== undefined);
   }
@@ -148,22 +163,42 @@
       return;
     }
     this.unverified.delete(group);
-    if (group.record === known) group.extendView(sentAt);
+    if (group.record !== known) return;
+    const replica = reports.find(each => followsTerm(each, known.record.term));
+    this.verifications.record(group, known.record, replica);
+    group.extendView(sentAt);
   }
 
   /**
    * Adopts an instance as the primary if it leads a higher term and has a
    * follower in it.
+   *
+   * It may have been replaced already, and an instance that cannot reach the next
+   * primary may follow it again. So every instance but the recorded primary has
+   * to answer, and none may know of a later term.
    */
   private adoptNewPrimary(
     group: DatabaseGroup,
     reports: readonly ReplicationReport[],
     sentAt: ClockReading,
   ): void {
-    const term = group.record?.record.term ?? Infinity;
-    const leader = reports.find(each => each.isPrimary && each.term > term);
+    const {record} = group.record ?? {};
+    if (record === undefined) return;
+    const leader = reports.find(
+      each => each.isPrimary && each.term > record.term,
+    );
     if (leader === undefined) return;
     if (!reports.some(each => followsTerm(each, leader.term))) return;
+    const others = [...group.members.values()].filter(
+      ({instance}) => instance.id !== record.primary,
+    );
+    const knowNoLaterTerm = others.every(({instance}) => {
+      const report = reports.find(({id}) => id === instance.id);
+      if (report === undefined || report.term > leader.term) return false;
+      // A leaving replica is held also while nobody is replaced.
+      return instance.isLeaving || report.heldTerm <= leader.term;
+    });
+    if (!knowNoLaterTerm) return;
     this.log.info('An instance leads a higher term than is recorded.', {
       group: group.name,
       primary: leader.id,
--- a/packages/gateway/src/core/process/directory-upkeep.ts
+++ b/packages/gateway/src/core/process/directory-upkeep.ts
@@ -1,3 +1,4 @@
+import type {InstanceListView} from '@sapphireglade/decisions';
 import {directoryReadIntervalMs} from '@sapphireglade/decisions';
 import type {InstanceDirectory, InstanceUsePolicy} from '../directory/index.js';
 import {DirectoryUsePolicy} from '../directory/index.js';
@@ -15,24 +16,45 @@
    *   no longer receive statements, in milliseconds.
    */
   constructor(
-    private readonly directory: InstanceDirectory,
+    readonly directory: InstanceDirectory,
     private readonly storeWatchers: () => StoreWatchers,
     private readonly leaveWithinMs: () => number,
   ) {
     this.usePolicy = new DirectoryUsePolicy({
       directory,
       leaveWithinMs,
-      isStoreReachable: () => storeWatchers().canConfirmDirectory,
+      isStoreReachable: () => this.canConfirm,
       // A read does not help against an entry that is missing.
       onUnconfirmed: () => this.refreshIfOld(),
     });
   }
 
+  /** Whether the store answers reads of the directory, with all that instances have written. */
+  get canConfirm(): boolean {
+    return this.storeWatchers().canConfirmDirectory;
+  }
+
+  /** Returns what this proxy knows of the instances of a group. */
+  viewOf(group: string): InstanceListView {
+    const instances = this.directory
+      .findByGroup(group)
+      .map(({id, bornAtMs}) => ({id, bornAtMs}));
+    const {ageMs} = this.directory;
+    return {canRead: this.canConfirm, ageMs, instances};
+  }
+
   /** Reads the directory now, unless it was read as recently as an owner does. */
   refreshIfOld(): void {
-    const intervalMs = directoryReadIntervalMs(this.leaveWithinMs());
-    if (this.directory.ageMs >= intervalMs)
-      this.storeWatchers().refreshDirectory();
+    this.refreshIfOlderThan(directoryReadIntervalMs(this.leaveWithinMs()));
+  }
+
+  /**
+   * Reads the directory now if it is old.
+   *
+   * @param ageMs - The lowest age at which it is read, in milliseconds.
+   */
+  refreshIfOlderThan(ageMs: number): void {
+    if (this.directory.ageMs >= ageMs) this.storeWatchers().refreshDirectory();
   }
 
   /**
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -35,7 +35,7 @@
 import type {RunningSettings} from '../settings/index.js';
 import {findRegion} from '../settings/index.js';
 import {StoreWatchers} from './store-watchers.js';
-import {readClocks, withTimeout} from '../time/index.js';
+import {withTimeout} from '../time/index.js';
 import {createExecutor} from './create-executor.js';
 import {createSessionBudget} from './create-session-budget.js';
 import {DirectoryUpkeep} from './directory-upkeep.js';
@@ -165,7 +165,8 @@
       localRunner: createExecutor({
         settings,
         configuration: this.configuration,
-        directory: this.directory,
+        directoryUpkeep: this.directoryUpkeep,
+        forwarding: () => this.forwarding,
         groups: this.groups,
         region,
         regionOf,
@@ -173,6 +174,7 @@
         log: logFor(LogPart.Routing),
       }),
       relayServer: this.storeWatchers.relayServer,
+      instanceListOf: group => this.directoryUpkeep.viewOf(group),
       answersByMs: () => this.answersByMs,
       log: logFor(LogPart.Routing),
     });
@@ -180,6 +182,8 @@
       store,
       canUseRelay: () =>
         !this.ownership.ownsAny &&
+        // Changes of primary wait until it releases what the records say.
+        !this.viewLease.isPublished &&
         !this.isStopping &&
         !this.coordinator.mayCoordinate,
       configurationWithinMs: () => settings.current.configurationWithinMs,
@@ -302,14 +306,10 @@
     if (needsLease) void this.viewLease.start();
   }
 
-  /** Extends the valid views after a lease renewal, and reads the records again if any view is invalid. */
+  /** Extends the valid views after a lease renewal, and reads the records again if any view is invalid or could not be verified without the store. */
   private extendViews(sentAt: ClockReading): void {
     this.groups.extendAllViews(sentAt);
-    const now = readClocks();
-    const areValid = this.groups.owned.every(({viewFreshness}) =>
-      viewFreshness.isValid(now),
-    );
-    if (!areValid) this.storeWatchers.proxyKeys.refresh();
+    if (this.groups.needsConfirmation) this.storeWatchers.proxyKeys.refresh();
   }
 
   /** Starts all components. Callers are accepted immediately; readiness is reported to the balancer. */
--- a/packages/gateway/src/core/sessions/local-transaction.ts
+++ b/packages/gateway/src/core/sessions/local-transaction.ts
@@ -1,3 +1,4 @@
+import type {LogPosition} from '@sapphireglade/decisions';
 import {
   ErrorKind,
   SapphiregladeError,
@@ -35,17 +36,33 @@
   private bound: BoundConnection | undefined;
   /** Whether a statement of the transaction has run. */
   private hasRun = false;
+  /** Whether a write of the transaction has run. */
+  private hasWritten = false;
+  /** What the instance's log had reached before the last statement was sent. */
+  private reachedBefore: LogPosition | undefined;
 
   /**
    * @param bound - The connection on which the transaction has begun.
    * @param log - Receives a line if the connection is lost.
    * @param isInstanceUsable - Returns whether the instance may receive the first
    *   statement.
+   * @param acknowledge - Waits until a commit with writes may be acknowledged.
+   *   Receives what the instance's log had reached before the commit was sent, if
+   *   that is known and the commit has certainly written.
+   * @param reachedPosition - Returns a position that the instance's log has
+   *   reached by now, if one is known.
    */
   constructor(
     bound: BoundConnection,
     private readonly log: Logger,
     private readonly isInstanceUsable: () => boolean = () => true,
+    private readonly acknowledge: (
+      reply: InstanceReply,
+      request: ExecutionRequest,
+      reachedBefore: LogPosition | undefined,
+    ) => Promise<void> = () => Promise.resolve(),
+    private readonly reachedPosition: () => LogPosition | undefined = () =>
+      undefined,
   ) {
     super();
     this.bound = bound;
@@ -54,12 +71,13 @@
   override async run(request: ExecutionRequest): Promise<InstanceReply> {
     const reply = await this.send(request, false);
     if (reply.refusal !== undefined) throw refusalError(reply);
+    if (!request.statement.isRead) this.hasWritten = true;
     return reply;
   }
 
   override async commit(
     request: ExecutionRequest,
-    hasWritten: boolean,
+    mayHaveWritten: boolean,
   ): Promise<InstanceReply> {
     const {bound: pending} = this;
     const unconfirmed =
@@ -72,10 +90,14 @@
         {retryAfterMs: unconfirmed.retryAfterMs, cause: unconfirmed},
       );
     }
-    const reply = await this.send(request, hasWritten);
+    const reply = await this.send(request, mayHaveWritten);
     if (reply.refusal !== undefined) throw refusalError(reply);
     const bound = this.detachConnection();
     if (bound !== undefined) bound.pool.release(bound.connection);
+    if (mayHaveWritten) {
+      const before = this.hasWritten ? this.reachedBefore : undefined;
+      await this.acknowledge(reply, request, before);
+    }
     return reply;
   }
 
@@ -115,6 +137,7 @@
         this.rollBack();
         throw transactionEndedError();
       }
+      this.reachedBefore = this.reachedPosition();
       const outcome = await sendCommand(bound.connection, command, deadlineMs);
       if (outcome.kind !== 'answered') {
         throw this.discardConnection(request, outcome, mayBeKept);
--- a/packages/gateway/src/core/sessions/statement-executor.ts
+++ b/packages/gateway/src/core/sessions/statement-executor.ts
@@ -1,3 +1,4 @@
+import type {LogPosition} from '@sapphireglade/decisions';
 import {
   decideRetryAction,
   ErrorKind,
@@ -11,6 +12,7 @@
 import {steadyNowMs} from '../time/index.js';
 import type {InstanceCommand, InstanceReply} from '../upstream/index.js';
 import {CommandKind} from '../upstream/index.js';
+import {acknowledgeCommit} from './acknowledge-commit.js';
 import type {BoundConnection} from './bound-connection.js';
 import type {UnansweredCommand} from './command-result.js';
 import {
@@ -26,6 +28,7 @@
 import type {ExecutionTarget} from './instance-selection.js';
 import {isFreshnessUnknown, selectReadTargets} from './instance-selection.js';
 import {awaitPrimary} from './primary-wait.js';
+import {reachedPosition} from './reached-position.js';
 import type {ExecutionRequest} from './runnable-statement.js';
 import {toCommand} from './runnable-statement.js';
 import type {ExecutionContext} from './session-context.js';
@@ -66,13 +69,15 @@
 
 /** The reply of a successful attempt, or the error of a failed one. */
 type AttemptResult =
-  | {readonly reply: InstanceReply; readonly bound: BoundConnection}
+  | Omit<SuccessfulExecution, 'group' | 'target'>
   | {readonly error: SapphiregladeError; readonly mayBeKept: boolean};
 
 /** An execution that succeeded, and where. */
 interface SuccessfulExecution {
   readonly reply: InstanceReply;
   readonly bound: BoundConnection;
+  /** What the instance's log had reached before the operation was sent. */
+  readonly reachedBefore: LogPosition | undefined;
   readonly group: DatabaseGroup;
   readonly target: ExecutionTarget;
 }
@@ -85,14 +90,16 @@
 
   override async run(request: ExecutionRequest): Promise<InstanceReply> {
     const {statement} = request;
-    const {reply} = await this.executeWithRetries(request, {
+    const executed = await this.executeWithRetries(request, {
       commandFor: ({atLeast}) =>
         toCommand(statement, statement.isRead ? atLeast : undefined),
       allowsReplica: statement.isRead,
       isRetryable: statement.isRead,
       keepsConnection: false,
     });
-    return reply;
+    if (statement.awaitsReplica)
+      await acknowledgeCommit({...executed, request}, this.context.log);
+    return executed.reply;
   }
 
   override async begin(
@@ -110,8 +117,14 @@
       keepsConnection: true,
     });
     const {id} = target.member.instance;
-    return new LocalTransaction(bound, this.context.log, () =>
-      group.mayReceiveStatements(id, target.isPrimary),
+    const {log} = this.context;
+    return new LocalTransaction(
+      bound,
+      log,
+      () => group.mayReceiveStatements(id, target.isPrimary),
+      (reply, request, reachedBefore) =>
+        acknowledgeCommit({group, target, reply, request, reachedBefore}, log),
+      () => reachedPosition(group, target.member),
     );
   }
 
@@ -187,6 +200,7 @@
       return {error: unconfirmed, mayBeKept: false};
     }
     this.context.lateUseLog.record(request, target);
+    const reachedBefore = reachedPosition(group, target.member);
     const outcome = await sendCommand(
       bound.connection,
       command,
@@ -201,7 +215,7 @@
     if (!isKept) pool.release(bound.connection);
     if (reply.refusal === undefined) {
       this.recordReplicaRead(execution, target, reply);
-      return {reply, bound};
+      return {reply, bound, reachedBefore};
     }
     return {error: refusalError(reply), mayBeKept: false};
   }
@@ -236,7 +250,7 @@
       isRetryable: operation.isRetryable,
       allowsReplica: operation.allowsReplica,
       wasSentToPrimary: target.isPrimary,
-      isUnreachable: target.member.pool.unreachableSinceMs !== undefined,
+      isUnreachable: !target.member.pool.canBeReached,
       failedExecutions: execution.failedExecutions,
     });
     if (action === RetryAction.Fail) throw error;
--- a/packages/gateway/test/coordinator/leaving-replicas.test.ts
+++ b/packages/gateway/test/coordinator/leaving-replicas.test.ts
@@ -1,6 +1,6 @@
 import type {PrimaryRecord} from '@sapphireglade/decisions';
 import {PrimaryPhase} from '@sapphireglade/decisions';
-import {afterEach, beforeEach, describe, it} from 'node:test';
+import {after, afterEach, before, beforeEach, describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
 import {
@@ -29,9 +29,21 @@
 /** Long enough for a coordinator to check its groups several times, in milliseconds. */
 const SEVERAL_CHECKS_MS = 600;
 
+/** Time of the second start of an instance, in Unix milliseconds. */
+const RESTARTED_AT_MS = 2;
+
 /** Longer than a change of primary with views to revoke, in milliseconds. */
 const CHANGE_MS = 4_000;
 
+/** Longer than a test takes until the primary is lost, in milliseconds. */
+const LONG_DELAY_MS = 10_000;
+
+/** Longer than the answer to a hold takes, in milliseconds. */
+const ANSWER_MS = 100;
+
+/** Longer than it takes to release a replica and to hold it again, in milliseconds. */
+const RELEASE_DELAY_MS = 2_000;
+
 describe('a replica that has announced that it leaves', () => {
   let state: MemoryStoreState;
   let group: MemoryGroup;
@@ -40,6 +52,8 @@
   let context: PrimaryChangeContext;
   let task: CoordinatorTask;
   let isCoordinating: boolean;
+  /** How late a command of an earlier coordinator may arrive, in milliseconds. */
+  let orderPendingMs = 0;
   let primary: MemoryInstance;
   let leaving: MemoryInstance;
   let staying: MemoryInstance;
@@ -62,6 +76,7 @@
       promotions,
       view,
       isCoordinating: () => isCoordinating,
+      orderPendingMs,
     });
     const record: PrimaryRecord = {
       term: 1,
@@ -200,4 +215,139 @@
     expect(promotions.targets).toEqual([]);
     expect(group.lost).toEqual([]);
   });
+
+  // Guards against a bound by the log of the next start, whose entry is late.
+  it('is bounded by what it had before it restarted without its log', async () => {
+    group.partition(primary.id, staying.id);
+    leaving.heldTerm = 0;
+    write('confirmed before the hold');
+    await sleep(SEVERAL_CHECKS_MS);
+    expect(group.acknowledged.size).toEqual(1);
+    group.crash(leaving);
+    leaving.log = [];
+    group.restart(leaving, RESTARTED_AT_MS);
+    group.partition(primary.id, leaving.id);
+    await sleep(SEVERAL_CHECKS_MS);
+    context.directory.register({
+      ...registeredInstance(leaving.id, GROUP),
+      bornAtMs: RESTARTED_AT_MS,
+    });
+    primary.isDown = true;
+    removeFromDirectory(primary);
+    await stopCoordinating();
+
+    const change = new PrimaryChange(
+      context,
+      view,
+      PrimaryChangeReason.Unusable,
+    );
+    await Promise.race([change.run().catch(() => undefined), sleep(CHANGE_MS)]);
+
+    expect(promotions.targets).toEqual([]);
+    expect(group.lost).toEqual([]);
+  });
+
+  describe('while a release of an earlier coordinator may arrive', () => {
+    before(() => {
+      orderPendingMs = LONG_DELAY_MS;
+    });
+
+    after(() => {
+      orderPendingMs = 0;
+    });
+
+    // Guards against a bound by a hold that ended unseen.
+    it('is not bounded by a hold that a late release of an earlier coordinator ended', async () => {
+      group.partition(primary.id, staying.id);
+      group.partition(SELF, leaving.id);
+      leaving.heldTerm = 0;
+      write('confirmed after the late release');
+      await sleep(SEVERAL_CHECKS_MS);
+      expect(group.acknowledged.size).toEqual(1);
+      leaving.isDown = true;
+      removeFromDirectory(leaving);
+      primary.isDown = true;
+      removeFromDirectory(primary);
+      await stopCoordinating();
+
+      const change = new PrimaryChange(
+        context,
+        view,
+        PrimaryChangeReason.Unusable,
+      );
+      await Promise.race([
+        change.run().catch(() => undefined),
+        sleep(CHANGE_MS),
+      ]);
+
+      expect(promotions.targets).toEqual([]);
+      expect(group.lost).toEqual([]);
+    });
+  });
+
+  describe('once a release of an earlier coordinator can arrive no more', () => {
+    before(() => {
+      orderPendingMs = RELEASE_DELAY_MS;
+    });
+
+    after(() => {
+      orderPendingMs = 0;
+    });
+
+    it('is bounded by its hold', async () => {
+      await sleep(RELEASE_DELAY_MS + 2 * SEVERAL_CHECKS_MS);
+      group.partition(SELF, leaving.id);
+      leaving.isDown = true;
+      removeFromDirectory(leaving);
+      primary.isDown = true;
+      removeFromDirectory(primary);
+      await stopCoordinating();
+
+      const change = new PrimaryChange(
+        context,
+        view,
+        PrimaryChangeReason.Unusable,
+      );
+      await Promise.race([
+        change.run().catch(() => undefined),
+        sleep(CHANGE_MS),
+      ]);
+
+      expect(promotions.targets).toEqual([staying.id]);
+    });
+
+    // Guards against a bound by a hold that a late release of the same coordinator ended.
+    it('is not bounded by a hold that follows a release of this one', async () => {
+      await sleep(RELEASE_DELAY_MS + 2 * SEVERAL_CHECKS_MS);
+      context.directory.markMissing(staying.id);
+      while (leaving.heldTerm > 0) await sleep(1);
+      context.directory.register(registeredInstance(staying.id, GROUP));
+      while (leaving.heldTerm === 0) await sleep(1);
+      await sleep(ANSWER_MS);
+      group.partition(SELF, leaving.id);
+      group.partition(primary.id, staying.id);
+      leaving.heldTerm = 0;
+      write('confirmed after the late release');
+      await sleep(SEVERAL_CHECKS_MS);
+      expect(group.acknowledged.size).toEqual(1);
+      leaving.isDown = true;
+      removeFromDirectory(leaving);
+      primary.isDown = true;
+      removeFromDirectory(primary);
+      await stopCoordinating();
+
+      const change = new PrimaryChange(
+        context,
+        view,
+        PrimaryChangeReason.Unusable,
+      );
+      await Promise.race([
+        change.run().catch(() => undefined),
+        sleep(CHANGE_MS),
+      ]);
+
+      expect(promotions.targets).toEqual([]);
+      expect(group.lost).toEqual([]);
+    });
+  });
 });
--- a/packages/gateway/test/coordinator/orders-of-other-coordinators.test.ts
+++ b/packages/gateway/test/coordinator/orders-of-other-coordinators.test.ts
@@ -159,7 +159,11 @@
   it('orders at once if it sent the order itself and has its result', async () => {
     recordOrder();
     const context = coordinate('proxy-1', NEVER_MS);
-    context.outstandingOrders.settle(GROUP, {target: ordered.id, token});
+    context.outstandingOrders.settle(
+      GROUP,
+      {target: ordered.id, token},
+      {target: ordered.id, incarnation: 1, position: ordered.position},
+    );
     await run(context);
     expect(promotions.targets).toEqual([ordered.id]);
   });
--- /dev/null
+++ b/packages/gateway/test/coordinator/partial-catch-up.test.ts
@@ -0,0 +1,138 @@
+import type {PrimaryRecord} from '@sapphireglade/decisions';
+import {PrimaryPhase} from '@sapphireglade/decisions';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'earl';
+import {
+  PrimaryChange,
+  PrimaryChangeReason,
+} from '../../src/core/coordinator/primary-change.js';
+import type {PrimaryChangeContext} from '../../src/index.js';
+import {
+  DatabaseGroup,
+  primaryRecordKey,
+  REGISTRATION_MS,
+  steadyNowMs,
+} from '../../src/index.js';
+import {ChangingGroup} from '../support/changing-group.js';
+import {GroupPromotions} from '../support/group-promotions.js';
+import type {MemoryInstance} from '../support/memory-group.js';
+import {MemoryStoreState} from '../support/memory-store.js';
+import {
+  createPrimaryChangeContext,
+  registeredInstance,
+} from '../support/primary-change-context.js';
+
+const GROUP = 'ledger';
+const SELF = 'proxy-1';
+
+/** Longer than a change waits for late entries, in milliseconds. */
+const CUT_MS = REGISTRATION_MS + 2_000;
+
+/** Time after which the entry of the restarted replica appears, in milliseconds. */
+const LATE_ENTRY_MS = 700;
+
+/** Start of the replica after it restarted, in Unix milliseconds. */
+const RESTARTED_AT_MS = 2;
+
+describe('a change of primary beside a replica that restarted without its log', () => {
+  let state: MemoryStoreState;
+  let group: ChangingGroup;
+  let view: DatabaseGroup;
+  let context: PrimaryChangeContext;
+  let isCoordinating: boolean;
+  let old: MemoryInstance;
+  let first: MemoryInstance;
+  let second: MemoryInstance;
+
+  beforeEach(async () => {
+    state = new MemoryStoreState();
+    group = new ChangingGroup(GROUP, 3);
+    [old, first, second] = group.instances as [
+      MemoryInstance,
+      MemoryInstance,
+      MemoryInstance,
+    ];
+    view = new DatabaseGroup(GROUP);
+    isCoordinating = true;
+    context = createPrimaryChangeContext({
+      self: SELF,
+      state,
+      group,
+      promotions: new GroupPromotions(group),
+      view,
+      isCoordinating: () => isCoordinating,
+      isDirectoryCurrent: sinceMs => steadyNowMs() >= sinceMs,
+    });
+    const record: PrimaryRecord = {
+      term: 1,
+      primary: old.id,
+      phase: PrimaryPhase.Steady,
+    };
+    state.put(primaryRecordKey(GROUP), JSON.stringify(record));
+    view.applyRecord({record, revision: state.revision});
+    await write('before-1');
+    await write('before-2');
+    group.partition(old.id, second.id);
+    await write('confirmed');
+  });
+
+  afterEach(() => {
+    isCoordinating = false;
+    context.control.closeAll();
+    group.close();
+    state.close();
+  });
+
+  /** Commits a write of a proxy that has stopped since. */
+  async function write(requestId: string): Promise<void> {
+    const entry = await group.commit(old, requestId);
+    if (entry === undefined) throw new Error('The write was refused.');
+    const {position} = entry;
+    group.acknowledged.set(requestId, {atMs: performance.now(), position});
+  }
+
+  /** Restarts the replica without its log; it receives some entries before the primary fails. */
+  function restart(received: number): void {
+    group.restartWithoutLog(first, RESTARTED_AT_MS);
+    first.heldTerm = 0;
+    group.partition(old.id, first.id);
+    first.log = old.log.slice(0, received);
+    group.partition(SELF, old.id);
+  }
+
+  async function replacePrimary(): Promise<void> {
+    const change = new PrimaryChange(
+      context,
+      view,
+      PrimaryChangeReason.Unusable,
+    ).run();
+    await sleep(LATE_ENTRY_MS);
+    context.directory.register({
+      ...registeredInstance(first.id, GROUP),
+      bornAtMs: RESTARTED_AT_MS,
+    });
+    await sleep(CUT_MS);
+    group.reconnect(SELF, old.id);
+    await change;
+  }
+
+  function leader(): MemoryInstance | undefined {
+    return group.find(view.storedRecord?.record.primary ?? '');
+  }
+
+  it('waits for the old primary if the replica has nothing yet', async () => {
+    restart(0);
+    await replacePrimary();
+    expect(group.lost).toEqual([]);
+    expect(group.missingAt(leader())).toEqual([]);
+  });
+
+  // Guards against a report of a later start that counts as one of the former start.
+  it('waits for the old primary if the replica has received a part of the log again', async () => {
+    restart(1);
+    await replacePrimary();
+    expect(group.lost).toEqual([]);
+    expect(group.missingAt(leader())).toEqual([]);
+  });
+});
--- a/packages/gateway/test/release-keys.test.ts
+++ b/packages/gateway/test/release-keys.test.ts
@@ -3,8 +3,8 @@
 import {expect} from 'earl';
 import fc from 'fast-check';
 import type {CoordinationStore, DatabaseGroup} from '../src/index.js';
-import {PrimaryReleases} from '../src/core/primary-health/index.js';
 import type {StoreTransaction} from '../src/index.js';
+import {AcknowledgedCommits, PrimaryReleases} from '../src/index.js';
 
 const OPTIONS = {seed: 20_264, numRuns: 300};
 
@@ -32,7 +32,9 @@
   );
   let emit: (known: typeof KNOWN) => void = () => undefined;
   const records$ = {subscribe: (listener: typeof emit) => (emit = listener)};
-  releases.follow({name: group, records$} as unknown as DatabaseGroup);
+  const acknowledged = new AcknowledgedCommits();
+  const followed = {name: group, records$, acknowledged};
+  releases.follow(followed as unknown as DatabaseGroup);
   emit(KNOWN);
   await Promise.resolve();
   return keys[0]!;
--- a/packages/gateway/test/support/linked-proxy.ts
+++ b/packages/gateway/test/support/linked-proxy.ts
@@ -1,3 +1,4 @@
+import type {InstanceListView} from '@sapphireglade/decisions';
 import {
   ReadConsistency,
   SapphiregladeError,
@@ -79,6 +80,8 @@
   primaryZone = 'zone-0';
   /** Revision up to which it has read the store, if any. */
   followed: number | undefined = 7;
+  /** What it knows of the instances of the group. */
+  instanceList: InstanceListView = {canRead: true, ageMs: 0, instances: []};
   private readonly relayServer = new StoreRelayServer(
     this.relaySource('members/'),
     this.relaySource('configuration'),
@@ -107,6 +110,7 @@
       primaryZoneOf: () => this.primaryZone,
       localRunner: this.runner,
       relayServer: this.relayServer,
+      instanceListOf: () => this.instanceList,
       answersByMs: () => Infinity,
       log: createSilentLogger(),
     });
--- a/packages/gateway/test/support/memory-connector.ts
+++ b/packages/gateway/test/support/memory-connector.ts
@@ -16,7 +16,11 @@
   InstanceConnection,
   InstanceConnector,
 } from '../../src/index.js';
-import type {MemoryGroup, MemoryInstance} from './memory-group.js';
+import type {
+  InstanceSide,
+  MemoryGroup,
+  MemoryInstance,
+} from './memory-group.js';
 
 /** One-way latency to an instance, in milliseconds. */
 const ONE_WAY_LATENCY_MS = 1;
@@ -25,8 +29,9 @@
 const NEVER = new Promise<never>(() => undefined);
 
 /** A connection of one proxy to one in-memory instance. */
-class MemoryConnection extends InstanceConnection {
+class MemoryConnection extends InstanceConnection implements InstanceSide {
   override isOpen = true;
+  private isAbandoned = false;
   private state: TransactionState = TransactionState.Idle;
   private writes: string[] = [];
   private rejectAll: ((error: Error) => void)[] = [];
@@ -36,8 +41,10 @@
     private readonly group: MemoryGroup,
     private readonly instance: MemoryInstance,
     private readonly party: string,
+    private readonly acknowledges: boolean,
   ) {
     super();
+    instance.connections.add(this);
   }
 
   override get greeting(): InstanceReply {
@@ -54,6 +61,7 @@
   override close(reason: string): void {
     if (!this.isOpen) return;
     this.isOpen = false;
+    this.instance.connections.delete(this);
     for (const reject of this.rejectAll) {
       reject(new ConnectionLostError(reason, true));
     }
@@ -64,6 +72,13 @@
     this.listeners.push(listener);
   }
 
+  /** The proxy notices once it reaches the instance. */
+  abandon(): void {
+    this.isAbandoned = true;
+    this.instance.connections.delete(this);
+    if (this.group.reaches(this.party, this.instance)) this.close('reset');
+  }
+
   private async serve(command: InstanceCommand): Promise<InstanceReply> {
     await this.cross();
     const reply = await this.execute(command);
@@ -75,6 +90,9 @@
   private async cross(): Promise<void> {
     await sleep(ONE_WAY_LATENCY_MS);
     if (!this.group.reaches(this.party, this.instance)) await NEVER;
+    if (!this.isAbandoned) return;
+    this.close('reset');
+    await NEVER;
   }
 
   private execute(
@@ -140,10 +158,12 @@
   private async commit(requestId: string): Promise<InstanceReply> {
     const entry = await this.group.commit(this.instance, requestId);
     if (entry === undefined) return this.readOnly();
-    this.group.acknowledged.set(requestId, {
-      atMs: performance.now(),
-      position: entry.position,
-    });
+    if (this.acknowledges) {
+      this.group.acknowledged.set(requestId, {
+        atMs: performance.now(),
+        position: entry.position,
+      });
+    }
     return {...this.success([]), position: entry.position};
   }
 
@@ -184,10 +204,13 @@
   /**
    * @param party - Name of the proxy, for partitions.
    * @param groups - The groups by name.
+   * @param acknowledges - Whether the proxy acknowledges each commit that is
+   *   confirmed; otherwise the test does.
    */
   constructor(
     private readonly party: string,
     private readonly groups: ReadonlyMap<string, MemoryGroup>,
+    private readonly acknowledges = true,
   ) {
     super();
   }
@@ -206,7 +229,7 @@
       await sleep(timeoutMs);
       throw unreachableError('timed out');
     }
-    return new MemoryConnection(group, instance, this.party);
+    return new MemoryConnection(group, instance, this.party, this.acknowledges);
   }
 }
 
--- a/packages/gateway/test/support/memory-group.ts
+++ b/packages/gateway/test/support/memory-group.ts
@@ -23,6 +23,12 @@
   readonly changes: readonly Change[];
 }
 
+/** The end of a connection at an instance. */
+export interface InstanceSide {
+  /** Ends the connection, because the process of the instance has ended. */
+  abandon(): void;
+}
+
 /** One instance of an in-memory group. */
 export class MemoryInstance {
   log: LogEntry[] = [];
@@ -32,6 +38,10 @@
   isDown = false;
   /** Time of its start, in Unix milliseconds. */
   bornAtMs = 1;
+  /** The open connections to it. */
+  readonly connections = new Set<InstanceSide>();
+  /** Number of restarts without its log. */
+  lostLogs = 0;
   /** The statements that reached it, and the proxies that sent them. */
   readonly received: {readonly requestId: string; readonly proxy: string}[] =
     [];
@@ -53,7 +63,7 @@
 
 /** An in-memory group of instances, with the records of an observer of all of them. */
 export class MemoryGroup {
-  readonly instances: readonly MemoryInstance[];
+  readonly instances: MemoryInstance[];
   /** Pairs of names that cannot reach each other, as "a|b". */
   readonly partitions = new Set<string>();
   /** Fencing tokens of all ordered promotions, in order. */
@@ -70,6 +80,20 @@
    * confirmed, in milliseconds; 0 if all replicas receive it at once.
    */
   maximumLagMs = 0;
+  /** Draws the time from an order to promote until it takes effect, in milliseconds. */
+  drawPromotionDelayMs: () => number = () => PROMOTION_DURATION_MS;
+  /** Draws the time until a hold that has arrived takes effect, in milliseconds. */
+  drawHoldDelayMs: (instance: MemoryInstance) => number = () => 0;
+  /** Draws the time until a release that has arrived takes effect, in milliseconds. */
+  drawReleaseDelayMs: (instance: MemoryInstance) => number = () => 0;
+  /** Returns a number from 0 (included) to 1 (excluded) for lags and confirming replicas. */
+  random: () => number = Math.random;
+  /** Called when a promotion takes effect, before others follow the instance. */
+  onPromoted: (instance: MemoryInstance) => void = () => undefined;
+  /** Called when an instance was held. */
+  onHeld: (instance: MemoryInstance) => void = () => undefined;
+  /** Instances that were ordered to lead and do not yet, in order. */
+  readonly ordered: MemoryInstance[] = [];
   private readonly timers = new Set<NodeJS.Timeout>();
 
   constructor(
@@ -83,23 +107,40 @@
     this.instances[0]!.isPrimary = true;
   }
 
+  /** Adds a replica with an empty log. */
+  addInstance(): MemoryInstance {
+    const instance = new MemoryInstance(
+      `${this.name}-${this.instances.length}`,
+    );
+    this.instances.push(instance);
+    return instance;
+  }
+
   /** Partitions two parties from each other. */
   partition(left: string, right: string): void {
     this.partitions.add(`${left}|${right}`).add(`${right}|${left}`);
   }
 
-  /** Removes the partition between two parties. */
+  /**
+   * Removes the partition between two parties; a primary that was replaced in the
+   * meantime is demoted after a delay.
+   */
   reconnect(left: string, right: string): void {
     this.partitions.delete(`${left}|${right}`);
     this.partitions.delete(`${right}|${left}`);
+    this.demoteOldPrimariesLater();
+  }
+
+  /** Gives an instance that has just been added the log of one that has left. */
+  transferLog(from: MemoryInstance, to: MemoryInstance): void {
+    to.log = from.log.slice();
+    to.term = from.term;
   }
 
   /** Removes all partitions; a primary that was replaced in the meantime is demoted after a delay. */
   healPartitions(): void {
     this.partitions.clear();
-    this.schedule(OLD_PRIMARY_DEMOTION_DELAY_MS, () =>
-      this.demoteOldPrimaries(),
-    );
+    this.demoteOldPrimariesLater();
   }
 
   /** Crashes an instance; its held term is lost. */
@@ -108,6 +149,14 @@
     instance.heldTerm = 0;
   }
 
+  /** Restarts an instance without its log, which only a replica can lose. */
+  restartWithoutLog(instance: MemoryInstance, nowMs: number): void {
+    instance.log = [];
+    instance.term = 1;
+    instance.lostLogs += 1;
+    this.restart(instance, nowMs);
+  }
+
   /** Restarts an instance with its log; it becomes a replica if it reaches a newer primary. */
   restart(instance: MemoryInstance, nowMs: number): void {
     instance.isDown = false;
@@ -154,12 +203,30 @@
     return entry;
   }
 
-  /** Promotes an instance after a delay, as the platform does; returns whether it is running. */
-  promote(id: string, token: number): boolean {
+  /**
+   * Promotes an instance after a delay, as the platform does, unless it is down
+   * or has lost its log by then.
+   *
+   * @param id - The instance.
+   * @param token - Fencing token of the order.
+   * @param durationMs - Time until the instance leads, in milliseconds.
+   * @returns Whether the instance is running.
+   */
+  promote(
+    id: string,
+    token: number,
+    durationMs: number = this.drawPromotionDelayMs(),
+  ): boolean {
     const target = this.find(id);
     if (target === undefined || target.isDown) return false;
     this.tokens.push(token);
-    this.schedule(PROMOTION_DURATION_MS, () => this.becomePrimary(target));
+    const {lostLogs} = target;
+    this.ordered.push(target);
+    this.schedule(durationMs, () => {
+      this.ordered.splice(this.ordered.indexOf(target), 1);
+      if (!target.isDown && target.lostLogs === lostLogs)
+        this.becomePrimary(target);
+    });
     return true;
   }
 
@@ -179,7 +246,7 @@
           this.canReceive(from, replica),
         );
         const [confirming, ...others] =
-          this.maximumLagMs > 0 ? shuffle(receivers) : [];
+          this.maximumLagMs > 0 ? shuffle(receivers, this.random) : [];
         const prompt = confirming === undefined ? receivers : [confirming];
         for (const replica of prompt) copyLog(from, replica, from.log.length);
         for (const replica of others) this.copyLater(from, replica);
@@ -206,7 +273,7 @@
   /** Sends the present log to a replica that lags behind. */
   private copyLater(from: MemoryInstance, replica: MemoryInstance): void {
     const {length} = from.log;
-    this.schedule(this.maximumLagMs * Math.random(), () => {
+    this.schedule(this.maximumLagMs * this.random(), () => {
       const isBehind = replica.term < from.term || replica.log.length < length;
       if (isBehind && this.canReceive(from, replica))
         copyLog(from, replica, length);
@@ -214,16 +281,23 @@
   }
 
   private becomePrimary(target: MemoryInstance): void {
-    const highestTerm = Math.max(
-      ...this.instances.flatMap(({term, heldTerm}) => [term, heldTerm]),
+    const isPresentPrimary =
+      target.isPrimary &&
+      this.instances.every(
+        ({term, isPrimary}) => !isPrimary || term <= target.term,
+      );
+    // Promoting the present primary changes nothing.
+    if (isPresentPrimary) return;
+    target.term = Math.max(
+      ...this.instances.flatMap(({term, heldTerm}) => [term + 1, heldTerm]),
     );
     target.isPrimary = true;
-    target.term = Math.max(highestTerm, target.term + 1);
     target.heldTerm = 0;
     const kept = new Set(target.log.map(({requestId}) => requestId));
     for (const requestId of this.acknowledged.keys()) {
       if (!kept.has(requestId)) this.lost.push(requestId);
     }
+    this.onPromoted(target);
     for (const other of this.instances) {
       const isReachableFollower =
         other !== target && this.reaches(target.id, other);
@@ -235,6 +309,12 @@
     }
   }
 
+  private demoteOldPrimariesLater(): void {
+    this.schedule(OLD_PRIMARY_DEMOTION_DELAY_MS, () =>
+      this.demoteOldPrimaries(),
+    );
+  }
+
   /** Demotes each primary that can reach a primary of a newer term to a replica of it. */
   private demoteOldPrimaries(): void {
     const primaries = this.instances.filter(
@@ -273,9 +353,12 @@
 }
 
 /** Returns the elements in random order. */
-function shuffle<Element>(elements: readonly Element[]): Element[] {
+function shuffle<Element>(
+  elements: readonly Element[],
+  random: () => number,
+): Element[] {
   return elements
-    .map(element => ({element, rank: Math.random()}))
+    .map(element => ({element, rank: random()}))
     .sort((left, right) => left.rank - right.rank)
     .map(({element}) => element);
 }
--- a/packages/gateway/test/support/primary-change-context.ts
+++ b/packages/gateway/test/support/primary-change-context.ts
@@ -15,6 +15,7 @@
   InstanceDirectory,
   KnownProxies,
   MemberList,
+  OrderHistory,
   OutstandingOrders,
   PrimaryReleases,
   RegistrationUsePolicy,
@@ -47,6 +48,8 @@
   readonly orderPendingMs?: number;
   /** Returns how long an instance whose entry has lapsed may return, in milliseconds. */
   readonly returnWithinMs?: () => number;
+  /** Returns whether the directory was requested after a time, in milliseconds; by default it always was. */
+  readonly isDirectoryCurrent?: (sinceMs: number) => boolean;
   /** Receives the log lines; by default nothing does. */
   readonly log?: Logger;
 }
@@ -80,6 +83,7 @@
   registered = group.instances,
   orderPendingMs = ORDER_PENDING_MS,
   returnWithinMs = () => RETURN_WITHIN_MS,
+  isDirectoryCurrent = () => true,
   log = createSilentLogger(),
 }: PrimaryChangeContextOptions): PrimaryChangeContext {
   const store = new MemoryStore(state);
@@ -121,14 +125,17 @@
     promotions,
     configuration,
     members: new MemberList(log),
-    knownProxies: new KnownProxies(),
+    knownProxies: new KnownProxies(() => store.generation),
     releases: new PrimaryReleases(self, store, undefined as never, log),
     control,
     departures: new GroupDepartures(directory, groups, control, returnWithinMs),
     outstandingOrders: new OutstandingOrders(groups, orderPendingMs),
+    orderHistory: new OrderHistory(groups),
     coordinatorRevision: () => (isCoordinating() ? revision : 0),
     coordinatorForMs: () => undefined,
     followedRevision: () => state.revision,
+    isDirectoryCurrent,
+    refreshDirectory: () => undefined,
     metrics: new GatewayMetrics(),
     log,
   } as Partial<PrimaryChangeContext> as PrimaryChangeContext;
--- a/packages/gateway/test/view-revocation.test.ts
+++ b/packages/gateway/test/view-revocation.test.ts
@@ -135,7 +135,9 @@
   it('is complete immediately if no other proxy runs', async () => {
     const begun = begin(announce());
     await awaitSync();
-    expect(begun.isComplete(steadyNowMs(), false)).toEqual(true);
+    expect(begun.completeSinceMs(steadyNowMs(), false) !== undefined).toEqual(
+      true,
+    );
   });
 
   it('is complete once the only other proxy has released the primary, and keeps its lease', async () => {
@@ -143,10 +145,14 @@
     const known = announce();
     await awaitSync();
     const begun = begin(known);
-    expect(begun.isComplete(-Infinity, false)).toEqual(false);
+    expect(begun.completeSinceMs(-Infinity, false) !== undefined).toEqual(
+      false,
+    );
     release(known);
     await awaitSync();
-    expect(begun.isComplete(steadyNowMs(), false)).toEqual(true);
+    expect(begun.completeSinceMs(steadyNowMs(), false) !== undefined).toEqual(
+      true,
+    );
     expect(state.leases.has(lease)).toEqual(true);
   });
 
@@ -154,7 +160,9 @@
     const lease = publishOther(true);
     const beganAtMs = steadyNowMs();
     const begun = begin(announce());
-    await eventually(() => begun.isComplete(-Infinity, false));
+    await eventually(
+      () => begun.completeSinceMs(-Infinity, false) !== undefined,
+    );
     expect(steadyNowMs() - beganAtMs >= VIEW_VALIDITY_MS).toEqual(true);
     expect(state.leases.has(lease)).toEqual(false);
   });
@@ -162,8 +170,12 @@
   it('counts the wait from the last hold, which stops a proxy without access to the store', async () => {
     publishOther(false);
     const begun = begin(announce());
-    await eventually(() => begun.isComplete(-Infinity, false));
-    expect(begun.isComplete(steadyNowMs(), false)).toEqual(false);
+    await eventually(
+      () => begun.completeSinceMs(-Infinity, false) !== undefined,
+    );
+    expect(begun.completeSinceMs(steadyNowMs(), false) !== undefined).toEqual(
+      false,
+    );
   });
 
   it('revokes the lease of a proxy that is not a live member', async () => {
@@ -175,7 +187,9 @@
   it('waits in spite of all releases if another instance was ordered to lead', async () => {
     const begun = begin(announce());
     await awaitSync();
-    expect(begun.isComplete(steadyNowMs(), true)).toEqual(false);
+    expect(begun.completeSinceMs(steadyNowMs(), true) !== undefined).toEqual(
+      false,
+    );
   });
 
   it('is not complete before it has received the keys published before the record', async () => {
@@ -183,7 +197,9 @@
     followedRevision = () => known.revision - 1;
     const begun = begin(known);
     await sleep(LONG_MS);
-    expect(begun.isComplete(-Infinity, false)).toEqual(false);
+    expect(begun.completeSinceMs(-Infinity, false) !== undefined).toEqual(
+      false,
+    );
   });
 
   it('is not complete while the lease of a proxy without a release cannot be revoked', async () => {
@@ -193,6 +209,8 @@
     store.isPartitioned = true;
     const begun = begin(known);
     await sleep(LONG_MS);
-    expect(begun.isComplete(-Infinity, false)).toEqual(false);
+    expect(begun.completeSinceMs(-Infinity, false) !== undefined).toEqual(
+      false,
+    );
   });
 });
