--- a/packages/gateway/test/membership/lost-answers.test.ts
+++ b/packages/gateway/test/membership/lost-answers.test.ts
@@ -73,6 +73,15 @@
       expect(state.leases.has(lease)).toEqual(false);
     });
 
+    // Guards against a dead primary that is not replaced until the lease of a silent coordinator expires.
+    it('ends its lease when it drops it', async () => {
+      const lease = task.leaseId!;
+      store.losesAnswers = true;
+      await waitUntil(() => task.leaseId === undefined);
+      await sleep(REQUESTED_MS);
+      expect(state.leases.has(lease)).toEqual(false);
+    });
+
     it('has no lease to which a key could be attached once it dropped the old one', async () => {
       const lease = task.leaseId!;
       store.losesAnswers = true;
