Do not count who was gone before the term began

Callers: no primary for more than 8 s.

The coordinator dropped it from its list at 00.781, recorded term 2 at 00.804 without it, and gateway-3 dropped it at 00.889. So gateway-3 counted it as an instance that left in term 2 and may have confirmed commits alone. At 05.556 it became the coordinator, the primary of term 2 had crashed and could not bound the departure, and the change waited for it: "a commit may exist only on the old primary: instances left with their logs".

Cause: the list of one proxy at the start of a term was taken for that of the term.

Change: an incarnation that a record of an earlier term names, that the record of the term does not list, and whose entry was missing when this proxy learned of the term was gone before it, for the coordinator knew it and had given it up. It counts again once its entry is back or a record lists it; the directory reports an entry that is back.

--- a/packages/decisions/src/core/primary-change/departed-instances.ts
+++ b/packages/decisions/src/core/primary-change/departed-instances.ts
@@ -1,5 +1,6 @@
 import type {LogPosition} from '../groups/index.js';
 import {AbsentInstances} from './absent-instances.js';
+import {EarlierDepartures} from './earlier-departures.js';
 import {higherPosition} from './held-reports.js';
 import type {
   AbsentInstance,
@@ -52,6 +53,7 @@
   /** Position that every log with a certain acknowledged commit has reached. */
   private acknowledged: LogPosition | undefined;
   private readonly absences: AbsentInstances;
+  private readonly earlier = new EarlierDepartures();
 
   /**
    * @param returnWithinMs - Returns how long an instance whose entry has lapsed
@@ -76,7 +78,10 @@
     nowMs: number,
   ): void {
     const {term, primary, confirmers} = record;
-    const present = instances.map(({id, bornAtMs}) => ({id, bornAtMs}));
+    this.earlier.update(record, instances);
+    const present = instances
+      .map(({id, bornAtMs}) => ({id, bornAtMs}))
+      .filter(instance => !this.earlier.includes(instance));
     if (term > this.term) {
       this.term = term;
       this.primary = primary;
--- a/packages/gateway/src/core/coordinator/group-departures.ts
+++ b/packages/gateway/src/core/coordinator/group-departures.ts
@@ -95,7 +95,7 @@
    * @param record - The record, whose primary was found to lead its term.
    */
   async recover(group: string, record: PrimaryRecord): Promise<void> {
-    const present = this.directory.findByGroup(group).map(toPresentInstance);
+    const present = this.presentAmong(this.directory.findByGroup(group));
     this.of(group).update(record, present, steadyNowMs());
     await this.bound(group, record);
   }
@@ -161,11 +161,23 @@
     if (stored === undefined || isOutdated(stored)) return;
     const {record} = stored;
     const departed = this.of(group.name);
-    departed.update(record, instances.map(toPresentInstance), steadyNowMs());
+    departed.update(record, this.presentAmong(instances), steadyNowMs());
     for (const instance of instances)
       this.registrations.set(instance.id, instance);
   }
 
+  private presentAmong(
+    instances: readonly RegisteredInstance[],
+  ): PresentInstance[] {
+    return instances.map(({id, bornAtMs, isLeaving, host, port}) => ({
+      id,
+      bornAtMs,
+      isLeaving,
+      address: `${host}:${port}`,
+      isMissing: !this.directory.isRegistered(id),
+    }));
+  }
+
   /** Forgets the instances that are neither present nor to be bounded. */
   private forgetRegistrations(): void {
     const unbounded = new Set(
@@ -179,13 +191,3 @@
     }
   }
 }
-
-function toPresentInstance({
-  id,
-  bornAtMs,
-  isLeaving,
-  host,
-  port,
-}: RegisteredInstance): PresentInstance {
-  return {id, bornAtMs, isLeaving, address: `${host}:${port}`};
-}
--- a/packages/gateway/test/directory/instance-directory.test.ts
+++ b/packages/gateway/test/directory/instance-directory.test.ts
@@ -39,4 +39,18 @@
       expect(isLeavingAfter({...STAYING, bornAtMs: 2})).toEqual(false);
     });
   });
+
+  describe('an instance whose entry was removed', () => {
+    for (const sequence of [7, 6]) {
+      it(`is reported once it registers again with the sequence ${sequence}`, () => {
+        directory.markMissing(STAYING.id);
+        expect(directory.isRegistered(STAYING.id)).toEqual(false);
+        let changes = 0;
+        directory.changes$.subscribe(() => (changes += 1));
+        directory.register({...STAYING, isLeaving: true, sequence});
+        expect(directory.isRegistered(STAYING.id)).toEqual(true);
+        expect(changes).toEqual(1);
+      });
+    }
+  });
 });
