Share the set-up of tests of a coordinated change

Five tests of the coordinator built the same group, context and record, 30 to 40 lines each. CoordinatedGroup builds them once.

--- a/packages/gateway/test/coordinator/acknowledged-beyond-the-target.test.ts
+++ b/packages/gateway/test/coordinator/acknowledged-beyond-the-target.test.ts
@@ -1,80 +1,34 @@
-import type {PrimaryRecord} from '@sapphireglade/decisions';
-import {PrimaryPhase} from '@sapphireglade/decisions';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
-import {
-  PrimaryChange,
-  PrimaryChangeReason,
-} from '../../src/core/coordinator/primary-change.js';
-import type {PrimaryChangeContext} from '../../src/index.js';
-import {
-  DatabaseGroup,
-  primaryRecordKey,
-  REGISTRATION_MS,
-  steadyNowMs,
-} from '../../src/index.js';
-import {ChangingGroup} from '../support/changing-group.js';
-import {GroupPromotions} from '../support/group-promotions.js';
+import type {DatabaseGroup} from '../../src/index.js';
+import {REGISTRATION_MS} from '../../src/index.js';
+import type {ChangingGroup} from '../support/changing-group.js';
+import {CoordinatedGroup, SELF} from '../support/coordinated-group.js';
 import type {MemoryInstance} from '../support/memory-group.js';
-import {MemoryStoreState} from '../support/memory-store.js';
-import {createPrimaryChangeContext} from '../support/primary-change-context.js';
-
-const GROUP = 'ledger';
-const SELF = 'proxy-1';
 
 /** Longer than a change waits for late entries, in milliseconds. */
 const CUT_MS = REGISTRATION_MS + 2_000;
 
 describe('a change of primary of which a proxy acknowledged a commit that no listed replica has', () => {
-  let state: MemoryStoreState;
+  let setup: CoordinatedGroup;
   let group: ChangingGroup;
   let view: DatabaseGroup;
-  let context: PrimaryChangeContext;
-  let isCoordinating: boolean;
   let old: MemoryInstance;
-  let first: MemoryInstance;
-  let second: MemoryInstance;
 
   beforeEach(async () => {
-    state = new MemoryStoreState();
-    group = new ChangingGroup(GROUP, 3);
-    [old, first, second] = group.instances as [
-      MemoryInstance,
-      MemoryInstance,
-      MemoryInstance,
-    ];
-    view = new DatabaseGroup(GROUP);
-    isCoordinating = true;
-    context = createPrimaryChangeContext({
-      self: SELF,
-      state,
-      group,
-      promotions: new GroupPromotions(group),
-      view,
-      isCoordinating: () => isCoordinating,
-      isDirectoryCurrent: sinceMs => steadyNowMs() >= sinceMs,
-    });
-    const record: PrimaryRecord = {
-      term: 1,
-      primary: old.id,
-      phase: PrimaryPhase.Steady,
-    };
-    state.put(primaryRecordKey(GROUP), JSON.stringify(record));
-    view.applyRecord({record, revision: state.revision});
+    setup = new CoordinatedGroup();
+    ({group, view, old} = setup);
     await write('before');
     // Joins after the list was read, and cannot reach the store.
     group.join();
-    group.partition(old.id, first.id);
-    group.partition(old.id, second.id);
+    group.partition(old.id, setup.first.id);
+    group.partition(old.id, setup.second.id);
     await write('confirmed');
   });
 
   afterEach(() => {
-    isCoordinating = false;
-    context.control.closeAll();
-    group.close();
-    state.close();
+    setup.close();
   });
 
   /** Commits a write and acknowledges it. */
@@ -87,13 +41,9 @@
     view.acknowledged.record(position, before);
   }
 
-  function run(): Promise<void> {
-    return new PrimaryChange(context, view, PrimaryChangeReason.Unusable).run();
-  }
-
   it('waits for the old primary rather than promote a replica that lacks the commit', async () => {
     group.partition(SELF, old.id);
-    const change = run();
+    const change = setup.replacePrimary();
     await sleep(CUT_MS);
     group.reconnect(SELF, old.id);
     await change;
@@ -102,7 +52,7 @@
   });
 
   it('promotes the old primary that answers with the commit', async () => {
-    await run();
+    await setup.replacePrimary();
     expect(group.lost).toEqual([]);
     expect(group.missingAt(group.find(leader()))).toEqual([]);
   });
--- a/packages/gateway/test/coordinator/first-answer-of-the-old-primary.test.ts
+++ b/packages/gateway/test/coordinator/first-answer-of-the-old-primary.test.ts
@@ -1,32 +1,14 @@
-import type {PrimaryRecord} from '@sapphireglade/decisions';
 import {PrimaryPhase} from '@sapphireglade/decisions';
 import {createSilentLogger} from '@sapphireglade/runtime';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
-import {
-  PrimaryChange,
-  PrimaryChangeReason,
-} from '../../src/core/coordinator/primary-change.js';
-import type {PrimaryChangeContext} from '../../src/index.js';
-import {
-  DatabaseGroup,
-  primaryRecordKey,
-  REGISTRATION_MS,
-  steadyNowMs,
-} from '../../src/index.js';
-import {ChangingGroup} from '../support/changing-group.js';
-import {GroupPromotions} from '../support/group-promotions.js';
+import type {DatabaseGroup} from '../../src/index.js';
+import {REGISTRATION_MS, steadyNowMs} from '../../src/index.js';
+import type {ChangingGroup} from '../support/changing-group.js';
+import {CoordinatedGroup, SELF} from '../support/coordinated-group.js';
 import type {MemoryInstance} from '../support/memory-group.js';
-import {MemoryStoreState} from '../support/memory-store.js';
-import {
-  createPrimaryChangeContext,
-  registeredInstance,
-} from '../support/primary-change-context.js';
-import {ViewHolder} from '../support/view-holder.js';
-
-const GROUP = 'ledger';
-const SELF = 'proxy-1';
+import type {ViewHolder} from '../support/view-holder.js';
 
 /** Long enough to choose a target once all replicas are held, and shorter than views last, in milliseconds. */
 const CHOICE_MS = 600;
@@ -36,12 +18,10 @@
 const ORDERED = 'A promotion is being ordered.';
 
 describe('a change of primary that waits for late entries', () => {
-  let state: MemoryStoreState;
+  let setup: CoordinatedGroup;
   let group: ChangingGroup;
   let view: DatabaseGroup;
-  let context: PrimaryChangeContext;
   let holder: ViewHolder;
-  let isCoordinating: boolean;
   let steps: string[];
   let newestListMs: number;
   let onWait: () => void;
@@ -50,25 +30,10 @@
   let second: MemoryInstance;
 
   beforeEach(async () => {
-    state = new MemoryStoreState();
-    group = new ChangingGroup(GROUP, 3);
-    [old, first, second] = group.instances as [
-      MemoryInstance,
-      MemoryInstance,
-      MemoryInstance,
-    ];
-    view = new DatabaseGroup(GROUP);
-    isCoordinating = true;
     steps = [];
     newestListMs = 0;
     onWait = () => undefined;
-    context = createPrimaryChangeContext({
-      self: SELF,
-      state,
-      group,
-      promotions: new GroupPromotions(group),
-      view,
-      isCoordinating: () => isCoordinating,
+    setup = new CoordinatedGroup({
       isDirectoryCurrent: sinceMs => {
         const once = onWait;
         onWait = () => undefined;
@@ -85,36 +50,21 @@
         },
       },
     });
-    holder = new ViewHolder('proxy-2', group, state);
-    holder.publish(context);
-    const record: PrimaryRecord = {
-      term: 1,
-      primary: old.id,
-      phase: PrimaryPhase.Steady,
-    };
-    state.put(primaryRecordKey(GROUP), JSON.stringify(record));
-    view.applyRecord({record, revision: state.revision});
+    ({group, view, old, first, second} = setup);
+    holder = setup.addViewHolder();
     expect(await holder.write(old, 'before')).toEqual(true);
     group.partition(SELF, old.id);
   });
 
   afterEach(() => {
-    isCoordinating = false;
     holder.stop();
-    context.control.closeAll();
-    group.close();
-    state.close();
+    setup.close();
   });
 
-  function run(): Promise<void> {
-    return new PrimaryChange(context, view, PrimaryChangeReason.Unusable).run();
-  }
-
   /** Restarts a replica with its log, and registers it as it is then. */
   function restart(instance: MemoryInstance): void {
     group.restartWithLog(instance);
-    const {id, bornAtMs} = instance;
-    context.directory.register({...registeredInstance(id, GROUP), bornAtMs});
+    setup.register(instance);
   }
 
   function expectNothingLost(): void {
@@ -127,7 +77,7 @@
   // Guards against a change that waits anew when the old primary answers for the first time.
   it('goes on when the old primary answers for the first time', async () => {
     onWait = () => group.reconnect(SELF, old.id);
-    await run();
+    await setup.replacePrimary();
     expect(old.isPrimary).toEqual(false);
     expect(steps).toEqual([OUT_OF_USE, ORDERED]);
     expectNothingLost();
@@ -143,14 +93,14 @@
       });
       group.reconnect(SELF, old.id);
     };
-    await run();
+    await setup.replacePrimary();
     expect(old.isPrimary).toEqual(false);
     expect(steps).toEqual([OUT_OF_USE, ORDERED]);
     expectNothingLost();
   });
 
   it('waits anew when a replica has restarted before the views ended', async () => {
-    const change = run();
+    const change = setup.replacePrimary();
     while (first.heldTerm === 0 || second.heldTerm === 0) await sleep(1);
     await sleep(CHOICE_MS);
     restart(second);
@@ -167,7 +117,7 @@
       restartedAtMs = steadyNowMs();
       restart(second);
     };
-    await run();
+    await setup.replacePrimary();
     expect(newestListMs >= restartedAtMs + REGISTRATION_MS).toEqual(true);
     expectNothingLost();
   });
--- a/packages/gateway/test/coordinator/instances-after-the-choice.test.ts
+++ b/packages/gateway/test/coordinator/instances-after-the-choice.test.ts
@@ -1,26 +1,14 @@
-import type {PrimaryRecord} from '@sapphireglade/decisions';
 import {PrimaryPhase} from '@sapphireglade/decisions';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
-import {
-  PrimaryChangeReason,
-  PrimaryChange,
-} from '../../src/core/coordinator/primary-change.js';
-import type {PrimaryChangeContext} from '../../src/index.js';
-import {DatabaseGroup, primaryRecordKey, steadyNowMs} from '../../src/index.js';
-import {ChangingGroup} from '../support/changing-group.js';
+import type {DatabaseGroup} from '../../src/index.js';
+import {steadyNowMs} from '../../src/index.js';
+import type {ChangingGroup} from '../support/changing-group.js';
+import {CoordinatedGroup, SELF} from '../support/coordinated-group.js';
 import {GroupPromotions} from '../support/group-promotions.js';
-import {
-  createPrimaryChangeContext,
-  registeredInstance,
-} from '../support/primary-change-context.js';
 import type {MemoryInstance} from '../support/memory-group.js';
-import {MemoryStoreState} from '../support/memory-store.js';
-import {ViewHolder} from '../support/view-holder.js';
-
-const GROUP = 'ledger';
-const SELF = 'proxy-1';
+import type {ViewHolder} from '../support/view-holder.js';
 
 /**
  * Long enough to give the old primary up and to choose a target once all
@@ -41,12 +29,10 @@
 const CHANGE_TIMEOUT_MS = 20_000;
 
 describe('a change of primary while a proxy still uses the old one', () => {
-  let state: MemoryStoreState;
+  let setup: CoordinatedGroup;
   let group: ChangingGroup;
   let view: DatabaseGroup;
-  let context: PrimaryChangeContext;
   let holder: ViewHolder;
-  let isCoordinating: boolean;
   let isListRead: (sinceMs: number) => boolean;
   let promotions: GroupPromotions;
   let old: MemoryInstance;
@@ -54,54 +40,26 @@
   let second: MemoryInstance;
 
   beforeEach(async () => {
-    state = new MemoryStoreState();
-    group = new ChangingGroup(GROUP, 3);
-    [old, first, second] = group.instances as [
-      MemoryInstance,
-      MemoryInstance,
-      MemoryInstance,
-    ];
-    view = new DatabaseGroup(GROUP);
-    isCoordinating = true;
     isListRead = sinceMs => steadyNowMs() >= sinceMs;
-    promotions = new GroupPromotions(group);
-    context = createPrimaryChangeContext({
-      self: SELF,
-      state,
-      group,
-      promotions,
-      view,
-      isCoordinating: () => isCoordinating,
+    setup = new CoordinatedGroup({
+      createPromotions: changing =>
+        (promotions = new GroupPromotions(changing)),
       isDirectoryCurrent: sinceMs => isListRead(sinceMs),
     });
-    holder = new ViewHolder('proxy-2', group, state);
-    holder.publish(context);
-    const record: PrimaryRecord = {
-      term: 1,
-      primary: old.id,
-      phase: PrimaryPhase.Steady,
-    };
-    state.put(primaryRecordKey(GROUP), JSON.stringify(record));
-    view.applyRecord({record, revision: state.revision});
+    ({group, view, old, first, second} = setup);
+    holder = setup.addViewHolder();
     expect(await holder.write(old, 'before')).toEqual(true);
     group.partition(SELF, old.id);
   });
 
   afterEach(() => {
-    isCoordinating = false;
     holder.stop();
-    context.control.closeAll();
-    group.close();
-    state.close();
+    setup.close();
   });
 
   /** Replaces the primary. */
   function run(): Promise<void> {
-    const change = new PrimaryChange(
-      context,
-      view,
-      PrimaryChangeReason.Unusable,
-    ).run();
+    const change = setup.replacePrimary();
     const limit = sleep(CHANGE_TIMEOUT_MS, undefined, {ref: false});
     return Promise.race([
       change,
@@ -123,11 +81,6 @@
     await sleep(REGISTRATION_MS);
   }
 
-  /** Registers an instance as it is now. */
-  function register({id, bornAtMs}: MemoryInstance): void {
-    context.directory.register({...registeredInstance(id, GROUP), bornAtMs});
-  }
-
   /** Checks that the recorded primary leads and has every acknowledged commit. */
   function expectNothingLost(): void {
     expect(group.lost).toEqual([]);
@@ -144,7 +97,7 @@
       const change = run();
       while (first.heldTerm === 0) await sleep(1);
       const joined = group.join();
-      register(joined);
+      setup.register(joined);
       expect(await holder.write(old, 'confirmed')).toEqual(true);
       group.reconnect(SELF, second.id);
       await change;
@@ -154,7 +107,7 @@
     it('keeps what the new replica confirms if it registers after the choice', async () => {
       const change = run();
       await untilChosen();
-      register(group.join());
+      setup.register(group.join());
       expect(await holder.write(old, 'confirmed')).toEqual(true);
       await change;
       expectNothingLost();
@@ -166,7 +119,7 @@
       const joined = group.join();
       expect(await holder.write(old, 'confirmed')).toEqual(true);
       await untilRegistration();
-      register(joined);
+      setup.register(joined);
       await change;
       expectNothingLost();
     });
@@ -199,7 +152,7 @@
       group.restartWithLog(second);
       expect(await holder.write(old, 'confirmed')).toEqual(true);
       await untilRegistration();
-      register(second);
+      setup.register(second);
       await sleep(CUT_MS);
       group.reconnect(SELF, second.id);
       await change;
@@ -214,7 +167,7 @@
       group.restartWithLog(second);
       expect(await holder.write(old, 'confirmed')).toEqual(true);
       await untilRegistration();
-      register(second);
+      setup.register(second);
       group.reconnect(SELF, second.id);
       await change;
       expectNothingLost();
--- a/packages/gateway/test/coordinator/partial-catch-up.test.ts
+++ b/packages/gateway/test/coordinator/partial-catch-up.test.ts
@@ -1,30 +1,11 @@
-import type {PrimaryRecord} from '@sapphireglade/decisions';
-import {PrimaryPhase} from '@sapphireglade/decisions';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
-import {
-  PrimaryChange,
-  PrimaryChangeReason,
-} from '../../src/core/coordinator/primary-change.js';
-import type {PrimaryChangeContext} from '../../src/index.js';
-import {
-  DatabaseGroup,
-  primaryRecordKey,
-  REGISTRATION_MS,
-  steadyNowMs,
-} from '../../src/index.js';
-import {ChangingGroup} from '../support/changing-group.js';
-import {GroupPromotions} from '../support/group-promotions.js';
+import type {DatabaseGroup} from '../../src/index.js';
+import {REGISTRATION_MS} from '../../src/index.js';
+import type {ChangingGroup} from '../support/changing-group.js';
+import {CoordinatedGroup, SELF} from '../support/coordinated-group.js';
 import type {MemoryInstance} from '../support/memory-group.js';
-import {MemoryStoreState} from '../support/memory-store.js';
-import {
-  createPrimaryChangeContext,
-  registeredInstance,
-} from '../support/primary-change-context.js';
-
-const GROUP = 'ledger';
-const SELF = 'proxy-1';
 
 /** Longer than a change waits for late entries, in milliseconds. */
 const CUT_MS = REGISTRATION_MS + 2_000;
@@ -36,52 +17,23 @@
 const RESTARTED_AT_MS = 2;
 
 describe('a change of primary beside a replica that restarted without its log', () => {
-  let state: MemoryStoreState;
+  let setup: CoordinatedGroup;
   let group: ChangingGroup;
   let view: DatabaseGroup;
-  let context: PrimaryChangeContext;
-  let isCoordinating: boolean;
   let old: MemoryInstance;
   let first: MemoryInstance;
-  let second: MemoryInstance;
 
   beforeEach(async () => {
-    state = new MemoryStoreState();
-    group = new ChangingGroup(GROUP, 3);
-    [old, first, second] = group.instances as [
-      MemoryInstance,
-      MemoryInstance,
-      MemoryInstance,
-    ];
-    view = new DatabaseGroup(GROUP);
-    isCoordinating = true;
-    context = createPrimaryChangeContext({
-      self: SELF,
-      state,
-      group,
-      promotions: new GroupPromotions(group),
-      view,
-      isCoordinating: () => isCoordinating,
-      isDirectoryCurrent: sinceMs => steadyNowMs() >= sinceMs,
-    });
-    const record: PrimaryRecord = {
-      term: 1,
-      primary: old.id,
-      phase: PrimaryPhase.Steady,
-    };
-    state.put(primaryRecordKey(GROUP), JSON.stringify(record));
-    view.applyRecord({record, revision: state.revision});
+    setup = new CoordinatedGroup();
+    ({group, view, old, first} = setup);
     await write('before-1');
     await write('before-2');
-    group.partition(old.id, second.id);
+    group.partition(old.id, setup.second.id);
     await write('confirmed');
   });
 
   afterEach(() => {
-    isCoordinating = false;
-    context.control.closeAll();
-    group.close();
-    state.close();
+    setup.close();
   });
 
   /** Commits a write of a proxy that has stopped since. */
@@ -102,16 +54,9 @@
   }
 
   async function replacePrimary(): Promise<void> {
-    const change = new PrimaryChange(
-      context,
-      view,
-      PrimaryChangeReason.Unusable,
-    ).run();
+    const change = setup.replacePrimary();
     await sleep(LATE_ENTRY_MS);
-    context.directory.register({
-      ...registeredInstance(first.id, GROUP),
-      bornAtMs: RESTARTED_AT_MS,
-    });
+    setup.register(first);
     await sleep(CUT_MS);
     group.reconnect(SELF, old.id);
     await change;
--- a/packages/gateway/test/coordinator/restarting-replica.test.ts
+++ b/packages/gateway/test/coordinator/restarting-replica.test.ts
@@ -1,26 +1,12 @@
-import type {PrimaryRecord} from '@sapphireglade/decisions';
 import {PrimaryPhase} from '@sapphireglade/decisions';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
-import {
-  PrimaryChange,
-  PrimaryChangeReason,
-} from '../../src/core/coordinator/primary-change.js';
-import type {PrimaryChangeContext} from '../../src/index.js';
-import {DatabaseGroup, primaryRecordKey, steadyNowMs} from '../../src/index.js';
-import {ChangingGroup} from '../support/changing-group.js';
-import {GroupPromotions} from '../support/group-promotions.js';
+import type {DatabaseGroup} from '../../src/index.js';
+import type {ChangingGroup} from '../support/changing-group.js';
+import {CoordinatedGroup, SELF} from '../support/coordinated-group.js';
 import type {MemoryInstance} from '../support/memory-group.js';
-import {MemoryStoreState} from '../support/memory-store.js';
-import {
-  createPrimaryChangeContext,
-  registeredInstance,
-} from '../support/primary-change-context.js';
-import {ViewHolder} from '../support/view-holder.js';
-
-const GROUP = 'ledger';
-const SELF = 'proxy-1';
+import type {ViewHolder} from '../support/view-holder.js';
 
 /** Time between two restarts of the replica, in milliseconds. */
 const RESTART_INTERVAL_MS = 2_500;
@@ -29,40 +15,18 @@
 const CHANGE_TIMEOUT_MS = 20_000;
 
 describe('a change of primary while an instance does not stay up', () => {
-  let state: MemoryStoreState;
+  let setup: CoordinatedGroup;
   let group: ChangingGroup;
   let view: DatabaseGroup;
-  let context: PrimaryChangeContext;
   let holder: ViewHolder;
   let restarts: NodeJS.Timeout;
-  let isCoordinating: boolean;
   let old: MemoryInstance;
   let restarting: MemoryInstance;
 
   beforeEach(async () => {
-    state = new MemoryStoreState();
-    group = new ChangingGroup(GROUP, 3);
-    [old, restarting] = group.instances as [MemoryInstance, MemoryInstance];
-    view = new DatabaseGroup(GROUP);
-    isCoordinating = true;
-    context = createPrimaryChangeContext({
-      self: SELF,
-      state,
-      group,
-      promotions: new GroupPromotions(group),
-      view,
-      isCoordinating: () => isCoordinating,
-      isDirectoryCurrent: sinceMs => steadyNowMs() >= sinceMs,
-    });
-    holder = new ViewHolder('proxy-2', group, state);
-    holder.publish(context);
-    const record: PrimaryRecord = {
-      term: 1,
-      primary: old.id,
-      phase: PrimaryPhase.Steady,
-    };
-    state.put(primaryRecordKey(GROUP), JSON.stringify(record));
-    view.applyRecord({record, revision: state.revision});
+    setup = new CoordinatedGroup();
+    ({group, view, old, first: restarting} = setup);
+    holder = setup.addViewHolder();
     expect(await holder.write(old, 'before')).toEqual(true);
     group.partition(SELF, old.id);
     restarts = setInterval(() => restart(), RESTART_INTERVAL_MS);
@@ -70,25 +34,17 @@
 
   afterEach(() => {
     clearInterval(restarts);
-    isCoordinating = false;
     holder.stop();
-    context.control.closeAll();
-    group.close();
-    state.close();
+    setup.close();
   });
 
   function restart(): void {
     group.restartWithLog(restarting);
-    const {id, bornAtMs} = restarting;
-    context.directory.register({...registeredInstance(id, GROUP), bornAtMs});
+    setup.register(restarting);
   }
 
   it('ends although a proxy is cut off and a replica restarts again and again', async () => {
-    const change = new PrimaryChange(
-      context,
-      view,
-      PrimaryChangeReason.Unusable,
-    ).run();
+    const change = setup.replacePrimary();
     await Promise.race([
       change,
       sleep(CHANGE_TIMEOUT_MS, undefined, {ref: false}),
