--- a/packages/gateway/test/coordinator/leaving-replicas.test.ts
+++ b/packages/gateway/test/coordinator/leaving-replicas.test.ts
@@ -1,30 +1,13 @@
-import type {PrimaryRecord} from '@sapphireglade/decisions';
-import {PrimaryPhase} from '@sapphireglade/decisions';
 import {after, afterEach, before, beforeEach, describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'earl';
-import {
-  PrimaryChange,
-  PrimaryChangeReason,
-} from '../../src/core/coordinator/primary-change.js';
 import {steadyNowMs} from '../../src/core/time/index.js';
 import type {PrimaryChangeContext} from '../../src/index.js';
-import {
-  CoordinatorTask,
-  DatabaseGroup,
-  primaryRecordKey,
-} from '../../src/index.js';
+import type {ChangingGroup} from '../support/changing-group.js';
+import {CoordinatedGroup, GROUP, SELF} from '../support/coordinated-group.js';
 import {GroupPromotions} from '../support/group-promotions.js';
-import {
-  createPrimaryChangeContext,
-  registeredInstance,
-} from '../support/primary-change-context.js';
+import {registeredInstance} from '../support/primary-change-context.js';
 import type {MemoryInstance} from '../support/memory-group.js';
-import {MemoryGroup} from '../support/memory-group.js';
-import {MemoryStoreState} from '../support/memory-store.js';
-
-const GROUP = 'ledger';
-const SELF = 'proxy-1';
 
 /** Long enough for a coordinator to check its groups several times, in milliseconds. */
 const SEVERAL_CHECKS_MS = 600;
@@ -45,13 +28,10 @@
 const RELEASE_DELAY_MS = 2_000;
 
 describe('a replica that has announced that it leaves', () => {
-  let state: MemoryStoreState;
-  let group: MemoryGroup;
-  let view: DatabaseGroup;
+  let setup: CoordinatedGroup;
+  let group: ChangingGroup;
   let promotions: GroupPromotions;
   let context: PrimaryChangeContext;
-  let task: CoordinatorTask;
-  let isCoordinating: boolean;
   /** How late a command of an earlier coordinator may arrive, in milliseconds. */
   let orderPendingMs = 0;
   let primary: MemoryInstance;
@@ -59,52 +39,21 @@
   let staying: MemoryInstance;
 
   beforeEach(async () => {
-    state = new MemoryStoreState();
-    group = new MemoryGroup(GROUP, 3);
-    [primary, leaving, staying] = group.instances as [
-      MemoryInstance,
-      MemoryInstance,
-      MemoryInstance,
-    ];
-    view = new DatabaseGroup(GROUP);
-    promotions = new GroupPromotions(group);
-    isCoordinating = true;
-    context = createPrimaryChangeContext({
-      self: SELF,
-      state,
-      group,
-      promotions,
-      view,
-      isCoordinating: () => isCoordinating,
+    setup = new CoordinatedGroup({
+      createPromotions: changing =>
+        (promotions = new GroupPromotions(changing)),
       orderPendingMs,
+      isDirectoryCurrent: () => true,
     });
-    const record: PrimaryRecord = {
-      term: 1,
-      primary: primary.id,
-      phase: PrimaryPhase.Steady,
-    };
-    state.put(primaryRecordKey(GROUP), JSON.stringify(record));
-    view.applyRecord({record, revision: state.revision});
-    task = new CoordinatorTask({
-      context: {
-        ...context,
-        groups: {getOrCreate: () => view} as never,
-        knownProxies: {names: []} as never,
-        ownersOf: () => [],
-      },
-      key: {
-        get holder() {
-          return isCoordinating ? SELF : undefined;
-        },
-        revision: context.coordinatorRevision(),
-      } as never,
-      lease: undefined as never,
-      holder: SELF,
-      isConnected: () => true,
-      isUpToDate: () => isCoordinating,
-      onRefreshNeeded: () => undefined,
-    });
-    await task.start();
+    ({
+      group,
+
+      context,
+      old: primary,
+      first: leaving,
+      second: staying,
+    } = setup);
+    await setup.startChecks();
     context.directory.register({
       ...registeredInstance(leaving.id, GROUP),
       isLeaving: true,
@@ -113,19 +62,10 @@
   });
 
   afterEach(async () => {
-    await stopCoordinating();
-    isCoordinating = false;
-    context.control.closeAll();
-    group.close();
-    state.close();
+    await setup.stopChecks();
+    setup.close();
   });
 
-  /** Ends the checks of the groups, so that a test runs a change itself. */
-  async function stopCoordinating(): Promise<void> {
-    clearInterval((task as unknown as {timer: NodeJS.Timeout}).timer);
-    await sleep(0);
-  }
-
   /** Writes, and records the write once it is acknowledged. */
   function write(name: string): void {
     void group.commit(primary, name).then(entry => {
@@ -144,18 +84,14 @@
     group.partition(primary.id, staying.id);
     write('beyond the replica that stays');
     await sleep(SEVERAL_CHECKS_MS);
-    await stopCoordinating();
+    await setup.stopChecks();
     leaving.isDown = true;
     removeFromDirectory(leaving);
     primary.isDown = true;
     removeFromDirectory(primary);
 
-    const change = new PrimaryChange(
-      context,
-      view,
-      PrimaryChangeReason.Unusable,
-    );
-    await Promise.race([change.run().catch(() => undefined), sleep(CHANGE_MS)]);
+    const change = setup.replacePrimary();
+    await Promise.race([change.catch(() => undefined), sleep(CHANGE_MS)]);
 
     expect([...group.acknowledged.keys()]).toEqual([]);
     expect(group.lost).toEqual([]);
@@ -191,7 +127,7 @@
 
   // Guards against a bound by a hold that another coordinator has ended.
   it('is not bounded by a hold from before the role was lost', async () => {
-    isCoordinating = false;
+    setup.isCoordinating = false;
     await sleep(SEVERAL_CHECKS_MS);
     leaving.heldTerm = 0;
     group.partition(primary.id, staying.id);
@@ -202,15 +138,11 @@
     removeFromDirectory(leaving);
     primary.isDown = true;
     removeFromDirectory(primary);
-    isCoordinating = true;
-    await stopCoordinating();
+    setup.isCoordinating = true;
+    await setup.stopChecks();
 
-    const change = new PrimaryChange(
-      context,
-      view,
-      PrimaryChangeReason.Unusable,
-    );
-    await Promise.race([change.run().catch(() => undefined), sleep(CHANGE_MS)]);
+    const change = setup.replacePrimary();
+    await Promise.race([change.catch(() => undefined), sleep(CHANGE_MS)]);
 
     expect(promotions.targets).toEqual([]);
     expect(group.lost).toEqual([]);
@@ -234,14 +166,10 @@
     });
     primary.isDown = true;
     removeFromDirectory(primary);
-    await stopCoordinating();
+    await setup.stopChecks();
 
-    const change = new PrimaryChange(
-      context,
-      view,
-      PrimaryChangeReason.Unusable,
-    );
-    await Promise.race([change.run().catch(() => undefined), sleep(CHANGE_MS)]);
+    const change = setup.replacePrimary();
+    await Promise.race([change.catch(() => undefined), sleep(CHANGE_MS)]);
 
     expect(promotions.targets).toEqual([]);
     expect(group.lost).toEqual([]);
@@ -268,17 +196,10 @@
       removeFromDirectory(leaving);
       primary.isDown = true;
       removeFromDirectory(primary);
-      await stopCoordinating();
-
-      const change = new PrimaryChange(
-        context,
-        view,
-        PrimaryChangeReason.Unusable,
-      );
-      await Promise.race([
-        change.run().catch(() => undefined),
-        sleep(CHANGE_MS),
-      ]);
+      await setup.stopChecks();
+
+      const change = setup.replacePrimary();
+      await Promise.race([change.catch(() => undefined), sleep(CHANGE_MS)]);
 
       expect(promotions.targets).toEqual([]);
       expect(group.lost).toEqual([]);
@@ -301,17 +222,10 @@
       removeFromDirectory(leaving);
       primary.isDown = true;
       removeFromDirectory(primary);
-      await stopCoordinating();
-
-      const change = new PrimaryChange(
-        context,
-        view,
-        PrimaryChangeReason.Unusable,
-      );
-      await Promise.race([
-        change.run().catch(() => undefined),
-        sleep(CHANGE_MS),
-      ]);
+      await setup.stopChecks();
+
+      const change = setup.replacePrimary();
+      await Promise.race([change.catch(() => undefined), sleep(CHANGE_MS)]);
 
       expect(promotions.targets).toEqual([staying.id]);
     });
@@ -334,17 +248,10 @@
       removeFromDirectory(leaving);
       primary.isDown = true;
       removeFromDirectory(primary);
-      await stopCoordinating();
-
-      const change = new PrimaryChange(
-        context,
-        view,
-        PrimaryChangeReason.Unusable,
-      );
-      await Promise.race([
-        change.run().catch(() => undefined),
-        sleep(CHANGE_MS),
-      ]);
+      await setup.stopChecks();
+
+      const change = setup.replacePrimary();
+      await Promise.race([change.catch(() => undefined), sleep(CHANGE_MS)]);
 
       expect(promotions.targets).toEqual([]);
       expect(group.lost).toEqual([]);
--- a/packages/gateway/test/support/coordinated-group.ts
+++ b/packages/gateway/test/support/coordinated-group.ts
@@ -1,10 +1,16 @@
 import {PrimaryPhase} from '@sapphireglade/decisions';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
   PrimaryChange,
   PrimaryChangeReason,
 } from '../../src/core/coordinator/primary-change.js';
 import type {PrimaryChangeContext, PromotionService} from '../../src/index.js';
-import {DatabaseGroup, primaryRecordKey, steadyNowMs} from '../../src/index.js';
+import {
+  CoordinatorTask,
+  DatabaseGroup,
+  primaryRecordKey,
+  steadyNowMs,
+} from '../../src/index.js';
 import {ChangingGroup} from './changing-group.js';
 import {GroupPromotions} from './group-promotions.js';
 import type {MemoryInstance} from './memory-group.js';
@@ -25,7 +31,7 @@
 /** What can be set of a coordinated group. */
 export interface CoordinatedGroupOptions extends Pick<
   PrimaryChangeContextOptions,
-  'isDirectoryCurrent' | 'log'
+  'isDirectoryCurrent' | 'log' | 'orderPendingMs'
 > {
   /** Returns the service that promotes instances; by default orders take effect at once. */
   readonly createPromotions?: (group: ChangingGroup) => PromotionService;
@@ -42,13 +48,16 @@
   readonly old: MemoryInstance;
   readonly first: MemoryInstance;
   readonly second: MemoryInstance;
-  private isCoordinating = true;
+  /** Whether the proxy is the coordinator. */
+  isCoordinating = true;
+  private task: CoordinatorTask | undefined;
 
   /** @param options - What differs from the defaults. */
   constructor({
     createPromotions = group => new GroupPromotions(group),
     isDirectoryCurrent = sinceMs => steadyNowMs() >= sinceMs,
     log,
+    orderPendingMs,
   }: CoordinatedGroupOptions = {}) {
     [this.old, this.first, this.second] = this.group.instances as [
       MemoryInstance,
@@ -64,6 +73,7 @@
       isCoordinating: () => this.isCoordinating,
       isDirectoryCurrent,
       log,
+      orderPendingMs,
     });
     const record = {
       term: 1,
@@ -81,6 +91,47 @@
     return holder;
   }
 
+  /**
+   * Starts the regular checks of the coordinator.
+   *
+   * @param isUpToDate - Returns whether the directory was read after a time, in
+   *   milliseconds of the steady clock.
+   */
+  async startChecks(
+    isUpToDate: (sinceMs: number) => boolean = () => true,
+  ): Promise<void> {
+    const {context, view} = this;
+    const holder = (): string | undefined =>
+      this.isCoordinating ? SELF : undefined;
+    this.task = new CoordinatorTask({
+      context: {
+        ...context,
+        groups: {getOrCreate: () => view} as never,
+        knownProxies: {names: []} as never,
+        ownersOf: () => [],
+      },
+      key: {
+        get holder() {
+          return holder();
+        },
+        revision: context.coordinatorRevision(),
+      } as never,
+      lease: undefined as never,
+      holder: SELF,
+      isConnected: () => true,
+      isUpToDate: sinceMs => this.isCoordinating && isUpToDate(sinceMs),
+      onRefreshNeeded: () => undefined,
+    });
+    await this.task.start();
+  }
+
+  /** Ends the regular checks, so that a test runs a change itself. */
+  async stopChecks(): Promise<void> {
+    const {timer} = (this.task ?? {}) as unknown as {timer?: NodeJS.Timeout};
+    clearInterval(timer);
+    await sleep(0);
+  }
+
   /** Lists the present start of an instance. */
   register({id, bornAtMs}: MemoryInstance): void {
     this.context.directory.register({
