--- a/packages/gateway/test/coordinator/leaving-replica-restarted.test.ts
+++ b/packages/gateway/test/coordinator/leaving-replica-restarted.test.ts
@@ -34,14 +34,7 @@
       orderPendingMs: 0,
       isDirectoryCurrent: () => true,
     });
-    ({
-      group,
-
-      context,
-      old: primary,
-      first: leaving,
-      second: staying,
-    } = setup);
+    ({group, context, old: primary, first: leaving, second: staying} = setup);
     await setup.startChecks(sinceMs => steadyNowMs() >= sinceMs);
   });
 
--- a/packages/gateway/test/coordinator/leaving-replicas.test.ts
+++ b/packages/gateway/test/coordinator/leaving-replicas.test.ts
@@ -45,14 +45,7 @@
       orderPendingMs,
       isDirectoryCurrent: () => true,
     });
-    ({
-      group,
-
-      context,
-      old: primary,
-      first: leaving,
-      second: staying,
-    } = setup);
+    ({group, context, old: primary, first: leaving, second: staying} = setup);
     await setup.startChecks();
     context.directory.register({
       ...registeredInstance(leaving.id, GROUP),
