Take the word of a record for who was gone before its term

A coordinator learned of the term while its directory was 10 s old and still had the entry; and a term that was adopted has a record without the start of its primary, so the rule did not know it in the next term.

Cause: the age of the own list was left out, and an entry that is missing was taken for an instance that is gone.

Change: the record of a term already names who is absent, with the start, and says that what it confirmed is included. Such an instance, or one that an earlier term named and the record does not, does not count if the last response that showed its entry was requested before the record was learned. Before a target is chosen it is asked at its last address, unless another start is listed there; one that follows the term counts.

The holds of DepartedInstances moved to a class of their own.

--- a/packages/decisions/src/core/primary-change/departed-instances.ts
+++ b/packages/decisions/src/core/primary-change/departed-instances.ts
@@ -1,7 +1,9 @@
 import type {LogPosition} from '../groups/index.js';
 import {AbsentInstances} from './absent-instances.js';
 import {EarlierDepartures} from './earlier-departures.js';
+import {HeldPositions} from './held-positions.js';
 import {higherPosition} from './held-reports.js';
+import {haveSameInstances, includes, isSame} from './same-instances.js';
 import type {
   AbsentInstance,
   GroupInstance,
@@ -19,17 +21,6 @@
   bound: LogPosition | undefined;
 }
 
-/** A hold of a replica during the term. */
-interface Hold {
-  readonly instance: GroupInstance;
-  /** Highest position that the replica reported. */
-  readonly position: LogPosition;
-  /** Since when no command can end it unseen, in milliseconds; undefined if one may. */
-  readonly finalSinceMs: number | undefined;
-  /** Whether it is certainly one of the listed start. */
-  isSettled: boolean;
-}
-
 /**
  * Instances of one group that left, or restarted, during the current term.
  *
@@ -48,19 +39,29 @@
   private recorded: RecordedConfirmers | undefined;
   /** Instances that a record of the term listed and the last one does not. */
   private takenOff: readonly GroupInstance[] = [];
-  /** Replicas that are held during the term, and the position at which each one was held. */
-  private holds: Hold[] = [];
+  private readonly heldPositions = new HeldPositions();
   /** Position that every log with a certain acknowledged commit has reached. */
   private acknowledged: LogPosition | undefined;
   private readonly absences: AbsentInstances;
-  private readonly earlier = new EarlierDepartures();
+  private readonly earlier: EarlierDepartures;
+  /** Instances that this proxy listed in the term, but were gone before it. */
+  private goneBefore: readonly GroupInstance[] = [];
+  /** Those of {@link goneBefore} that answered when they were asked last. */
+  private answering: readonly GroupInstance[] = [];
 
   /**
    * @param returnWithinMs - Returns how long an instance whose entry has lapsed
    *   may still return with its log, in milliseconds.
+   * @param lastListedAtMs - Returns when the last response was requested that
+   *   showed the entry of an instance, in milliseconds of the steady clock;
+   *   infinite if that is not known.
    */
-  constructor(returnWithinMs: () => number) {
+  constructor(
+    returnWithinMs: () => number,
+    lastListedAtMs: (instance: GroupInstance) => number = () => Infinity,
+  ) {
     this.absences = new AbsentInstances(returnWithinMs);
+    this.earlier = new EarlierDepartures(lastListedAtMs);
   }
 
   /**
@@ -78,28 +79,31 @@
     nowMs: number,
   ): void {
     const {term, primary, confirmers} = record;
-    this.earlier.update(record, instances);
-    const present = instances
-      .map(({id, bornAtMs}) => ({id, bornAtMs}))
-      .filter(instance => !this.earlier.includes(instance));
+    const present = instances.map(({id, bornAtMs}) => ({id, bornAtMs}));
+    this.earlier.update(record, nowMs);
     if (term > this.term) {
       this.term = term;
       this.primary = primary;
       this.departures = [];
+      this.goneBefore = [];
       this.recorded = undefined;
       this.takenOff = [];
-      this.holds = [];
+      this.heldPositions.clear();
       this.acknowledged = undefined;
       this.present = present;
     }
     // A promotion that takes effect late ends every hold.
-    if (term === this.term && (record.orders ?? 0) > 0) this.holds = [];
+    if (term === this.term && (record.orders ?? 0) > 0)
+      this.heldPositions.clear();
     // An instance that has returned in the same incarnation has to report itself.
     this.departures = this.departures.filter(
       ({instance, bound}) =>
         bound !== undefined || !includes(present, instance),
     );
     this.addDepartures(this.present, present);
+    this.goneBefore = this.goneBefore.filter(
+      each => this.earlier.includes(each) && !includes(present, each),
+    );
     if (confirmers !== undefined && term === this.term)
       this.applyRecorded(confirmers, present);
     this.present = present;
@@ -142,9 +146,26 @@
 
   /** Instances whose confirmed commits are not bounded by a known position. */
   get unbounded(): readonly GroupInstance[] {
-    return this.departures
+    const unbounded = this.departures
       .filter(({bound}) => bound === undefined)
       .map(({instance}) => instance);
+    const answering = this.goneBefore.filter(each =>
+      includes(this.answering, each),
+    );
+    return [...unbounded, ...answering];
+  }
+
+  /**
+   * Instances that this proxy listed in the term although they were gone before it,
+   * as its record says. One that runs without an entry may follow the primary.
+   */
+  get earlierDepartures(): readonly GroupInstance[] {
+    return this.goneBefore;
+  }
+
+  /** Records which of the {@link earlierDepartures} follow the term; they count as departed in it. */
+  recordAnswering(instances: readonly GroupInstance[]): void {
+    this.answering = instances;
   }
 
   /**
@@ -174,7 +195,8 @@
     confirmers,
   }: PrimaryRecord): RecordedConfirmers | undefined {
     if (term !== this.term) return confirmers;
-    const {present, unbounded, primary, bound} = this;
+    const {unbounded, primary, bound} = this;
+    const present = this.present.filter(each => !this.earlier.includes(each));
     return this.withAbsences(
       {
         instances: confirmersAmong([...present, ...unbounded], primary),
@@ -224,66 +246,11 @@
   }
 
   /**
-   * Records that a replica was held at a position, so that it has confirmed
-   * nothing of the term beyond it. Of several reports the highest counts: a lower
-   * one comes from a later start, whose entry the directory does not have yet.
-   *
-   * @param instance - The replica.
-   * @param position - What it had received when it was held.
-   * @param finalSinceMs - When it reported that, in milliseconds; undefined if a
-   *   command of before may still end the hold. Such a hold bounds nothing.
-   */
-  recordHold(
-    {id, bornAtMs}: GroupInstance,
-    position: LogPosition,
-    finalSinceMs: number | undefined,
-  ): void {
-    const instance = {id, bornAtMs};
-    const before = this.holds.find(hold => isSame(hold.instance, instance));
-    this.forgetHold(instance);
-    const isFinal = finalSinceMs !== undefined;
-    this.holds.push({
-      instance,
-      position: higherPosition(before?.position, position) ?? position,
-      finalSinceMs: isFinal
-        ? (before?.finalSinceMs ?? finalSinceMs)
-        : undefined,
-      isSettled: isFinal && before?.isSettled === true,
-    });
-  }
-
-  /**
-   * Handles a list of the instances. A replica that has started again is listed by
-   * its former start for a while, so a hold bounds the listed start only if the
-   * list still has it later than that.
-   *
-   * @param listed - The instances of the list.
-   * @param isListedSince - Returns whether the list has all that started before a
-   *   time, in milliseconds.
+   * Replicas that were held in the term; each has confirmed nothing of it beyond
+   * the position of its hold.
    */
-  settleHolds(
-    listed: readonly GroupInstance[],
-    isListedSince: (timeMs: number) => boolean,
-  ): void {
-    for (const hold of this.holds) {
-      const {instance, finalSinceMs} = hold;
-      hold.isSettled ||=
-        finalSinceMs !== undefined &&
-        includes(listed, instance) &&
-        isListedSince(finalSinceMs);
-    }
-  }
-
-  /** Records that a replica is not held any more, or may not be. */
-  forgetHold(instance: GroupInstance): void {
-    this.holds = this.holds.filter(
-      ({instance: held}) => !isSame(held, instance),
-    );
-  }
-
-  /** Forgets every hold; another coordinator may have ended them. */
-  forgetHolds(): void {
-    this.holds = [];
+  get holds(): HeldPositions {
+    return this.heldPositions;
   }
 
   private withAbsences(
@@ -304,12 +271,14 @@
   ): void {
     for (const instance of before) {
       if (instance.id === this.primary || includes(present, instance)) continue;
+      if (this.earlier.includes(instance)) {
+        this.goneBefore = [...this.goneBefore, instance];
+        continue;
+      }
       // The directory of this proxy may be behind that of the coordinator.
       const bound = includes(this.takenOff, instance)
         ? this.recorded?.departedPosition
-        : this.holds.find(
-            hold => hold.isSettled && isSame(hold.instance, instance),
-          )?.position;
+        : this.heldPositions.find(instance);
       this.departures.push({instance, bound});
     }
   }
@@ -374,23 +343,3 @@
 ): boolean {
   return report.isPrimary && report.term === term && report.id !== primary;
 }
-
-function haveSameInstances(
-  left: readonly GroupInstance[] = [],
-  right: readonly GroupInstance[] = [],
-): boolean {
-  return (
-    left.length === right.length && right.every(each => includes(left, each))
-  );
-}
-
-function includes(
-  instances: readonly GroupInstance[],
-  instance: GroupInstance,
-): boolean {
-  return instances.some(each => isSame(each, instance));
-}
-
-function isSame(left: GroupInstance, right: GroupInstance): boolean {
-  return left.id === right.id && left.bornAtMs === right.bornAtMs;
-}
--- a/packages/decisions/src/core/primary-change/types.ts
+++ b/packages/decisions/src/core/primary-change/types.ts
@@ -90,8 +90,6 @@
   readonly isLeaving: boolean;
   /** Where it accepts connections, as HOST:PORT. */
   readonly address: string;
-  /** Whether its entry was removed, and it is kept for a grace period. */
-  readonly isMissing?: boolean;
 }
 
 /** An instance that is not in the directory and may return with its log. */
--- a/packages/decisions/test/primary-change/departed-instances.test.ts
+++ b/packages/decisions/test/primary-change/departed-instances.test.ts
@@ -296,29 +296,29 @@
   beforeEach(() => {
     departed = new DepartedInstances(() => RETURN_WITHIN_MS);
     update(departed, recordWith(), ALL, {leaving: [LEFT]});
-    departed.recordHold(LEFT, BEFORE_RESTART, HELD_AT_MS);
-    departed.settleHolds(ALL, timeMs => timeMs <= HELD_AT_MS);
+    departed.holds.record(LEFT, BEFORE_RESTART, HELD_AT_MS);
+    departed.holds.settle(ALL, timeMs => timeMs <= HELD_AT_MS);
   });
 
   // Guards against a bound by the log of the next start, whose entry is late.
   it('bound it by what it had before it restarted without its log', () => {
-    departed.recordHold(LEFT, {term: 0, position: 0}, HELD_AT_MS + 1);
+    departed.holds.record(LEFT, {term: 0, position: 0}, HELD_AT_MS + 1);
     update(departed, recordWith(), [{...LEFT, bornAtMs: 20}, REMAINING]);
     expect(departed.unbounded).toEqual([]);
     expect(departed.bound).toEqual(BEFORE_RESTART);
   });
 
   it('bound it by what it received after its hold had ended', () => {
-    departed.recordHold(LEFT, AFTER_DEPARTURE, HELD_AT_MS + 1);
+    departed.holds.record(LEFT, AFTER_DEPARTURE, HELD_AT_MS + 1);
     update(departed, recordWith(), [PRIMARY, REMAINING]);
     expect(departed.bound).toEqual(AFTER_DEPARTURE);
   });
 
   // Guards against a bound by a hold that a late release may have ended.
   it('do not bound it by a hold that may have ended unseen', () => {
-    departed.forgetHold(LEFT);
-    departed.recordHold(LEFT, BEFORE_RESTART, undefined);
-    departed.settleHolds(ALL, () => true);
+    departed.holds.forget(LEFT);
+    departed.holds.record(LEFT, BEFORE_RESTART, undefined);
+    departed.holds.settle(ALL, () => true);
     update(departed, recordWith(), [PRIMARY, REMAINING]);
     expect(departed.unbounded).toEqual([LEFT]);
     expect(departed.bound).toEqual(undefined);
@@ -326,20 +326,20 @@
 
   // Guards against a bound by the hold of the next start, whose entry is late.
   it('do not bound it by a hold that no later list shows to be of its start', () => {
-    departed.forgetHold(LEFT);
-    departed.recordHold(LEFT, BEFORE_RESTART, HELD_AT_MS);
-    departed.settleHolds(ALL, timeMs => timeMs < HELD_AT_MS);
+    departed.holds.forget(LEFT);
+    departed.holds.record(LEFT, BEFORE_RESTART, HELD_AT_MS);
+    departed.holds.settle(ALL, timeMs => timeMs < HELD_AT_MS);
     const next = {...LEFT, bornAtMs: 20};
-    departed.settleHolds([PRIMARY, next, REMAINING], () => true);
+    departed.holds.settle([PRIMARY, next, REMAINING], () => true);
     update(departed, recordWith(), [PRIMARY, next, REMAINING]);
     expect(departed.unbounded).toEqual([LEFT]);
     expect(departed.bound).toEqual(undefined);
   });
 
   it('bound it by the highest position once its hold is final', () => {
-    departed.recordHold(LEFT, AFTER_DEPARTURE, undefined);
-    departed.recordHold(LEFT, BEFORE_RESTART, HELD_AT_MS);
-    departed.settleHolds(ALL, () => true);
+    departed.holds.record(LEFT, AFTER_DEPARTURE, undefined);
+    departed.holds.record(LEFT, BEFORE_RESTART, HELD_AT_MS);
+    departed.holds.settle(ALL, () => true);
     update(departed, recordWith(), [PRIMARY, REMAINING]);
     expect(departed.bound).toEqual(AFTER_DEPARTURE);
   });
--- a/packages/decisions/test/primary-change/group-under-faults.ts
+++ b/packages/decisions/test/primary-change/group-under-faults.ts
@@ -120,15 +120,15 @@
       if (!shouldHold) continue;
       this.holds += 1;
       const {received} = reportOf(replica, this.term);
-      this.departed.recordHold(replica, received, this.now);
-      this.departed.settleHolds([replica], () => true);
+      this.departed.holds.record(replica, received, this.now);
+      this.departed.holds.settle([replica], () => true);
     }
     this.replicate();
   }
 
   /** Forgets the hold of a replica that is released. */
   protected forgetHold(replica: GroupInstance): void {
-    this.departed.forgetHold(replica);
+    this.departed.holds.forget(replica);
   }
 
   /** Replaces the coordinator by one that knows only the record and the directory. */
--- a/packages/decisions/test/primary-change/leaving-in-steps.ts
+++ b/packages/decisions/test/primary-change/leaving-in-steps.ts
@@ -47,7 +47,10 @@
 
   /** Handles a list that was read just now. */
   settleHolds(listed: readonly PresentInstance[], now: number): void {
-    this.departed.settleHolds(listed, time => now - time >= REGISTRATION_STEPS);
+    this.departed.holds.settle(
+      listed,
+      time => now - time >= REGISTRATION_STEPS,
+    );
   }
 
   private hold(replica: PresentInstance, now: number): void {
@@ -58,13 +61,13 @@
       !report.isPrimary &&
       report.term <= this.term &&
       report.heldTerm > this.term;
-    if (!isHeld) this.departed.forgetHold(replica);
+    if (!isHeld) this.departed.holds.forget(replica);
     else if (this.isCertain(id, now))
-      this.departed.recordHold(replica, report.received, now);
+      this.departed.holds.record(replica, report.received, now);
   }
 
   private release(replica: PresentInstance, now: number): void {
-    this.departed.forgetHold(replica);
+    this.departed.holds.forget(replica);
     this.context.instances.release(replica.id, now);
     this.releasedAt.set(replica.id, now);
   }
--- a/packages/gateway/src/core/coordinator/group-departures.ts
+++ b/packages/gateway/src/core/coordinator/group-departures.ts
@@ -55,14 +55,17 @@
   /** Returns the departures of a group. */
   of(group: string): DepartedInstances {
     const known =
-      this.departed.get(group) ?? new DepartedInstances(this.returnWithinMs);
+      this.departed.get(group) ??
+      new DepartedInstances(this.returnWithinMs, instance =>
+        this.directory.lastListedAtMs(instance),
+      );
     this.departed.set(group, known);
     return known;
   }
 
   /** Forgets which replicas are held; called when the role is lost. */
   forgetHolds(): void {
-    for (const departed of this.departed.values()) departed.forgetHolds();
+    for (const departed of this.departed.values()) departed.holds.clear();
   }
 
   /**
@@ -87,6 +90,42 @@
     }
   }
 
+  /**
+   * Asks the instances that were gone before the term at their last addresses: one
+   * that runs without an entry may follow the primary and confirm its commits.
+   *
+   * @param group - Name of the group.
+   */
+  async askEarlier(group: string): Promise<void> {
+    const departed = this.of(group);
+    const asked = departed.earlierDepartures.flatMap(instance => {
+      const last = this.registrations.get(instance.id);
+      const isLast = last?.bornAtMs === instance.bornAtMs;
+      return last !== undefined && isLast && !this.isReplaced(last)
+        ? [{instance, last}]
+        : [];
+    });
+    const reports = await Promise.all(
+      asked.map(({last}) =>
+        this.control.sendCommand(last, {kind: CommandKind.Status}),
+      ),
+    );
+    const answering = asked.filter((_, index) => {
+      const {term} = reports[index] ?? {};
+      return term !== undefined && term >= departed.currentTerm;
+    });
+    departed.recordAnswering(answering.map(({instance}) => instance));
+  }
+
+  /** Returns whether another start of an instance, or another one at its address, is listed. */
+  private isReplaced({id, group, host, port}: RegisteredInstance): boolean {
+    return this.directory
+      .findByGroup(group)
+      .some(
+        each => each.id === id || (each.host === host && each.port === port),
+      );
+  }
+
   /**
    * Learns from a record of an earlier generation of the store which instances
    * have left, and bounds what they confirmed as in a steady group.
@@ -95,7 +134,7 @@
    * @param record - The record, whose primary was found to lead its term.
    */
   async recover(group: string, record: PrimaryRecord): Promise<void> {
-    const present = this.presentAmong(this.directory.findByGroup(group));
+    const present = this.directory.findByGroup(group).map(toPresentInstance);
     this.of(group).update(record, present, steadyNowMs());
     await this.bound(group, record);
   }
@@ -161,28 +200,16 @@
     if (stored === undefined || isOutdated(stored)) return;
     const {record} = stored;
     const departed = this.of(group.name);
-    departed.update(record, this.presentAmong(instances), steadyNowMs());
+    departed.update(record, instances.map(toPresentInstance), steadyNowMs());
     for (const instance of instances)
       this.registrations.set(instance.id, instance);
   }
 
-  private presentAmong(
-    instances: readonly RegisteredInstance[],
-  ): PresentInstance[] {
-    return instances.map(({id, bornAtMs, isLeaving, host, port}) => ({
-      id,
-      bornAtMs,
-      isLeaving,
-      address: `${host}:${port}`,
-      isMissing: !this.directory.isRegistered(id),
-    }));
-  }
-
   /** Forgets the instances that are neither present nor to be bounded. */
   private forgetRegistrations(): void {
     const unbounded = new Set(
-      [...this.departed.values()].flatMap(departed =>
-        departed.unbounded.map(({id}) => id),
+      [...this.departed.values()].flatMap(({unbounded, earlierDepartures}) =>
+        [...unbounded, ...earlierDepartures].map(({id}) => id),
       ),
     );
     for (const id of this.registrations.keys()) {
@@ -191,3 +218,13 @@
     }
   }
 }
+
+function toPresentInstance({
+  id,
+  bornAtMs,
+  isLeaving,
+  host,
+  port,
+}: RegisteredInstance): PresentInstance {
+  return {id, bornAtMs, isLeaving, address: `${host}:${port}`};
+}
--- a/packages/gateway/src/core/coordinator/leaving-replicas.ts
+++ b/packages/gateway/src/core/coordinator/leaving-replicas.ts
@@ -69,7 +69,7 @@
     );
     departures
       .of(group.name)
-      .settleHolds(leaving, timeMs =>
+      .holds.settle(leaving, timeMs =>
         isDirectoryCurrent(timeMs + REGISTRATION_MS),
       );
     const held = leavingReplicasToHold(directory, group.name, record.primary);
@@ -129,12 +129,12 @@
     if (group.storedRecord?.record.term !== record.term) return;
     const departed = departures.of(group.name);
     if (report === undefined || !isHeldReplica(report, record.term)) {
-      if (report !== undefined) departed.forgetHold(instance);
+      if (report !== undefined) departed.holds.forget(instance);
       return;
     }
     // After a restore, a hold for an earlier term does not stop it in the present one.
     if (departed.currentTerm === record.term)
-      departed.recordHold(
+      departed.holds.record(
         instance,
         report.received,
         isFinal ? steadyNowMs() : undefined,
@@ -153,7 +153,7 @@
     instance: RegisteredInstance,
   ): Promise<void> {
     const {control, departures, log} = this.context;
-    departures.of(group.name).forgetHold(instance);
+    departures.of(group.name).holds.forget(instance);
     this.releasedAtMs.set(instance.id, steadyNowMs());
     const report = await control.sendCommand(instance, {
       kind: CommandKind.ReleaseTerm,
--- a/packages/gateway/src/core/coordinator/target-selection.ts
+++ b/packages/gateway/src/core/coordinator/target-selection.ts
@@ -94,7 +94,11 @@
     known: VersionedPrimaryRecord,
     outOfUseAtMs: number,
   ): Promise<PromotionChoice | undefined> {
-    if (!(await this.held.survey(known, outOfUseAtMs))) {
+    const [isUnchanged] = await Promise.all([
+      this.held.survey(known, outOfUseAtMs),
+      this.context.departures.askEarlier(this.group.name),
+    ]);
+    if (!isUnchanged) {
       this.context.log.info('The instances changed while they were held.', {
         group: this.group.name,
       });
--- a/packages/gateway/src/core/directory/instance-directory.ts
+++ b/packages/gateway/src/core/directory/instance-directory.ts
@@ -1,8 +1,9 @@
-import type {ClockReading} from '@sapphireglade/decisions';
+import type {ClockReading, GroupInstance} from '@sapphireglade/decisions';
 import {elapsedMs} from '@sapphireglade/decisions';
 import type {Logger} from '@sapphireglade/runtime';
 import {filter, firstValueFrom, Subject, takeUntil, timer} from 'rxjs';
 import {readClocks, steadyNowMs, wholeMilliseconds} from '../time/index.js';
+import {FormerEntries} from './former-entries.js';
 import type {RegisteredInstance} from './types.js';
 
 /**
@@ -35,6 +36,7 @@
  */
 export class InstanceDirectory {
   private readonly entries = new Map<string, DirectoryEntry>();
+  private readonly formerEntries = new FormerEntries();
   private readonly changes = new Subject<void>();
   private readonly confirmations = new Subject<ClockReading>();
   private zones = 0;
@@ -115,6 +117,22 @@
     return ageOf(isStaying(entry) ? this.confirmedAt : entry.stayedAt);
   }
 
+  /**
+   * Returns when the last response was requested that showed the entry of an
+   * incarnation of an instance, in milliseconds of the steady clock; Infinity if
+   * that is not known.
+   */
+  lastListedAtMs(instance: GroupInstance): number {
+    const entry = this.entries.get(instance.id);
+    const isListed =
+      entry?.instance.bornAtMs === instance.bornAtMs &&
+      entry?.missingSinceMs === undefined;
+    const listedAt = isListed
+      ? this.confirmedAt
+      : this.formerEntries.find(instance);
+    return listedAt?.steadyMs ?? Infinity;
+  }
+
   /** Increases when an instance joins or leaves an availability zone. */
   get zoneVersion(): number {
     return this.zones;
@@ -151,6 +169,8 @@
       stayedAt: wasStaying ? this.confirmedAt : entry.stayedAt,
     });
     const previous = entry?.instance;
+    if (previous !== undefined && previous.bornAtMs !== instance.bornAtMs)
+      this.recordFormer(entry);
     if (previous?.availabilityZone !== instance.availabilityZone)
       this.zones += 1;
     if (previous !== undefined && isSameRegistration(previous, instance))
@@ -164,6 +184,7 @@
     const entry = this.entries.get(id);
     if (entry === undefined || entry.missingSinceMs !== undefined) return;
     if (isStaying(entry)) entry.stayedAt = this.confirmedAt;
+    this.recordFormer(entry);
     entry.missingSinceMs = steadyNowMs();
     this.log.warn('The entry of an instance was removed.', {
       instance: id,
@@ -230,6 +251,13 @@
     }
   }
 
+  /** Records an entry that is not listed any more, unless it was missing already. */
+  private recordFormer(entry: DirectoryEntry | undefined): void {
+    if (entry === undefined || entry.missingSinceMs !== undefined) return;
+    if (this.confirmedAt !== undefined)
+      this.formerEntries.record(entry.instance, this.confirmedAt);
+  }
+
   private logChange(instance: RegisteredInstance): void {
     this.log.info('An instance registered.', {
       instance: instance.id,
--- a/packages/gateway/test/directory/instance-directory.test.ts
+++ b/packages/gateway/test/directory/instance-directory.test.ts
@@ -40,17 +40,45 @@
     });
   });
 
-  describe('an instance whose entry was removed', () => {
-    for (const sequence of [7, 6]) {
-      it(`is reported once it registers again with the sequence ${sequence}`, () => {
-        directory.markMissing(STAYING.id);
-        expect(directory.isRegistered(STAYING.id)).toEqual(false);
-        let changes = 0;
-        directory.changes$.subscribe(() => (changes += 1));
-        directory.register({...STAYING, isLeaving: true, sequence});
-        expect(directory.isRegistered(STAYING.id)).toEqual(true);
-        expect(changes).toEqual(1);
-      });
-    }
+  describe('the time at which an entry was last listed', () => {
+    const restarted = {...STAYING, bornAtMs: 2};
+
+    beforeEach(() => {
+      directory.replaceAll([STAYING]);
+      directory.confirm({steadyMs: 10, wallMs: 10});
+    });
+
+    it('is that of the last response while it is listed', () => {
+      directory.confirm({steadyMs: 20, wallMs: 20});
+      expect(directory.lastListedAtMs(STAYING)).toEqual(20);
+    });
+
+    it('is that of the response before the one without it', () => {
+      directory.replaceAll([]);
+      directory.confirm({steadyMs: 20, wallMs: 20});
+      expect(directory.lastListedAtMs(STAYING)).toEqual(10);
+      directory.replaceAll([]);
+      directory.confirm({steadyMs: 30, wallMs: 30});
+      expect(directory.lastListedAtMs(STAYING)).toEqual(10);
+    });
+
+    it('is that of the response before the one with its next start', () => {
+      directory.replaceAll([restarted]);
+      directory.confirm({steadyMs: 20, wallMs: 20});
+      expect(directory.lastListedAtMs(STAYING)).toEqual(10);
+      expect(directory.lastListedAtMs(restarted)).toEqual(20);
+    });
+
+    it('is that of the last response again once it is back', () => {
+      directory.replaceAll([]);
+      directory.confirm({steadyMs: 20, wallMs: 20});
+      directory.replaceAll([STAYING]);
+      directory.confirm({steadyMs: 30, wallMs: 30});
+      expect(directory.lastListedAtMs(STAYING)).toEqual(30);
+    });
+
+    it('is not known of a start that was never listed', () => {
+      expect(directory.lastListedAtMs(restarted)).toEqual(Infinity);
+    });
   });
 });
