Do not count an empty log whose hold is gone

Cause: a start has its entry 2 s later only if it still runs then.

Change: an empty report is settled only while the hold stands. After the list, an instance with an empty log has to answer the survey, held as before; otherwise its former start counts as one that has not reported.

Ruled out: nothing that an instance says names its start (STATUS, READY and the health probe have none), so a report with a part of the log can't be told from that of a single restart by a coordinator without an older connection.

The model has the rule as a switch.

--- a/packages/decisions/src/core/primary-change/held-reports.ts
+++ b/packages/decisions/src/core/primary-change/held-reports.ts
@@ -99,7 +99,10 @@
       report.term === previous.report.term &&
       comparePositions(report.received, previous.report.received) === 0;
     const heldSinceMs = isUnchanged ? previous.heldSinceMs : answeredAtMs;
-    if (!isUnchanged) this.forget(id, incarnation);
+    if (!isUnchanged) {
+      this.unsettleEmpty(id);
+      this.forget(id, incarnation);
+    }
     this.record(report, incarnation, askedAtMs, heldSinceMs);
     return isUnchanged;
   }
@@ -114,6 +117,7 @@
   interrupt(id: string, incarnation: Incarnation): void {
     const entry = this.held.get(id);
     if (entry === undefined) return;
+    this.unsettleEmpty(id);
     if (entry.incarnation !== incarnation) {
       if (!this.interrupted.has(id)) this.attribute(entry);
       return;
@@ -126,7 +130,9 @@
    * Handles a list of the instances. An instance that has started again is listed
    * by its former start for a while, so its report is that of the listed start only
    * if the list still has it later than that. What an instance reported once
-   * nothing could be acknowledged any more counts although it starts again.
+   * nothing could be acknowledged any more counts although it starts again, unless
+   * its log was empty: it may have started twice, and the list never had the start
+   * that reported.
    *
    * @param listed - The instances of the list.
    * @param sinceMs - Time after which nothing was acknowledged, in milliseconds;
@@ -196,10 +202,16 @@
   private attribute({report, incarnation}: HeldReport): void {
     const instance = {id: report.id, bornAtMs: incarnation};
     // One that has just lost its log may be listed by its former start.
-    if (report.received.position === 0 || this.hasReported(instance)) return;
+    if (isEmpty(report) || this.hasReported(instance)) return;
     this.reported.push(instance);
   }
 
+  /** Handles that an instance is not as it reported last: an empty log may be that of a start that was never listed. */
+  private unsettleEmpty(id: string): void {
+    const entry = this.held.get(id);
+    if (entry !== undefined && isEmpty(entry.report)) this.settled.delete(id);
+  }
+
   /** Requires a new report of an incarnation, unless nothing was acknowledged after its last one. */
   private forget(id: string, incarnation: Incarnation): void {
     if (this.settled.has(id)) return;
@@ -208,3 +220,7 @@
     );
   }
 }
+
+function isEmpty({received}: ReplicationReport): boolean {
+  return received.position === 0;
+}
--- a/packages/decisions/test/primary-change/change-rules.ts
+++ b/packages/decisions/test/primary-change/change-rules.ts
@@ -54,6 +54,8 @@
    * registration time after it, or if the next start is not held.
    */
   readonly attributesByLateLists: boolean;
+  /** An instance with an empty log is asked once more after the list, and has to be held still. */
+  readonly confirmsEmptyLogs: boolean;
   /** A log that has left that of the term shows nothing by its position. */
   readonly comparesInTerm: boolean;
   /** The report of an earlier incarnation counts only if it is settled. */
@@ -103,6 +105,7 @@
   settlesEachInstance: false,
   settlesByLateLists: true,
   attributesByLateLists: true,
+  confirmsEmptyLogs: true,
   comparesInTerm: true,
   countsSettledRestarts: true,
   checksHolds: true,
--- a/packages/decisions/test/primary-change/coordinator-in-steps.ts
+++ b/packages/decisions/test/primary-change/coordinator-in-steps.ts
@@ -248,6 +248,7 @@
     if (rules.checksHolds && this.survey.hasHoldEnded)
       return this.endViewsAnew();
     if (!this.areEntriesKnown()) return;
+    if (!this.survey.confirmEmptyLogs(this.directory, this.now)) return;
     const inputs = this.survey.inputs(this.directory, this.now);
     const choice = chooseTarget(inputs);
     if (choice.kind === 'wait') return;
--- a/packages/decisions/test/primary-change/held-reports.test.ts
+++ b/packages/decisions/test/primary-change/held-reports.test.ts
@@ -170,6 +170,51 @@
       expect(reports.hasReported(instance)).toEqual(true);
     });
 
+    describe('if the log is empty', () => {
+      function surveyedEmpty(): HeldReports {
+        const reports = new HeldReports();
+        const received = {term: 0, position: 0};
+        const report = {...reported().find('i1')!, received};
+        reports.record(report, 1, 40, 50);
+        reports.confirm(report, 1, 110, 120);
+        reports.settle(listed, outOfUseAtMs, () => true);
+        return reports;
+      }
+
+      it('stay settled while the instance is held', () => {
+        const reports = surveyedEmpty();
+        const report = reports.find('i1')!;
+        expect(reports.confirm(report, 1, 130, 140)).toEqual(true);
+        expect(reports.isSettled('i1')).toEqual(true);
+      });
+
+      // Guards against a start that was never listed, between the listed one and the next.
+      it('have to be settled anew once the hold is gone', () => {
+        const reports = surveyedEmpty();
+        reports.interrupt('i1', 1);
+        expect(reports.isSettled('i1')).toEqual(false);
+        expect(reports.confirm(reports.find('i1')!, 1, 130, 140)).toEqual(
+          false,
+        );
+        reports.settle(listed, outOfUseAtMs, timeMs => timeMs < 140);
+        expect(reports.isSettled('i1')).toEqual(false);
+      });
+
+      it('do not count for the next start that is listed', () => {
+        const reports = surveyedEmpty();
+        reports.interrupt('i1', 2);
+        expect(reports.isCounted('i1', 2)).toEqual(false);
+        expect(reports.hasReported(instance)).toEqual(false);
+      });
+
+      it('do not count if the instance has received something', () => {
+        const reports = surveyedEmpty();
+        const report = {...reports.find('i1')!, received};
+        expect(reports.confirm(report, 1, 130, 140)).toEqual(false);
+        expect(reports.isSettled('i1')).toEqual(false);
+      });
+    });
+
     // Guards against the report of an earlier start that counts for one that may have confirmed more.
     it('count for the next start only once they are settled', () => {
       const reports = surveyed();
--- a/packages/decisions/test/primary-change/survey-in-steps.ts
+++ b/packages/decisions/test/primary-change/survey-in-steps.ts
@@ -188,6 +188,28 @@
     return isSame;
   }
 
+  /**
+   * Asks the instances with empty logs once more: one that is not held any more may
+   * have started twice, and the list never had the start that reported.
+   *
+   * @returns Whether each one is held still.
+   */
+  confirmEmptyLogs(listed: readonly PresentInstance[], now: number): boolean {
+    if (!this.context.rules.confirmsEmptyLogs) return true;
+    const {replicas} = this.counted;
+    return this.replicasAmong(listed)
+      .filter(({id}) => replicas.find(id)?.received.position === 0)
+      .map(({id, bornAtMs}) => {
+        this.interruptHold(replicas, id, bornAtMs);
+        const report = this.stop(id, false);
+        if (report === undefined || report.isPrimary) return false;
+        const isHeld = replicas.confirm(report, bornAtMs, now);
+        if (!isHeld) this.lastReportAt = now;
+        return isHeld;
+      })
+      .every(isHeld => isHeld);
+  }
+
   /** Whether an instance has reported as a held replica. */
   hasReported(id: string): boolean {
     return (
--- a/packages/gateway/src/core/coordinator/target-selection.ts
+++ b/packages/gateway/src/core/coordinator/target-selection.ts
@@ -1,4 +1,4 @@
-import type {TargetChoice} from '@sapphireglade/decisions';
+import type {TargetChoice, TargetInputs} from '@sapphireglade/decisions';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {DatabaseGroup, VersionedPrimaryRecord} from '../groups/index.js';
 import {REGISTRATION_MS} from '../primary-health/index.js';
@@ -77,8 +77,9 @@
       if (!pendingOrder.restsOnList(inputs, choice)) return choice;
       const {position} = choice;
       const isIncluded = includesAcknowledged(context, group, known, position);
-      if (isListComplete && (isIncluded || this.isSettled(known)))
-        return choice;
+      if (isListComplete && isIncluded) return choice;
+      if (isListComplete && this.isSettled(known))
+        return this.haveEmptyAnswered(inputs) ? choice : undefined;
       if (isIncluded) await this.awaitList(sinceMs);
       isListComplete = isIncluded || (await this.awaitEntries(known, sinceMs));
     }
@@ -134,6 +135,20 @@
     return held.viewsEndedAtMs === undefined || held.isSettled(known);
   }
 
+  /**
+   * Whether every instance with an empty log has answered the last survey. One that
+   * is silent may have started twice, and the list never had the start that reported.
+   */
+  private haveEmptyAnswered({replicas}: TargetInputs): boolean {
+    const {answered = []} = this.held.lastConfirmation ?? {};
+    return replicas.every(
+      ({id, report}) =>
+        report === undefined ||
+        report.received.position > 0 ||
+        answered.includes(id),
+    );
+  }
+
   /**
    * Waits until the list has every instance that started before the old primary
    * went out of use, and shows of which start each report is. Ends early if it
