Include what owners have acknowledged in reads of an outage of the store

Callers read data without an acknowledged commit while the store was away and the primary out of reach, if only the primary and an instance that had registered right before the outage had the commit.

While the store answers no owner, each takes its last list of the instances for complete, since nobody acknowledges a commit that no known replica has. That holds only once the last view which the store confirmed has ended (1 s): until then any instance may confirm alone, also one that registered after the last list. To date the position by the list was ruled out before (it ends reads in an outage); to ask for a known replica from the first renewal without an answer does not cover a commit before that renewal.

The owners ask each other for their lists in this case. An answer says now up to where its proxy has acknowledged commits, and the list counts as complete for the present only if the upper bound includes that, and what this proxy has acknowledged. Otherwise it counts for its own time, as it does if an owner does not answer. The start of a later term stands for a commit of an earlier one, as the position that was shown with it may have been dropped. An owner of an earlier version says nothing and counts as before.

Not covered: a proxy that has stopped or restarted since it acknowledged. Where the position shown with the last commit is past it, and a primary that is gone took the rest along, reads of the present are refused until the store is back; how often that happens was not measured.

--- a/packages/gateway/src/core/forwarding/instance-list-view.ts
+++ b/packages/gateway/src/core/forwarding/instance-list-view.ts
@@ -13,6 +13,9 @@
 /** A request for what a proxy knows of the instances of a group. */
 export type InstanceListRequest = z.infer<typeof instanceListRequestSchema>;
 
+/** Schema of a position in a log. */
+const positionSchema = z.object({term: z.number(), position: z.number()});
+
 /** Schema of the response. */
 const instanceListResponseSchema = z.object({
   canRead: z.boolean(),
@@ -20,6 +23,9 @@
   instances: z.array(
     z.object({id: z.string(), bornAtMs: z.number().optional()}),
   ),
+  acknowledged: z
+    .object({position: positionSchema.optional(), isComplete: z.boolean()})
+    .optional(),
 });
 
 /** Creates the request for a group. */
@@ -33,10 +39,16 @@
 ): InstanceListView | undefined {
   const result = instanceListResponseSchema.safeParse(response);
   if (!result.success) return undefined;
-  const {canRead, ageMs, instances} = result.data;
+  const {canRead, ageMs, instances, acknowledged} = result.data;
   return {
     canRead,
     ageMs,
     instances: instances.map(({id, bornAtMs}) => ({id, bornAtMs})),
+    ...(acknowledged !== undefined && {
+      acknowledged: {
+        position: acknowledged.position,
+        isComplete: acknowledged.isComplete,
+      },
+    }),
   };
 }
--- a/packages/gateway/src/core/groups/commit-bound-probe.ts
+++ b/packages/gateway/src/core/groups/commit-bound-probe.ts
@@ -1,5 +1,6 @@
 import type {
   InstanceListView,
+  LogPosition,
   ReplicationReport,
 } from '@sapphireglade/decisions';
 import {
@@ -13,6 +14,7 @@
 import type {InstanceDirectory} from '../directory/index.js';
 import type {InstancePool} from '../pool/index.js';
 import {steadyNowMs, wholeMilliseconds, withTimeout} from '../time/index.js';
+import {commitsToInclude} from './commits-to-include.js';
 import {fetchReplicationReport} from './fetch-replication-report.js';
 import type {DatabaseGroup} from './database-group.js';
 import type {GroupMember} from './group-member.js';
@@ -109,15 +111,18 @@
    * commits that no instance queried has. The position therefore counts for the
    * time of the directory if that is older than the query. While the store
    * answers no owner of the group, nobody learns of such an instance, and reads go
-   * on with the last directory.
+   * on with the last directory if the position includes what the owners have
+   * acknowledged.
    */
   private async survey(group: DatabaseGroup): Promise<void> {
     const {directory, configuration, isStoreReachable, log} = this.options;
     const sentAtMs = steadyNowMs();
     const isCutOff = !isStoreReachable();
-    const [reports, relayedAgeMs] = await Promise.all([
+    const [reports, views] = await Promise.all([
       fetchReports(group.possibleCommitHolders(sentAtMs).replicas),
-      isCutOff ? this.directoryAge(group) : undefined,
+      isCutOff
+        ? this.options.requestInstanceLists(group.name, DIRECTORY_WAIT_MS)
+        : undefined,
       this.readDirectory(sentAtMs),
     ]);
     // Of instances that registered or restarted meanwhile there is no report.
@@ -140,9 +145,9 @@
       hasSynchronousReplication,
     });
     const listedAtMs =
-      relayedAgeMs === undefined
+      views === undefined || bound === undefined
         ? steadyNowMs() - directory.ageMs
-        : sentAtMs - relayedAgeMs;
+        : sentAtMs - this.directoryAge(group, views, bound);
     const provenAtMs = Math.min(sentAtMs, listedAtMs);
     if (bound !== undefined) group.observeCommitBound(provenAtMs, bound);
     else this.failedAtMs.set(group, steadyNowMs());
@@ -164,11 +169,19 @@
    * Returns how old the knowledge is that the directory is complete, without the
    * store, in milliseconds before now.
    */
-  private async directoryAge({name}: DatabaseGroup): Promise<number> {
-    const {directory, requestInstanceLists} = this.options;
-    const views = await requestInstanceLists(name, DIRECTORY_WAIT_MS);
-    const known = directory.findByGroup(name);
-    return instanceListAge(known, directory.ageMs, views);
+  private directoryAge(
+    group: DatabaseGroup,
+    views: ReadonlyArray<InstanceListView | undefined>,
+    bound: LogPosition,
+  ): number {
+    const {directory} = this.options;
+    const own = {
+      canRead: false,
+      ageMs: directory.ageMs,
+      instances: directory.findByGroup(group.name),
+      acknowledged: commitsToInclude(group),
+    };
+    return instanceListAge(own, views, bound);
   }
 
   /** Waits until the directory is recent enough for a query, or a time limit. */
--- a/packages/gateway/src/core/groups/index.ts
+++ b/packages/gateway/src/core/groups/index.ts
@@ -2,6 +2,7 @@
 export * from './fetch-replication-report.js';
 export * from './acknowledged-commits.js';
 export * from './commit-bound-probe.js';
+export * from './commits-to-include.js';
 export * from './database-group.js';
 export * from './group-member.js';
 export * from './primary-problem.js';
--- a/packages/gateway/src/core/process/directory-upkeep.ts
+++ b/packages/gateway/src/core/process/directory-upkeep.ts
@@ -2,6 +2,8 @@
 import {directoryReadIntervalMs} from '@sapphireglade/decisions';
 import type {InstanceDirectory, InstanceUsePolicy} from '../directory/index.js';
 import {DirectoryUsePolicy} from '../directory/index.js';
+import type {GroupRegistry} from '../groups/index.js';
+import {commitsToInclude} from '../groups/index.js';
 import type {StoreWatchers} from './store-watchers.js';
 
 /** Keeps the directory recent enough to choose from it. */
@@ -34,13 +36,20 @@
     return this.storeWatchers().canConfirmDirectory;
   }
 
-  /** Returns what this proxy knows of the instances of a group. */
-  viewOf(group: string): InstanceListView {
+  /**
+   * Returns what this proxy knows of the instances of a group.
+   *
+   * @param name - Name of the group.
+   * @param groups - The groups, with what this proxy has acknowledged.
+   */
+  viewOf(name: string, groups: GroupRegistry): InstanceListView {
     const instances = this.directory
-      .findByGroup(group)
+      .findByGroup(name)
       .map(({id, bornAtMs}) => ({id, bornAtMs}));
     const {ageMs} = this.directory;
-    return {canRead: this.canConfirm, ageMs, instances};
+    const group = groups.find(name);
+    const acknowledged = group && commitsToInclude(group);
+    return {canRead: this.canConfirm, ageMs, instances, acknowledged};
   }
 
   /** Reads the directory now, unless it was read as recently as an owner does. */
--- a/packages/gateway/src/core/process/gateway-process.ts
+++ b/packages/gateway/src/core/process/gateway-process.ts
@@ -174,7 +174,7 @@
         log: logFor(LogPart.Routing),
       }),
       relayServer: this.storeWatchers.relayServer,
-      instanceListOf: group => this.directoryUpkeep.viewOf(group),
+      instanceListOf: name => this.directoryUpkeep.viewOf(name, this.groups),
       answersByMs: () => this.answersByMs,
       log: logFor(LogPart.Routing),
     });
--- a/packages/gateway/test/forwarding/instance-lists.test.ts
+++ b/packages/gateway/test/forwarding/instance-lists.test.ts
@@ -53,6 +53,18 @@
     expect(await request()).toEqual([VIEW]);
   });
 
+  it('returns up to where an owner has acknowledged commits', async () => {
+    owners = ['self', 'owner'];
+    const position = {term: 2, position: 7};
+    for (const acknowledged of [
+      {position, isComplete: true},
+      {position: undefined, isComplete: false},
+    ]) {
+      owner.instanceList = {...VIEW, acknowledged};
+      expect(await request()).toEqual([{...VIEW, acknowledged}]);
+    }
+  });
+
   it('returns nothing for owners that do not answer or are not listed', async () => {
     owners = ['owner', 'stopped', 'unknown'];
     expect(await request()).toEqual([VIEW, undefined, undefined]);
