Read the configuration after a race only when the proxy has its last change

Callers and operators saw nothing.

Cause: the case before it ends with 50 changes by two racing operators. The proxy that lost the last round receives it from a peer, and the next case read its base there without waiting.

Evidence: the logs of that run. rwp-depot-1, which won the last round, applied revision 52 at 15:11:19.189, lhr-depot-1, which the test asks, at 19.210; the test took 51 as its base. Each of the six proxies then applied 53, 54 and so on to 56 once each: 1 of the seed, 1 + 50 + 1 + 2 + 1 of the five cases. Ruled out: a change that counts twice, which would leave the last revision at 57.

Change: the race ends when its last change is in force in every zone, and then both proxies must answer with exactly its version and revision. Each round must raise the revision by exactly 1. A round that is refused for another reason than the conflict shows the error.

--- a/packages/proxy/test/process/configuration.test.ts
+++ b/packages/proxy/test/process/configuration.test.ts
@@ -34,7 +34,7 @@
   it('lets one of two racing operators win, 50 times', async () => {
     const [first = '', , third = ''] = fleet.vms;
     const rivals = [operatorOf(fleet, first), operatorOf(fleet, third)];
-    let {version, resource} = (await rivals[0]!.read(KEY)).body;
+    let {version, revision, resource} = (await rivals[0]!.read(KEY)).body;
     for (let round = 0; round < RACING_ROUNDS; round += 1) {
       const answers = await Promise.all(
         rivals.map((rival, index) =>
@@ -45,16 +45,31 @@
         ),
       );
       const statuses = answers.map(({status}) => status).sort();
-      expect(statuses).toEqual([200, 409]);
+      const failures = answers
+        .filter(({status}) => status !== 200 && status !== 409)
+        .map(({error}) => error);
+      expect({statuses, failures}).toEqual({
+        statuses: [200, 409],
+        failures: [],
+      });
       const loser = answers.find(({status}) => status === 409);
       expect(loser?.error?.versions).toEqual({
         expected: version,
         current: version + 1,
       });
       const winner = answers.find(({status}) => status === 200)?.body;
+      expect(winner?.revision).toEqual(revision + 1);
       version = winner?.version ?? 0;
+      revision = winner?.revision ?? 0;
       resource = winner?.resource ?? resource;
     }
+    // The loser of the last round may still be one revision behind.
+    await waitUntilInForce(fleet, first, revision);
+    for (const rival of rivals) {
+      const {body} = await rival.read(KEY);
+      expect(body.version).toEqual(version);
+      expect(body.revision).toEqual(revision);
+    }
   });
 
   it('accepts a change once when the answers of its swaps are lost', async () => {
