Lose the answer of the head in the test of lost swaps

"accepts a change once when the answers of its swaps are lost" lost the answers of two swaps of any proxy. The first swap of a change writes its body, and it is written again after a lost answer, so the two lost answers are those of the body; the one that accepts the change was never lost.

Ruled out: a fault of the product; the case passes as it is.

Change: a fault of a stand-in may name the key of the requests that it affects. The case loses the answer of a swap of the head as well, asserts that every planned fault took effect, and asks for the exact version and revision again when the change is in force in every zone.

--- a/packages/proxy/test/process/configuration.test.ts
+++ b/packages/proxy/test/process/configuration.test.ts
@@ -1,4 +1,5 @@
 import {after, before, describe, it} from 'node:test';
+import {HEAD_KEY} from '@sapphireglade/decisions';
 import {Fleet, waitUntil} from '@sapphireglade/stand-ins';
 import {expect} from 'earl';
 import {
@@ -76,14 +77,26 @@
     const [first = ''] = fleet.vms;
     const operator = operatorOf(fleet, first);
     const before = (await operator.read(KEY)).body;
+    const path = '/compare-and-swap';
+    // The first swap of a change writes its body; the head is swapped after it.
     await fleet.storeControl.setFaults({
-      faults: [{kind: 'drop-answer', path: '/compare-and-swap', count: 2}],
+      faults: [
+        {kind: 'drop-answer', path, count: 2},
+        {kind: 'drop-answer', path, key: HEAD_KEY, count: 1},
+      ],
     });
     const revision = await changeAllowedAge(fleet, first, 5_001);
+    expect(await fleet.storeControl.get('/faults')).toEqual({
+      down: false,
+      faults: [],
+    });
     const current = (await operator.read(KEY)).body;
     expect(current.version).toEqual(before.version + 1);
     expect(revision).toEqual(before.revision + 1);
     await waitUntilInForce(fleet, first, revision);
+    const settled = (await operator.read(KEY)).body;
+    expect(settled.version).toEqual(before.version + 1);
+    expect(settled.revision).toEqual(before.revision + 1);
   });
 
   it('spreads past a delegate that is paused, and never reverts', async () => {
--- a/packages/stand-ins/src/core/http/fault-injecting-http-service.ts
+++ b/packages/stand-ins/src/core/http/fault-injecting-http-service.ts
@@ -102,7 +102,11 @@
     request: FastifyRequest,
     reply: FastifyReply,
   ): Promise<unknown> {
-    const matched = this.faults.consumeMatching(route.path, request.ip);
+    const matched = this.faults.consumeMatching(
+      route.path,
+      request.ip,
+      keyOf(request.body),
+    );
     const delay = findFault(matched, FaultKind.Delay);
     if (delay !== undefined) await sleep(delay.delayMs);
     if (findFault(matched, FaultKind.IgnoreRequest)) return reply.hijack();
@@ -146,6 +150,12 @@
   });
 }
 
+/** Returns the key in the body of a request; undefined if it has none. */
+function keyOf(body: unknown): string | undefined {
+  const {key} = (body ?? {}) as {readonly key?: unknown};
+  return typeof key === 'string' ? key : undefined;
+}
+
 function findFault(
   faults: readonly Fault[],
   kind: FaultKind,
--- a/packages/stand-ins/src/core/http/fault-table.ts
+++ b/packages/stand-ins/src/core/http/fault-table.ts
@@ -24,6 +24,8 @@
   path: z.string().optional(),
   /** IP address of the affected client; every client if left out. */
   client: z.string().optional(),
+  /** Key in the body of the affected requests; every key if left out. */
+  key: z.string().optional(),
   /** Delay before the request is handled, in milliseconds. */
   delayMs: z.int().min(0).default(0),
   /** Number of affected requests; unlimited if left out. */
@@ -62,11 +64,14 @@
    *
    * @param path - Path of the request.
    * @param client - IP address of the client.
+   * @param key - Key in the body of the request; undefined if it has none.
    */
-  consumeMatching(path: string, client: string): Fault[] {
+  consumeMatching(path: string, client: string, key?: string): Fault[] {
     const matching = this.faults.filter(
       fault =>
-        (fault.path ?? path) === path && (fault.client ?? client) === client,
+        (fault.path ?? path) === path &&
+        (fault.client ?? client) === client &&
+        (fault.key ?? key) === key,
     );
     const copies = matching.map(fault => ({...fault}));
     for (const fault of matching) decrementCount(fault);
--- a/packages/stand-ins/test/store.test.ts
+++ b/packages/stand-ins/test/store.test.ts
@@ -186,6 +186,18 @@
         answers: true,
         takesEffect: true,
       },
+      {
+        name: 'a fault of the key',
+        table: {faults: [{kind: FaultKind.DropResponse, key: 'a', count: 1}]},
+        answers: false,
+        takesEffect: true,
+      },
+      {
+        name: 'a fault of another key',
+        table: {faults: [{kind: FaultKind.IgnoreRequest, key: 'b'}]},
+        answers: true,
+        takesEffect: true,
+      },
       {
         name: 'a fault of another client',
         table: {faults: [{kind: FaultKind.IgnoreRequest, client: '127.9.9.9'}]},
